--- a/src/fescuedeck/settings/yaml_fields.cpp
+++ b/src/fescuedeck/settings/yaml_fields.cpp
@@ -97,8 +97,8 @@
     m_lines.push_back(place + ": " + path + ": " + problem);
 }
 
-yaml_fields::yaml_fields(YAML::Node node, std::string path, yaml_problems &problems)
-    : m_node(std::move(node))
+yaml_fields::yaml_fields(const YAML::Node &node, std::string path, yaml_problems &problems)
+    : m_node(node)
     , m_path(std::move(path))
     , m_problems(problems)
 {
--- a/src/fescuedeck/settings/yaml_fields.h
+++ b/src/fescuedeck/settings/yaml_fields.h
@@ -40,7 +40,7 @@
 {
 public:
     // path is empty for the root. A node that is not a mapping is reported and read as empty.
-    yaml_fields(YAML::Node node, std::string path, yaml_problems &problems);
+    yaml_fields(const YAML::Node &node, std::string path, yaml_problems &problems);
 
     // Each reader leaves the target unchanged if the field is missing, unless it is required.
     void text(const std::string &name, std::string &target, bool required = false);
