--- /dev/null
+++ b/src/fescuedeck/stream/coverage_check_test.cpp
@@ -0,0 +1,28 @@
+#include "fescuedeck/stream/coverage_check.h"
+
+#include <catch2/catch.hpp>
+
+namespace fescuedeck {
+
+TEST_CASE("only an ordered partition covers the layers once", "[stream]")
+{
+    // Guards against a layer that is skipped, repeated or run out of order.
+    CHECK_FALSE(partitionFault({ { 0, 8 }, { 8, 24 }, { 24, 32 } }, 32));
+    CHECK(partitionFault({}, 32));
+    CHECK(partitionFault({ { 0, 8 }, { 16, 32 } }, 32));
+    CHECK(partitionFault({ { 0, 16 }, { 8, 32 } }, 32));
+    CHECK(partitionFault({ { 8, 32 }, { 0, 8 } }, 32));
+    CHECK(partitionFault({ { 0, 8 }, { 8, 8 }, { 8, 32 } }, 32));
+    CHECK(partitionFault({ { 0, 16 } }, 32));
+}
+
+TEST_CASE("hops of another attempt or position do not count", "[stream]")
+{
+    const std::vector<accepted_hop> hops
+            = { { 2, 5, { 0, 16 }, "a", "1" }, { 2, 5, { 16, 32 }, "b", "1" } };
+    CHECK_FALSE(coverageFault(hops, 2, 5, 32));
+    CHECK(coverageFault(hops, 1, 5, 32));
+    CHECK(coverageFault(hops, 2, 6, 32));
+}
+
+} // namespace fescuedeck
