--- /dev/null
+++ b/src/fescuedeck/routing/route_planner.cpp
@@ -0,0 +1,240 @@
+#include "fescuedeck/routing/route_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace fescuedeck {
+namespace {
+
+constexpr double unreachable = std::numeric_limits<double>::infinity();
+// Seconds that a hop costs beside the work on its layers: the router carries and checks it.
+constexpr double hopSeconds = 0.0002;
+// Cost in seconds of a stage at its limit: avoided unless every route has one.
+constexpr double fullPenalty = 1000;
+constexpr double suspectFactor = 8;
+// Costs of different endpoints that are closer than this are treated as equal.
+constexpr double tieBreakSpread = 0.02;
+// Growth of the cost with the load relative to the split.
+constexpr double loadExponent = 4;
+// Prompt positions are processed together and cost this part of an output token.
+constexpr double prefillPart = 0.1;
+
+// Costs of one endpoint for this request.
+struct stage_cost
+{
+    bool usable = false;
+    bool full = false;
+    double fixed = 0;    // seconds for each token that visits it
+    double perLayer = 0; // seconds for each token and layer
+};
+
+struct step_to
+{
+    double cost = unreachable;
+    int endpoint = -1;
+    int boundary = -1;
+    int domain = -1;
+};
+
+bool isExcluded(const route_request &request, const std::string &id)
+{
+    const auto &excluded = request.excluded;
+    return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+}
+
+// Streams over the whole model that the endpoints carry together.
+double totalStreams(const layer_graph &graph, const fleet_view &view)
+{
+    double layerStreams = 0;
+    for (const graph_endpoint &endpoint : graph.endpoints)
+        layerStreams += view.endpoints[endpoint.slot].inFlight * endpoint.layers.size();
+    return layerStreams / std::max(1, graph.layers);
+}
+
+double cachedPart(const route_request &request, const std::string &id)
+{
+    if (request.cachedTokens.empty() || request.promptTokens <= 0)
+        return 0;
+    const auto found = request.cachedTokens.find(id);
+    if (found == request.cachedTokens.end())
+        return 0;
+    return std::clamp(static_cast<double>(found->second) / request.promptTokens, 0.0, 1.0);
+}
+
+stage_cost costOf(const graph_endpoint &endpoint, const endpoint_view &view,
+                  const route_request &request, double streams, const random_fn &random)
+{
+    stage_cost cost;
+    cost.usable = view.usable && !view.exclusive && view.id == endpoint.id
+                  && view.tokensPerSecond > 0 && !isExcluded(request, endpoint.id);
+    if (!cost.usable)
+        return cost;
+    cost.full = view.limit > 0 && view.inFlight >= view.limit;
+    const double layerSeconds = 1 / (view.tokensPerSecond * endpoint.layers.size());
+    const double fairLoad = std::max(streams * endpoint.share, 1.0) * view.weight;
+    const double load = view.inFlight / fairLoad;
+    double work = 1;
+    if (request.promptTokens > 0) {
+        const double prompt = request.promptTokens * (1 - cachedPart(request, endpoint.id));
+        work += prefillPart * prompt / std::max(1, request.outputTokens);
+    }
+    cost.perLayer = layerSeconds * work * (1 + std::pow(load, loadExponent));
+    if (request.alone)
+        cost.perLayer += view.inFlight;
+    if (view.phase == endpoint_phase::Suspect)
+        cost.perLayer *= suspectFactor;
+    cost.perLayer *= 1 + tieBreakSpread * uniformReal(random);
+    cost.fixed = hopSeconds + (cost.full ? fullPenalty : 0);
+    return cost;
+}
+
+double linkCost(const layer_graph &graph, const route_request &request, int router, int from,
+                int to)
+{
+    if (request.stagesForward)
+        return from < 0 ? 0 : graph.link(from, to);
+    return router < 0 ? 0 : graph.link(router, to) + graph.link(to, router);
+}
+
+std::string firstGap(const layer_graph &graph, const std::vector<stage_cost> &costs)
+{
+    for (std::size_t s = 0; s + 1 < graph.boundaries.size(); ++s) {
+        const layer_range segment{ graph.boundaries[s], graph.boundaries[s + 1] };
+        bool covered = false;
+        for (std::size_t i = 0; i < costs.size(); ++i)
+            covered = covered || (costs[i].usable && graph.endpoints[i].layers.contains(segment));
+        if (!covered)
+            return "model " + graph.model + ": no usable endpoint for layers " + toString(segment);
+    }
+    return "model " + graph.model + ": no endpoints";
+}
+
+// Dynamic program over (boundary, domain), in order of boundaries.
+class path_search
+{
+public:
+    path_search(const layer_graph &graph, const route_request &request,
+                const std::vector<stage_cost> &costs)
+        : m_graph(graph)
+        , m_request(request)
+        , m_costs(costs)
+        , m_domains(static_cast<int>(graph.failureDomains.size()))
+        , m_router(graph.domainIndex(request.failureDomain))
+        , m_steps(graph.boundaries.size() * m_domains)
+    {
+    }
+
+    int run()
+    {
+        const int last = static_cast<int>(m_graph.boundaries.size()) - 1;
+        for (int boundary = 0; boundary < last; ++boundary) {
+            for (int i = 0; i < static_cast<int>(m_costs.size()); ++i) {
+                const graph_endpoint &endpoint = m_graph.endpoints[i];
+                if (m_costs[i].usable && endpoint.first <= boundary && boundary < endpoint.last)
+                    relax(boundary, i);
+            }
+        }
+        int best = -1;
+        for (int domain = 0; domain < m_domains; ++domain) {
+            if (at(last, domain).cost < unreachable
+                && (best < 0 || at(last, domain).cost < at(last, best).cost))
+                best = domain;
+        }
+        return best;
+    }
+
+    route trace(int domain) const
+    {
+        route found;
+        int boundary = static_cast<int>(m_graph.boundaries.size()) - 1;
+        while (boundary > 0) {
+            const step_to &step = m_steps[boundary * m_domains + domain];
+            const graph_endpoint &endpoint = m_graph.endpoints[step.endpoint];
+            found.stages.push_back(
+                    { endpoint.id,
+                      { m_graph.boundaries[step.boundary], m_graph.boundaries[boundary] } });
+            found.isFull = found.isFull || m_costs[step.endpoint].full;
+            boundary = step.boundary;
+            domain = step.domain;
+        }
+        std::reverse(found.stages.begin(), found.stages.end());
+        return found;
+    }
+
+private:
+    step_to &at(int boundary, int domain) { return m_steps[boundary * m_domains + domain]; }
+
+    void relax(int boundary, int index)
+    {
+        const graph_endpoint &endpoint = m_graph.endpoints[index];
+        double base = boundary == 0 ? linkCost(m_graph, m_request, m_router, -1, endpoint.domain)
+                                    : unreachable;
+        int domain = -1;
+        for (int from = 0; boundary > 0 && from < m_domains; ++from) {
+            const double cost = at(boundary, from).cost
+                                + linkCost(m_graph, m_request, m_router, from, endpoint.domain);
+            if (cost < base) {
+                base = cost;
+                domain = from;
+            }
+        }
+        if (base == unreachable)
+            return;
+        base += m_costs[index].fixed;
+        for (int to = boundary + 1; to <= endpoint.last; ++to) {
+            const int layers = m_graph.boundaries[to] - m_graph.boundaries[boundary];
+            const double cost = base + m_costs[index].perLayer * layers;
+            step_to &step = at(to, endpoint.domain);
+            if (cost < step.cost)
+                step = { cost, index, boundary, domain };
+        }
+    }
+
+    const layer_graph &m_graph;
+    const route_request &m_request;
+    const std::vector<stage_cost> &m_costs;
+    int m_domains;
+    int m_router;
+    std::vector<step_to> m_steps;
+};
+
+} // namespace
+
+result<route> chooseRoute(const layer_graph &graph, const fleet_view &view,
+                          const route_request &request, random_fn &random)
+{
+    const double streams = totalStreams(graph, view);
+    std::vector<stage_cost> costs;
+    costs.reserve(graph.endpoints.size());
+    for (const graph_endpoint &endpoint : graph.endpoints)
+        costs.push_back(costOf(endpoint, view.endpoints[endpoint.slot], request, streams, random));
+    path_search search(graph, request, costs);
+    const int domain = search.run();
+    if (domain < 0)
+        return makeFailure(errc::NoRoute, firstGap(graph, costs));
+    return search.trace(domain);
+}
+
+route_table::route_table(graph_request request)
+    : m_request(std::move(request))
+    , m_graph(std::make_shared<const layer_graph>())
+{
+}
+
+bool route_table::rebuildIfChanged(const fleet_view &view)
+{
+    if (graph()->topology == view.topology)
+        return false;
+    auto next = std::make_shared<const layer_graph>(buildLayerGraph(view, m_request));
+    std::atomic_store(&m_graph, std::shared_ptr<const layer_graph>(std::move(next)));
+    return true;
+}
+
+std::shared_ptr<const layer_graph> route_table::graph() const
+{
+    return std::atomic_load(&m_graph);
+}
+
+} // namespace fescuedeck
