--- /dev/null
+++ b/src/fescuedeck/net/http_client.cpp
@@ -0,0 +1,473 @@
+#include "fescuedeck/net/http_client.h"
+
+#include <algorithm>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "fescuedeck/net/tcp_socket.h"
+
+namespace fescuedeck {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t readChunkBytes = 64 * 1024;
+constexpr duration sweepInterval = std::chrono::seconds(1);
+
+bool isTargetCharacter(char c)
+{
+    const auto code = static_cast<unsigned char>(c);
+    return code > 0x20U && code != 0x7fU;
+}
+
+bool isSendable(const http_request &request)
+{
+    return isValidHeader({ request.method, "" }) && !request.target.empty()
+           && std::all_of(request.target.begin(), request.target.end(), isTargetCharacter)
+           && std::all_of(request.headers.begin(), request.headers.end(), isValidHeader);
+}
+
+using request_body = http::span_body<const char>;
+
+http::request<request_body> toBeast(const http_request &request, const std::string &address)
+{
+    http::request<request_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    if (findHeader(request.headers, "Host") == nullptr)
+        message.set(http::field::host, address);
+    for (const http_header &header : request.headers) {
+        if (!detail::isFramingHeader(header.name))
+            message.insert(header.name, header.value);
+    }
+    message.body() = { request.body.data(), request.body.size() };
+    const bool mayHaveBody = request.method != "GET" && request.method != "HEAD";
+    if (mayHaveBody || !request.body.empty())
+        message.content_length(request.body.size());
+    return message;
+}
+
+http_response toResponse(http::response<http::string_body> &&message)
+{
+    http_response response;
+    response.status = static_cast<int>(message.result_int());
+    for (const auto &field : message) {
+        response.headers.push_back(
+                { std::string(field.name_string()), std::string(field.value()) });
+    }
+    response.body = std::move(message.body());
+    return response;
+}
+
+errc kindOfReadError(const error_code &error)
+{
+    if (error == http::error::body_limit || error == http::error::header_limit
+        || error == http::error::buffer_overflow)
+        return errc::TooLarge;
+    if (error == http::error::end_of_stream || error == http::error::partial_message)
+        return errc::ConnectionClosed;
+    const bool isHttpError
+            = error.category() == http::make_error_code(http::error::bad_target).category();
+    return isHttpError ? errc::InvalidMessage : errc::ConnectionClosed;
+}
+
+} // namespace
+
+namespace detail {
+
+// A socket in use by a call, which a cancellation may close on the strand of the call.
+struct cancellable_socket
+{
+    asio::any_io_executor strand;
+    tcp::socket *socket; // null once the call has ended; used on the strand only
+};
+
+class cancellation_state
+{
+public:
+    // False if the cancellation came first.
+    bool attach(std::shared_ptr<cancellable_socket> socket)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_socket = std::move(socket);
+        return !m_isCancelled;
+    }
+
+    void cancel()
+    {
+        std::shared_ptr<cancellable_socket> current;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isCancelled = true;
+            current = std::exchange(m_socket, nullptr);
+        }
+        if (!current)
+            return;
+        asio::post(current->strand, [current] {
+            error_code ignored;
+            if (current->socket != nullptr)
+                current->socket->close(ignored);
+        });
+    }
+
+    bool isCancelled()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_isCancelled;
+    }
+
+private:
+    std::mutex m_mutex; // leaf lock
+    bool m_isCancelled = false;
+    std::shared_ptr<cancellable_socket> m_socket;
+};
+
+class http_client_core
+{
+public:
+    http_client_core(asio::io_context &io, http_client_limits clientLimits)
+        : ioContext(io)
+        , limits(clientLimits)
+    {
+    }
+
+    // An open idle connection, or none.
+    std::optional<tcp::socket> take(const std::string &address);
+    void put(const std::string &address, tcp::socket socket);
+    void dropIdle(const std::string &address);
+    int idleConnections();
+
+    asio::io_context &ioContext;
+    const http_client_limits limits;
+
+private:
+    struct idle_connection
+    {
+        tcp::socket socket;
+        time_point since;
+    };
+    using idle_list = std::vector<idle_connection>;
+
+    // Returns the connections beyond the age limit, to be closed after the lock is released.
+    idle_list sweep(time_point now);
+
+    std::mutex m_mutex;                                // leaf lock
+    std::unordered_map<std::string, idle_list> m_idle; // the newest connection is last
+    time_point m_lastSweep{};
+};
+
+std::optional<tcp::socket> http_client_core::take(const std::string &address)
+{
+    idle_list aged;
+    std::optional<tcp::socket> socket;
+    do {
+        const std::lock_guard lock(m_mutex);
+        if (aged.empty())
+            aged = sweep(steadyNow());
+        const auto found = m_idle.find(address);
+        if (found == m_idle.end() || found->second.empty())
+            return std::nullopt;
+        socket = std::move(found->second.back().socket);
+        const bool isAged = steadyNow() - found->second.back().since > limits.maxIdleAge;
+        found->second.pop_back();
+        if (isAged)
+            socket.reset();
+    } while (!socket || probeSocket(*socket) != socket_state::Quiet);
+    return socket;
+}
+
+void http_client_core::put(const std::string &address, tcp::socket socket)
+{
+    idle_list aged;
+    const std::lock_guard lock(m_mutex);
+    aged = sweep(steadyNow());
+    idle_list &list = m_idle[address];
+    if (static_cast<int>(list.size()) < limits.maxIdlePerAddress)
+        list.push_back({ std::move(socket), steadyNow() });
+}
+
+http_client_core::idle_list http_client_core::sweep(time_point now)
+{
+    idle_list aged;
+    if (now - m_lastSweep < sweepInterval)
+        return aged;
+    m_lastSweep = now;
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        idle_list &list = entry->second;
+        const auto firstKept
+                = std::find_if(list.begin(), list.end(), [&](const idle_connection &idle) {
+                      return now - idle.since <= limits.maxIdleAge;
+                  });
+        std::move(list.begin(), firstKept, std::back_inserter(aged));
+        list.erase(list.begin(), firstKept);
+        entry = list.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+    return aged;
+}
+
+void http_client_core::dropIdle(const std::string &address)
+{
+    idle_list dropped;
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return;
+    dropped = std::move(found->second);
+    m_idle.erase(found);
+}
+
+int http_client_core::idleConnections()
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t count = 0;
+    for (const auto &entry : m_idle)
+        count += entry.second.size();
+    return static_cast<int>(count);
+}
+
+// One call: up to two attempts under one deadline.
+class http_call
+{
+public:
+    http_call(http_client_core &core, std::string address, const http_request &request,
+              const call_options &options, asio::yield_context &yield)
+        : m_core(core)
+        , m_address(std::move(address))
+        , m_request(request)
+        , m_options(options)
+        , m_yield(yield)
+        , m_strand(executorOf(yield))
+        , m_socket(core.ioContext)
+        , m_deadline(m_strand, m_socket)
+        , m_cancellable(
+                  std::make_shared<cancellable_socket>(cancellable_socket{ m_strand, &m_socket }))
+    {
+    }
+    ~http_call()
+    {
+        m_cancellable->socket = nullptr;
+        if (m_options.cancellation)
+            m_options.cancellation->m_state->attach(nullptr);
+    }
+    http_call(const http_call &) = delete;
+    http_call &operator=(const http_call &) = delete;
+
+    call_result run(const tcp::endpoint &endpoint);
+
+private:
+    using response_parser = http::response_parser<http::string_body>;
+
+    std::optional<failure> connect(const tcp::endpoint &endpoint);
+    result<http_response> exchange();
+    std::size_t writeRequest(error_code &error);
+    result<http_response> readResponse();
+    void readHead(error_code &error);
+    void readBody(error_code &error);
+    bool mayRetry() const;
+    bool isAborted() const;
+    failure describe(errc kind, const std::string &what) const;
+
+    http_client_core &m_core;
+    const std::string m_address;
+    const http_request &m_request;
+    const call_options &m_options;
+    asio::yield_context &m_yield;
+    const asio::any_io_executor m_strand;
+    tcp::socket m_socket;
+    socket_deadline m_deadline;
+    std::shared_ptr<cancellable_socket> m_cancellable;
+
+    beast::flat_buffer m_buffer;
+    std::optional<response_parser> m_parser;
+    bool m_wroteBytes = false; // by the current attempt
+    bool m_gotBytes = false;
+    bool m_mayHaveBeenSent = false;
+};
+
+call_result http_call::run(const tcp::endpoint &endpoint)
+{
+    if (m_options.timeout <= duration::zero())
+        return { describe(errc::Timeout, "the deadline has passed"), false };
+    if (m_options.cancellation && !m_options.cancellation->m_state->attach(m_cancellable))
+        return { describe(errc::ConnectionClosed, "cancelled"), false };
+    m_deadline.start(m_options.timeout);
+    if (!m_options.freshConnection) {
+        if (auto idle = m_core.take(m_address)) {
+            m_socket = std::move(*idle);
+            auto response = exchange();
+            if (response || !mayRetry())
+                return { std::move(response), m_mayHaveBeenSent };
+        }
+    }
+    if (const auto error = connect(endpoint))
+        return { *error, m_mayHaveBeenSent };
+    auto response = exchange();
+    return { std::move(response), m_mayHaveBeenSent };
+}
+
+std::optional<failure> http_call::connect(const tcp::endpoint &endpoint)
+{
+    error_code error;
+    m_socket = tcp::socket(m_core.ioContext);
+    m_socket.async_connect(endpoint, m_yield[error]);
+    if (error)
+        return describe(errc::ConnectionFailed, error.message());
+    m_socket.set_option(tcp::no_delay(true), error);
+    return std::nullopt;
+}
+
+result<http_response> http_call::exchange()
+{
+    m_gotBytes = false;
+    m_buffer.clear();
+    m_buffer.max_size(m_core.limits.maxResponseHeaderBytes + readChunkBytes);
+
+    error_code writeError;
+    m_wroteBytes = writeRequest(writeError) > 0;
+    m_mayHaveBeenSent = m_mayHaveBeenSent || m_wroteBytes;
+    if (writeError && (!m_wroteBytes || isAborted()))
+        return describe(errc::ConnectionClosed, writeError.message());
+    // A server may reject a request and close before it has read all of it, so that the response is
+    // read even if writing failed.
+    auto response = readResponse();
+    const bool mayReuse = response && !writeError && m_parser->keep_alive() && m_buffer.size() == 0
+                          && m_socket.is_open() && !isAborted();
+    if (mayReuse)
+        m_core.put(m_address, std::move(m_socket));
+    return response;
+}
+
+std::size_t http_call::writeRequest(error_code &error)
+{
+    auto message = toBeast(m_request, m_address);
+    http::request_serializer<request_body> serializer(message);
+    return http::async_write(m_socket, serializer, m_yield[error]);
+}
+
+result<http_response> http_call::readResponse()
+{
+    error_code error;
+    do {
+        readHead(error);
+    } while (!error && m_parser->get().result() == http::status::continue_);
+    if (!error)
+        readBody(error);
+    if (error)
+        return describe(kindOfReadError(error), error.message());
+    return toResponse(m_parser->release());
+}
+
+void http_call::readHead(error_code &error)
+{
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_core.limits.maxResponseHeaderBytes));
+    m_parser->body_limit(m_core.limits.maxResponseBytes);
+    m_parser->skip(m_request.method == "HEAD");
+    http::async_read_header(m_socket, m_buffer, *m_parser, m_yield[error]);
+    m_gotBytes = m_gotBytes || m_buffer.size() > 0 || m_parser->got_some();
+}
+
+void http_call::readBody(error_code &error)
+{
+    if (!m_options.onBodyPart) {
+        if (!m_parser->is_done())
+            http::async_read(m_socket, m_buffer, *m_parser, m_yield[error]);
+        return;
+    }
+    m_parser->eager(true);
+    std::size_t delivered = 0;
+    while (!error && !m_parser->is_done()) {
+        http::async_read_some(m_socket, m_buffer, *m_parser, m_yield[error]);
+        const std::string &body = m_parser->get().body();
+        if (body.size() > delivered)
+            m_options.onBodyPart(std::string_view(body).substr(delivered));
+        delivered = body.size();
+    }
+}
+
+bool http_call::mayRetry() const
+{
+    return !isAborted() && !m_gotBytes && (!m_wroteBytes || m_options.idempotent);
+}
+
+bool http_call::isAborted() const
+{
+    return m_deadline.hasExpired()
+           || (m_options.cancellation && m_options.cancellation->isCancelled());
+}
+
+failure http_call::describe(errc kind, const std::string &what) const
+{
+    const std::string call = m_request.method + " " + m_address + m_request.target + ": ";
+    if (m_options.cancellation && m_options.cancellation->isCancelled())
+        return makeFailure(errc::ConnectionClosed, call + "cancelled");
+    if (m_deadline.hasExpired()) {
+        const auto millis
+                = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.timeout);
+        return makeFailure(errc::Timeout,
+                           call + "no answer within " + std::to_string(millis.count()) + " ms");
+    }
+    return makeFailure(kind, call + what);
+}
+
+} // namespace detail
+
+call_cancellation::call_cancellation()
+    : m_state(std::make_shared<detail::cancellation_state>())
+{
+}
+
+void call_cancellation::cancel()
+{
+    m_state->cancel();
+}
+
+bool call_cancellation::isCancelled() const
+{
+    return m_state->isCancelled();
+}
+
+http_client::http_client(asio::io_context &ioContext, http_client_limits limits)
+    : m_core(std::make_shared<detail::http_client_core>(ioContext, limits))
+{
+}
+
+http_client::~http_client() = default;
+
+call_result http_client::send(const std::string &address, const http_request &request,
+                              const call_options &options, asio::yield_context yield)
+{
+    const auto endpoint = parseAddress(address);
+    if (!endpoint)
+        return { endpoint.error(), false };
+    if (!isSendable(request)) {
+        return { makeFailure(errc::InvalidRequest,
+                             "method, target or a header has characters that HTTP does not allow"),
+                 false };
+    }
+    const auto core = m_core; // outlives the call even if this client does not
+    detail::http_call call(*core, address, request, options, yield);
+    return call.run(endpoint.value());
+}
+
+void http_client::dropIdle(const std::string &address)
+{
+    m_core->dropIdle(address);
+}
+
+int http_client::idleConnections() const
+{
+    return m_core->idleConnections();
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/net/http_client.h
@@ -0,0 +1,104 @@
+// HTTP/1.1 client with a pool of idle connections per address. Use it for all calls to endpoints
+// and platform services.
+#ifndef FESCUEDECK_NET_HTTP_CLIENT_H
+#define FESCUEDECK_NET_HTTP_CLIENT_H
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include "fescuedeck/base/error.h"
+#include "fescuedeck/base/time.h"
+#include "fescuedeck/net/http_message.h"
+
+namespace fescuedeck {
+
+namespace detail {
+class http_call;
+class http_client_core;
+class cancellation_state;
+} // namespace detail
+
+// Cancels a call from another coroutine or thread. Copies refer to the same cancellation; it stays
+// cancelled, so that further calls with it fail at once. One call may use it at a time.
+class call_cancellation
+{
+public:
+    call_cancellation();
+
+    // Closes the connection of the call in progress, which then fails with ConnectionClosed.
+    // Thread-safe.
+    void cancel();
+    bool isCancelled() const;
+
+private:
+    friend class detail::http_call;
+    std::shared_ptr<detail::cancellation_state> m_state;
+};
+
+struct call_options
+{
+    duration timeout = std::chrono::seconds(10); // of the whole call, connecting included
+    // Opens a new connection instead of reusing an idle one.
+    bool freshConnection = false;
+    // A call that fails on a reused connection before any byte of the response is sent once more on
+    // a new connection. Without this flag that happens only if no byte had been written.
+    bool idempotent = false;
+    std::optional<call_cancellation> cancellation;
+    // Gets each part of the response body as it arrives, on the strand of the caller. The body is
+    // still collected in the response.
+    std::function<void(std::string_view)> onBodyPart;
+};
+
+struct call_result
+{
+    result<http_response> response;
+    // False only if no byte of the request was handed to a socket.
+    bool mayHaveBeenSent = false;
+};
+
+struct http_client_limits
+{
+    std::size_t maxResponseHeaderBytes = 16 * 1024;
+    std::size_t maxResponseBytes = 16 * 1024 * 1024;
+    int maxIdlePerAddress = 64;
+    // Idle connections beyond this age are closed. It must be below the idle timeout of the
+    // servers, so that a request rarely meets a connection that the server is closing.
+    duration maxIdleAge = std::chrono::seconds(15);
+};
+
+// Thread-safe. A connection is returned to the pool only after a complete response with nothing
+// behind it; a call that fails in any way closes its connection.
+//
+// Failures: ConnectionFailed (no connection), Timeout, ConnectionClosed (by the other end or by
+// cancellation), TooLarge (response), InvalidMessage (response is not HTTP), InvalidRequest and
+// InvalidSettings (the request or address cannot be sent).
+class http_client
+{
+public:
+    explicit http_client(boost::asio::io_context &ioContext, http_client_limits limits = {});
+    ~http_client();
+    http_client(const http_client &) = delete;
+    http_client &operator=(const http_client &) = delete;
+
+    // address is ip:port.
+    call_result send(const std::string &address, const http_request &request,
+                     const call_options &options, boost::asio::yield_context yield);
+
+    // Closes the idle connections to an address, for example when its host is leaving.
+    void dropIdle(const std::string &address);
+    int idleConnections() const;
+
+private:
+    std::shared_ptr<detail::http_client_core> m_core;
+};
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/net/http_server.cpp
@@ -0,0 +1,731 @@
+#include "fescuedeck/net/http_server.h"
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/coroutine/exceptions.hpp>
+
+#include "fescuedeck/net/tcp_socket.h"
+
+namespace fescuedeck {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+// Handlers parse JSON and run the router's logic on this stack; pages are used on first touch.
+constexpr std::size_t coroutineStackBytes = 256 * 1024;
+constexpr std::size_t readChunkBytes = 64 * 1024;
+constexpr int listenBacklog = 1024;
+// Connections beyond the limit that are told so at the same time; further ones are just closed.
+constexpr int maxRefusals = 64;
+// Time and bytes for which a closing connection is still read, because closing a socket with unread
+// input discards the response that was just sent.
+constexpr duration lingerTimeout = std::chrono::seconds(1);
+constexpr std::size_t maxLingerBytes = 8 * 1024 * 1024;
+// Pause after a failed accept, for example when file descriptors have run out.
+constexpr duration acceptPause = std::chrono::milliseconds(100);
+
+bool isHttpError(const error_code &error)
+{
+    return error.category() == http::make_error_code(http::error::bad_target).category();
+}
+
+std::optional<http_response> rejection(const error_code &error, const http_server_limits &limits)
+{
+    if (error == http::error::body_limit) {
+        const std::string limit = std::to_string(limits.maxBodyBytes);
+        return errorResponse(413,
+                             makeFailure(errc::TooLarge, "the body exceeds " + limit + " bytes"),
+                             "not-run");
+    }
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        const std::string limit = std::to_string(limits.maxHeaderBytes);
+        return errorResponse(431,
+                             makeFailure(errc::TooLarge, "the headers exceed " + limit + " bytes"),
+                             "not-run");
+    }
+    const bool isClosed
+            = error == http::error::end_of_stream || error == http::error::partial_message;
+    if (!isHttpError(error) || isClosed)
+        return std::nullopt;
+    return errorResponse(
+            400, makeFailure(errc::InvalidRequest, "malformed HTTP request: " + error.message()),
+            "not-run");
+}
+
+template <class Body>
+http::response<Body> toBeastHead(const http_response &response, unsigned version, bool keepAlive)
+{
+    http::response<Body> message;
+    message.version(version);
+    message.result(static_cast<unsigned>(response.status));
+    for (const http_header &header : response.headers) {
+        if (isValidHeader(header) && !detail::isFramingHeader(header.name))
+            message.insert(header.name, header.value);
+    }
+    message.keep_alive(keepAlive);
+    return message;
+}
+
+http_request toRequest(http::request<http::string_body> &&message)
+{
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+bool hasBody(int status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
+} // namespace
+
+namespace detail {
+
+class http_server_core : public std::enable_shared_from_this<http_server_core>
+{
+public:
+    http_server_core(asio::io_context &ioContext, http_server_limits serverLimits,
+                     http_handler requestHandler)
+        : limits(serverLimits)
+        , handler(std::move(requestHandler))
+        , m_ioContext(ioContext)
+        , m_strand(asio::make_strand(ioContext))
+        , m_acceptor(ioContext)
+        , m_pause(ioContext)
+    {
+    }
+
+    error_code listen(const tcp::endpoint &endpoint);
+    std::uint16_t port() const { return m_port; }
+    void stopAccepting();
+    void closeAll();
+    void remove(http_connection *connection);
+
+    const http_server_limits limits;
+    const http_handler handler;
+    std::function<void(const std::string &)> exceptionHook;
+    std::atomic<bool> isDraining{ false };
+    std::atomic<int> openExchanges{ 0 };
+    std::atomic<int> openConnections{ 0 };
+
+private:
+    void acceptNext();
+    void onAccept(const error_code &error, tcp::socket socket);
+    void startConnection(tcp::socket socket);
+    void closeAcceptor();
+    template <class Function>
+    void forEachConnection(Function function);
+
+    asio::io_context &m_ioContext;
+    asio::strand<asio::io_context::executor_type> m_strand;
+    tcp::acceptor m_acceptor; // used on m_strand after listen()
+    asio::steady_timer m_pause;
+    std::uint16_t m_port = 0;
+    // Leaf lock: nothing else is locked or called while it is held.
+    std::mutex m_mutex;
+    std::unordered_map<http_connection *, std::weak_ptr<http_connection>> m_connections;
+};
+
+// All members but the constructor and the destructor run on the strand.
+class http_connection : public std::enable_shared_from_this<http_connection>
+{
+public:
+    http_connection(std::shared_ptr<http_server_core> core, tcp::socket socket,
+                    const asio::any_io_executor &strand)
+        : m_core(std::move(core))
+        , m_strand(strand)
+        , m_socket(std::move(socket))
+        , m_deadline(strand, m_socket)
+        , m_buffer(m_core->limits.maxHeaderBytes + readChunkBytes)
+    {
+    }
+    ~http_connection() { m_core->remove(this); }
+    http_connection(const http_connection &) = delete;
+    http_connection &operator=(const http_connection &) = delete;
+
+    void run(asio::yield_context yield);
+    void refuse(asio::yield_context yield);
+    void beginDrain();
+    void close();
+
+    const http_request &request() const { return m_request; }
+    std::string callerAddress() const;
+    void respond(const http_response &response);
+    bool startStream(const http_response &head);
+    bool writeChunk(const std::string &data);
+    void finishStream();
+    bool callerLeft();
+    void onCallerLeft(std::function<void()> hook);
+    const asio::any_io_executor &strand() const { return m_strand; }
+    asio::yield_context yield() const { return *m_yield; }
+
+private:
+    bool waitForRequest();
+    bool readRequest();
+    bool sendContinue();
+    void reject(const error_code &error);
+    void runExchange();
+    std::optional<std::string> callHandler();
+    void endExchange();
+    void lingerAndClose();
+    void startWatch();
+    void onReadable(std::uint64_t exchange, const error_code &error);
+    void markLeft();
+    template <class Operation>
+    bool write(Operation operation);
+
+    const std::shared_ptr<http_server_core> m_core;
+    const asio::any_io_executor m_strand;
+    tcp::socket m_socket;
+    socket_deadline m_deadline;
+    beast::flat_buffer m_buffer;
+    asio::yield_context *m_yield = nullptr;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+
+    http_request m_request;
+    unsigned m_version = 11;
+    bool m_isIdle = false;
+    bool m_keepAlive = false;
+    bool m_isHead = false;
+    bool m_headSent = false;
+    bool m_isStreaming = false;
+    bool m_callerLeft = false;
+    bool m_isWatching = false;
+    std::uint64_t m_exchange = 0; // tells the wait of an earlier exchange from the current one
+    std::function<void()> m_leftHook;
+};
+
+void http_connection::run(asio::yield_context yield)
+{
+    m_yield = &yield;
+    while (waitForRequest()) {
+        ++m_core->openExchanges;
+        m_keepAlive = false;
+        if (readRequest())
+            runExchange();
+        endExchange();
+        --m_core->openExchanges;
+        if (!m_keepAlive)
+            break;
+    }
+    if (m_headSent && !m_isStreaming && !m_callerLeft)
+        lingerAndClose();
+    close();
+}
+
+void http_connection::refuse(asio::yield_context yield)
+{
+    m_yield = &yield;
+    http_response response
+            = errorResponse(503, makeFailure(errc::Overloaded, "too many connections"), "not-run");
+    response.headers.push_back({ "Retry-After", "1" });
+    respond(response);
+    lingerAndClose();
+}
+
+void http_connection::beginDrain()
+{
+    if (m_isIdle)
+        m_deadline.start(m_core->limits.drainGrace);
+}
+
+void http_connection::close()
+{
+    error_code ignored;
+    m_socket.close(ignored);
+    m_deadline.stop();
+}
+
+std::string http_connection::callerAddress() const
+{
+    error_code error;
+    const tcp::endpoint endpoint = m_socket.remote_endpoint(error);
+    return error ? std::string() : toAddress(endpoint);
+}
+
+bool http_connection::waitForRequest()
+{
+    if (m_buffer.size() > 0)
+        return true;
+    const http_server_limits &limits = m_core->limits;
+    m_isIdle = true;
+    m_deadline.start(m_core->isDraining ? limits.drainGrace : limits.idleTimeout);
+    error_code error;
+    const auto space = m_buffer.prepare(std::min(readChunkBytes, m_buffer.max_size()));
+    const std::size_t count = m_socket.async_read_some(space, (*m_yield)[error]);
+    m_buffer.commit(count);
+    m_isIdle = false;
+    return !error;
+}
+
+bool http_connection::readRequest()
+{
+    const http_server_limits &limits = m_core->limits;
+    m_headSent = false;
+    m_isStreaming = false;
+    m_isHead = false;
+    m_version = 11;
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    m_parser->body_limit(limits.maxBodyBytes);
+
+    error_code error;
+    m_deadline.start(limits.headerTimeout);
+    http::async_read_header(m_socket, m_buffer, *m_parser, (*m_yield)[error]);
+    m_deadline.start(limits.bodyTimeout);
+    if (!error && !m_parser->is_done() && sendContinue())
+        http::async_read(m_socket, m_buffer, *m_parser, (*m_yield)[error]);
+    m_deadline.stop();
+    if (error) {
+        reject(error);
+        return false;
+    }
+    if (!m_parser->is_done())
+        return false;
+    m_keepAlive = m_parser->get().keep_alive();
+    m_version = m_parser->get().version() == 10 ? 10 : 11;
+    m_isHead = m_parser->get().method() == http::verb::head;
+    m_request = toRequest(m_parser->release());
+    return true;
+}
+
+bool http_connection::sendContinue()
+{
+    if (!beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
+        return true;
+    static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code error;
+    asio::async_write(m_socket, asio::buffer(interim), (*m_yield)[error]);
+    return !error;
+}
+
+void http_connection::reject(const error_code &error)
+{
+    const auto response = rejection(error, m_core->limits);
+    if (response && m_socket.is_open())
+        respond(*response);
+}
+
+void http_connection::runExchange()
+{
+    const auto exceptionText = callHandler();
+    if (exceptionText && m_core->exceptionHook)
+        m_core->exceptionHook(*exceptionText);
+    if (!m_headSent && !m_callerLeft) {
+        const std::string what = exceptionText ? "failed" : "gave no response";
+        respond(errorResponse(
+                500, makeFailure(errc::Internal, "the handler of the request " + what), "unknown"));
+    }
+    if (m_isStreaming || m_callerLeft)
+        m_keepAlive = false;
+}
+
+std::optional<std::string> http_connection::callHandler()
+{
+    http_exchange exchange(*this);
+    try {
+        m_core->handler(exchange);
+    } catch (const boost::coroutines::detail::forced_unwind &) {
+        throw; // The coroutine is being destroyed with its io_context.
+    } catch (const std::exception &exception) {
+        return exception.what();
+    } catch (...) {
+        return "unknown exception";
+    }
+    return std::nullopt;
+}
+
+void http_connection::endExchange()
+{
+    ++m_exchange;
+    m_leftHook = nullptr;
+    if (!m_isWatching)
+        return;
+    m_isWatching = false;
+    error_code ignored;
+    m_socket.cancel(ignored);
+}
+
+void http_connection::lingerAndClose()
+{
+    error_code error;
+    m_socket.shutdown(tcp::socket::shutdown_send, error);
+    m_deadline.start(lingerTimeout);
+    m_buffer.clear();
+    for (std::size_t total = 0; !error && total < maxLingerBytes;) {
+        const auto space = m_buffer.prepare(std::min(readChunkBytes, m_buffer.max_size()));
+        total += m_socket.async_read_some(space, (*m_yield)[error]);
+    }
+    close();
+}
+
+template <class Operation>
+bool http_connection::write(Operation operation)
+{
+    if (m_callerLeft)
+        return false;
+    error_code error;
+    m_deadline.start(m_core->limits.writeTimeout);
+    operation((*m_yield)[error]);
+    m_deadline.stop();
+    if (error)
+        markLeft();
+    return !error;
+}
+
+void http_connection::respond(const http_response &response)
+{
+    if (m_headSent)
+        return;
+    m_headSent = true;
+    m_keepAlive = m_keepAlive && !m_core->isDraining;
+    using body_type = http::span_body<const char>;
+    auto message = toBeastHead<body_type>(response, m_version, m_keepAlive);
+    message.body() = { response.body.data(), response.body.size() };
+    if (hasBody(response.status))
+        message.content_length(response.body.size());
+    http::response_serializer<body_type> serializer(message);
+    const bool sendsBody = hasBody(response.status) && !m_isHead;
+    write([&](const asio::yield_context &yield) {
+        if (sendsBody)
+            http::async_write(m_socket, serializer, yield);
+        else
+            http::async_write_header(m_socket, serializer, yield);
+    });
+}
+
+bool http_connection::startStream(const http_response &head)
+{
+    if (m_headSent)
+        return false;
+    m_headSent = true;
+    const bool isChunked = m_version == 11;
+    m_keepAlive = m_keepAlive && isChunked && !m_core->isDraining;
+    auto message = toBeastHead<http::empty_body>(head, m_version, m_keepAlive);
+    message.chunked(isChunked);
+    http::response_serializer<http::empty_body> serializer(message);
+    m_isStreaming = true;
+    return write([&](const asio::yield_context &yield) {
+        http::async_write_header(m_socket, serializer, yield);
+    });
+}
+
+bool http_connection::writeChunk(const std::string &data)
+{
+    if (!m_isStreaming)
+        return false;
+    if (data.empty() || m_isHead) // An empty chunk would end the stream.
+        return !m_callerLeft;
+    return write([&](const asio::yield_context &yield) {
+        if (m_version == 11)
+            asio::async_write(m_socket, http::make_chunk(asio::buffer(data)), yield);
+        else
+            asio::async_write(m_socket, asio::buffer(data), yield);
+    });
+}
+
+void http_connection::finishStream()
+{
+    if (!m_isStreaming)
+        return;
+    const bool needsEnd = m_version == 11 && !m_isHead;
+    const bool isWritten = !needsEnd || write([&](const asio::yield_context &yield) {
+        asio::async_write(m_socket, http::make_chunk_last(), yield);
+    });
+    m_isStreaming = !isWritten;
+}
+
+bool http_connection::callerLeft()
+{
+    if (!m_callerLeft && probeSocket(m_socket) == socket_state::Closed)
+        markLeft();
+    return m_callerLeft;
+}
+
+void http_connection::onCallerLeft(std::function<void()> hook)
+{
+    m_leftHook = std::move(hook);
+    if (!m_callerLeft) {
+        startWatch();
+        return;
+    }
+    asio::post(m_strand, [self = shared_from_this(), exchange = m_exchange] {
+        if (self->m_exchange == exchange && self->m_leftHook)
+            std::exchange(self->m_leftHook, nullptr)();
+    });
+}
+
+void http_connection::startWatch()
+{
+    if (m_isWatching)
+        return;
+    m_isWatching = true;
+    m_socket.async_wait(tcp::socket::wait_read,
+                        asio::bind_executor(m_strand, [self = shared_from_this(),
+                                                       exchange = m_exchange](error_code error) {
+                            self->onReadable(exchange, error);
+                        }));
+}
+
+void http_connection::onReadable(std::uint64_t exchange, const error_code &error)
+{
+    if (exchange != m_exchange)
+        return;
+    m_isWatching = false;
+    if (error)
+        return;
+    const socket_state state = probeSocket(m_socket);
+    if (state == socket_state::Closed)
+        markLeft();
+    else if (state == socket_state::Quiet)
+        startWatch();
+}
+
+void http_connection::markLeft()
+{
+    if (std::exchange(m_callerLeft, true))
+        return;
+    m_keepAlive = false;
+    if (m_leftHook)
+        std::exchange(m_leftHook, nullptr)();
+}
+
+error_code http_server_core::listen(const tcp::endpoint &endpoint)
+{
+    error_code error;
+    m_acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(endpoint, error);
+    if (!error)
+        m_acceptor.listen(listenBacklog, error);
+    if (error) {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        return error;
+    }
+    m_port = m_acceptor.local_endpoint(error).port();
+    asio::post(m_strand, [self = shared_from_this()] { self->acceptNext(); });
+    return error;
+}
+
+void http_server_core::acceptNext()
+{
+    if (!m_acceptor.is_open() || isDraining)
+        return;
+    const asio::any_io_executor executor = m_ioContext.get_executor();
+    m_acceptor.async_accept(executor, asio::bind_executor(m_strand, [self = shared_from_this()](
+                                                                            const error_code &error,
+                                                                            tcp::socket socket) {
+                                self->onAccept(error, std::move(socket));
+                            }));
+}
+
+void http_server_core::onAccept(const error_code &error, tcp::socket socket)
+{
+    if (error == asio::error::operation_aborted)
+        return;
+    if (!error) {
+        startConnection(std::move(socket));
+        acceptNext();
+        return;
+    }
+    m_pause.expires_after(acceptPause);
+    m_pause.async_wait(asio::bind_executor(
+            m_strand, [self = shared_from_this()](const error_code &) { self->acceptNext(); }));
+}
+
+void http_server_core::startConnection(tcp::socket socket)
+{
+    const int count = ++openConnections;
+    if (count > limits.maxConnections + maxRefusals) {
+        --openConnections;
+        return;
+    }
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const asio::strand<asio::io_context::executor_type> strand = asio::make_strand(m_ioContext);
+    auto connection
+            = std::make_shared<http_connection>(shared_from_this(), std::move(socket), strand);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_connections.emplace(connection.get(), connection);
+    }
+    const bool isRefused = count > limits.maxConnections;
+    asio::spawn(
+            strand,
+            [connection = std::move(connection), isRefused](const asio::yield_context &yield) {
+                if (isRefused)
+                    connection->refuse(yield);
+                else
+                    connection->run(yield);
+            },
+            boost::coroutines::attributes(coroutineStackBytes));
+}
+
+void http_server_core::remove(http_connection *connection)
+{
+    --openConnections;
+    const std::lock_guard lock(m_mutex);
+    m_connections.erase(connection);
+}
+
+template <class Function>
+void http_server_core::forEachConnection(Function function)
+{
+    std::vector<std::shared_ptr<http_connection>> connections;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &entry : m_connections) {
+            if (auto connection = entry.second.lock())
+                connections.push_back(std::move(connection));
+        }
+    }
+    for (const auto &connection : connections)
+        asio::post(connection->strand(), [connection, function] { function(*connection); });
+}
+
+void http_server_core::stopAccepting()
+{
+    isDraining = true;
+    asio::post(m_strand, [self = shared_from_this()] { self->closeAcceptor(); });
+}
+
+// Connections that the kernel has accepted already are served, because closing the listener would
+// reset them.
+void http_server_core::closeAcceptor()
+{
+    if (!m_acceptor.is_open())
+        return;
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    for (int i = 0; i < listenBacklog && !error; ++i) {
+        tcp::socket socket(m_ioContext);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            startConnection(std::move(socket));
+    }
+    m_acceptor.close(error);
+    m_pause.cancel(error);
+    forEachConnection([](http_connection &connection) { connection.beginDrain(); });
+}
+
+void http_server_core::closeAll()
+{
+    forEachConnection([](http_connection &connection) { connection.close(); });
+}
+
+} // namespace detail
+
+const http_request &http_exchange::request() const
+{
+    return m_connection.request();
+}
+
+std::string http_exchange::callerAddress() const
+{
+    return m_connection.callerAddress();
+}
+
+void http_exchange::respond(const http_response &response)
+{
+    m_connection.respond(response);
+}
+
+bool http_exchange::startStream(const http_response &head)
+{
+    return m_connection.startStream(head);
+}
+
+bool http_exchange::writeChunk(const std::string &data)
+{
+    return m_connection.writeChunk(data);
+}
+
+void http_exchange::finishStream()
+{
+    m_connection.finishStream();
+}
+
+bool http_exchange::callerLeft() const
+{
+    return m_connection.callerLeft();
+}
+
+void http_exchange::onCallerLeft(std::function<void()> hook)
+{
+    m_connection.onCallerLeft(std::move(hook));
+}
+
+asio::yield_context http_exchange::yield() const
+{
+    return m_connection.yield();
+}
+
+http_server::http_server(asio::io_context &ioContext, http_server_limits limits,
+                         http_handler handler)
+    : m_core(std::make_shared<detail::http_server_core>(ioContext, limits, std::move(handler)))
+{
+}
+
+http_server::~http_server()
+{
+    m_core->stopAccepting();
+    m_core->closeAll();
+}
+
+void http_server::onHandlerException(std::function<void(const std::string &)> hook)
+{
+    m_core->exceptionHook = std::move(hook);
+}
+
+std::error_code http_server::listen(const std::string &address)
+{
+    const auto endpoint = parseAddress(address);
+    if (!endpoint)
+        return endpoint.error().code;
+    return m_core->listen(endpoint.value());
+}
+
+std::uint16_t http_server::port() const
+{
+    return m_core->port();
+}
+
+void http_server::stopAccepting()
+{
+    m_core->stopAccepting();
+}
+
+int http_server::openExchanges() const
+{
+    return m_core->openExchanges;
+}
+
+int http_server::openConnections() const
+{
+    return m_core->openConnections;
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -0,0 +1,217 @@
+#include "fescuedeck/net/http_server.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "fescuedeck/net/test_io.h"
+
+namespace fescuedeck {
+namespace {
+
+std::string get(const std::string &target)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: test\r\n\r\n";
+}
+
+std::string outcomeOf(const std::string &response)
+{
+    return nlohmann::json::parse(response.substr(response.find("\r\n\r\n")))["outcome"];
+}
+
+http_response text(const std::string &body)
+{
+    http_response response;
+    response.body = body;
+    return response;
+}
+
+// Echoes the target; "/throw" throws.
+void echo(http_exchange &exchange)
+{
+    if (exchange.request().target == "/throw")
+        throw std::runtime_error("fault in a handler");
+    exchange.respond(text("echo " + exchange.request().target + exchange.request().body));
+}
+
+} // namespace
+
+TEST_CASE("a connection carries several requests, also sent ahead", "[net]")
+{
+    test_io io;
+    http_server server(io.context(), {}, echo);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection caller(server.port());
+    caller.send(get("/1"));
+    CHECK(caller.receiveUntil("echo /1").find("HTTP/1.1 200 OK") == 0);
+    caller.send(get("/2") + get("/3"));
+    CHECK(caller.receiveUntil("echo /3").find("echo /2") != std::string::npos);
+    caller.send("GET /4 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CHECK(caller.receiveAll().find("echo /4") != std::string::npos);
+}
+
+TEST_CASE("malformed and oversized requests get an error and the server stays up", "[net]")
+{
+    http_server_limits limits;
+    limits.maxBodyBytes = 1000;
+    limits.maxHeaderBytes = 1000;
+    test_io io;
+    std::atomic<int> calls{ 0 };
+    http_server server(io.context(), limits, [&](http_exchange &exchange) {
+        ++calls;
+        echo(exchange);
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+
+    const auto answerTo = [&](const std::string &bytes) {
+        raw_connection caller(server.port());
+        caller.send(bytes);
+        return caller.receiveAll();
+    };
+    const std::string malformed = answerTo("\x01\x02 nonsense\r\n\r\n");
+    CHECK(malformed.find("HTTP/1.1 400") == 0);
+    CHECK(outcomeOf(malformed) == "not-run");
+    CHECK(answerTo("GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n").find("HTTP/1.1 400") == 0);
+    const std::string head = "POST / HTTP/1.1\r\nContent-Length: ";
+    const std::string tooLarge = answerTo(head + "2000000\r\n\r\n" + std::string(2000000, 'x'));
+    CHECK(tooLarge.find("HTTP/1.1 413") == 0);
+    CHECK(outcomeOf(tooLarge) == "not-run");
+    const std::string chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    CHECK(answerTo(chunked + "7d0\r\n" + std::string(2000, 'x')).find("HTTP/1.1 413") == 0);
+    const std::string longHeader = "GET / HTTP/1.1\r\nX: " + std::string(90000, 'x') + "\r\n\r\n";
+    CHECK(answerTo(longHeader).find("HTTP/1.1 431") == 0);
+    CHECK(calls == 0);
+    CHECK(answerTo("GET /ok HTTP/1.0\r\n\r\n").find("echo /ok") != std::string::npos);
+}
+
+TEST_CASE("a handler that throws gives status 500 and an unknown outcome", "[net]")
+{
+    test_io io;
+    std::promise<std::string> reported;
+    http_server server(io.context(), {}, echo);
+    server.onHandlerException([&](const std::string &what) { reported.set_value(what); });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection caller(server.port());
+    caller.send(get("/throw"));
+    const std::string response = caller.receiveUntil("unknown\"}");
+    CHECK(response.find("HTTP/1.1 500") == 0);
+    CHECK(reported.get_future().get() == "fault in a handler");
+    caller.send(get("/after"));
+    CHECK(caller.receiveUntil("echo /after").find("200 OK") != std::string::npos);
+}
+
+TEST_CASE("a waiting handler learns that its caller has left", "[net]")
+{
+    // Guards against an endpoint working on for a caller that has gone.
+    test_io io;
+    std::promise<void> started;
+    std::promise<bool> left;
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        boost::asio::steady_timer wait(io.context(), testWaitLimit);
+        exchange.onCallerLeft([&] { wait.cancel(); });
+        started.set_value();
+        boost::system::error_code error;
+        wait.async_wait(exchange.yield()[error]);
+        left.set_value(error == boost::asio::error::operation_aborted && exchange.callerLeft());
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection caller(server.port());
+    caller.send(get("/"));
+    started.get_future().wait();
+    caller.close();
+    CHECK(left.get_future().get());
+    CHECK(eventually([&] { return server.openConnections() == 0; }));
+}
+
+TEST_CASE("a stream ends with the last chunk, an abandoned one does not", "[net]")
+{
+    test_io io;
+    http_server server(io.context(), {}, [](http_exchange &exchange) {
+        exchange.startStream({ 200, { { "Content-Type", "text/event-stream" } }, "" });
+        exchange.writeChunk("data: 1\n\n");
+        if (exchange.request().target == "/whole")
+            exchange.finishStream();
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection whole(server.port());
+    whole.send(get("/whole"));
+    CHECK(whole.receiveUntil("\r\n0\r\n\r\n").find("9\r\ndata: 1\n\n\r\n") != std::string::npos);
+    raw_connection abandoned(server.port());
+    abandoned.send(get("/abandoned"));
+    CHECK(abandoned.receiveAll().find("\r\n0\r\n") == std::string::npos);
+}
+
+TEST_CASE("a caller that does not read its stream is cut off", "[net]")
+{
+    // Guards against a slow caller holding its stream for ever.
+    http_server_limits limits;
+    limits.writeTimeout = std::chrono::milliseconds(50);
+    test_io io;
+    std::promise<bool> cutOff;
+    http_server server(io.context(), limits, [&](http_exchange &exchange) {
+        exchange.startStream({});
+        bool isOpen = true;
+        for (int i = 0; i < 10000 && isOpen; ++i)
+            isOpen = exchange.writeChunk(std::string(65536, 'x'));
+        cutOff.set_value(!isOpen && exchange.callerLeft());
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection caller(server.port());
+    caller.send(get("/"));
+    CHECK(cutOff.get_future().get());
+}
+
+TEST_CASE("stopping finishes open exchanges and closes idle connections", "[net]")
+{
+    test_io io;
+    std::promise<void> started;
+    std::atomic<bool> mayFinish{ false };
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        if (exchange.request().target == "/slow") {
+            started.set_value();
+            boost::asio::steady_timer wait(io.context());
+            while (!mayFinish) {
+                wait.expires_after(std::chrono::milliseconds(1));
+                wait.async_wait(exchange.yield());
+            }
+        }
+        echo(exchange);
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection idle(server.port());
+    idle.send(get("/idle"));
+    idle.receiveUntil("echo /idle");
+    raw_connection slow(server.port());
+    slow.send(get("/slow"));
+    started.get_future().wait();
+
+    server.stopAccepting();
+    CHECK(idle.receiveAll().empty());
+    CHECK(server.openExchanges() == 1);
+    CHECK_THROWS(raw_connection(server.port()));
+    mayFinish = true;
+    const std::string answer = slow.receiveAll();
+    CHECK(answer.find("echo /slow") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(eventually([&] { return server.openExchanges() == 0; }));
+}
+
+TEST_CASE("connections beyond the limit are told to retry", "[net]")
+{
+    http_server_limits limits;
+    limits.maxConnections = 1;
+    test_io io;
+    http_server server(io.context(), limits, echo);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection first(server.port());
+    first.send(get("/1"));
+    first.receiveUntil("echo /1");
+    raw_connection second(server.port());
+    const std::string refusal = second.receiveAll();
+    CHECK(refusal.find("HTTP/1.1 503") == 0);
+    CHECK(outcomeOf(refusal) == "not-run");
+    first.send(get("/2"));
+    CHECK(first.receiveUntil("echo /2").find("200 OK") != std::string::npos);
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/net/tcp_socket.cpp
@@ -0,0 +1,152 @@
+#include "fescuedeck/net/tcp_socket.h"
+
+#include <cerrno>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <sys/socket.h>
+
+namespace fescuedeck {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+std::optional<std::uint16_t> parsePort(std::string_view text)
+{
+    std::uint16_t port = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, port);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return port;
+}
+
+} // namespace
+
+result<tcp::endpoint> parseAddress(const std::string &address)
+{
+    const failure invalid = makeFailure(errc::InvalidSettings,
+                                        "address \"" + address + "\" is not ip:port by number");
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return invalid;
+    std::string host = address.substr(0, colon);
+    const bool isBracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (isBracketed)
+        host = host.substr(1, host.size() - 2);
+    boost::system::error_code error;
+    const asio::ip::address ip = asio::ip::make_address(host, error);
+    const auto port = parsePort(std::string_view(address).substr(colon + 1));
+    if (error || !port || ip.is_v6() != isBracketed)
+        return invalid;
+    return tcp::endpoint(ip, *port);
+}
+
+std::string toAddress(const tcp::endpoint &endpoint)
+{
+    const std::string ip = endpoint.address().to_string();
+    const std::string port = std::to_string(endpoint.port());
+    return endpoint.address().is_v6() ? "[" + ip + "]:" + port : ip + ":" + port;
+}
+
+namespace detail {
+
+socket_state probeSocket(tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t count
+            = ::recv(socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+        return socket_state::Readable;
+    const bool wouldBlock = count < 0 && (errno == EAGAIN || errno == EINTR);
+    return wouldBlock ? socket_state::Quiet : socket_state::Closed;
+}
+
+asio::any_io_executor executorOf(const asio::yield_context &yield)
+{
+    return asio::get_associated_executor(yield.handler_);
+}
+
+// A pending wait is kept when the deadline moves later, so that most calls of start() only store a
+// time instead of changing the timer queue.
+struct socket_deadline::state : std::enable_shared_from_this<socket_deadline::state>
+{
+    state(const asio::any_io_executor &executor, tcp::socket &guarded)
+        : strand(executor)
+        , socket(&guarded)
+        , timer(executor)
+    {
+    }
+
+    void arm()
+    {
+        const std::uint64_t current = ++generation;
+        wakeUp = deadline;
+        timer.expires_at(wakeUp);
+        timer.async_wait(asio::bind_executor(
+                strand, [self = shared_from_this(), current](boost::system::error_code error) {
+                    if (!error && self->generation == current)
+                        self->wake();
+                }));
+    }
+
+    void wake()
+    {
+        wakeUp = time_point::max();
+        if (socket == nullptr || deadline == time_point::max())
+            return;
+        if (steadyNow() < deadline) {
+            arm();
+            return;
+        }
+        hasExpired = true;
+        boost::system::error_code ignored;
+        socket->close(ignored);
+    }
+
+    asio::any_io_executor strand;
+    tcp::socket *socket;
+    asio::steady_timer timer;
+    time_point deadline = time_point::max();
+    time_point wakeUp = time_point::max(); // expiry of the pending wait, max if there is none
+    std::uint64_t generation = 0;
+    bool hasExpired = false;
+};
+
+socket_deadline::socket_deadline(const asio::any_io_executor &strand, tcp::socket &socket)
+    : m_state(std::make_shared<state>(strand, socket))
+{
+}
+
+socket_deadline::~socket_deadline()
+{
+    m_state->socket = nullptr;
+    ++m_state->generation;
+    boost::system::error_code ignored;
+    m_state->timer.cancel(ignored);
+}
+
+void socket_deadline::start(duration timeout)
+{
+    m_state->deadline = steadyNow() + timeout;
+    if (m_state->deadline < m_state->wakeUp)
+        m_state->arm();
+}
+
+void socket_deadline::stop()
+{
+    m_state->deadline = time_point::max();
+}
+
+bool socket_deadline::hasExpired() const
+{
+    return m_state->hasExpired;
+}
+
+} // namespace detail
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/net/tcp_socket.h
@@ -0,0 +1,60 @@
+// Helpers for TCP sockets that the HTTP server, the HTTP client and the peer network share:
+// addresses by number, a check of an idle socket, and a deadline that closes a socket.
+#ifndef FESCUEDECK_NET_TCP_SOCKET_H
+#define FESCUEDECK_NET_TCP_SOCKET_H
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include "fescuedeck/base/error.h"
+#include "fescuedeck/base/time.h"
+
+namespace fescuedeck {
+
+// "127.0.0.1:80" or "[::1]:80"; names are not resolved.
+result<boost::asio::ip::tcp::endpoint> parseAddress(const std::string &address);
+std::string toAddress(const boost::asio::ip::tcp::endpoint &endpoint);
+
+namespace detail {
+
+enum class socket_state {
+    Quiet, // open, nothing to read
+    Readable,
+    Closed, // closed by the peer, or failed
+};
+
+// Looks at the socket without waiting and without consuming bytes.
+socket_state probeSocket(boost::asio::ip::tcp::socket &socket);
+
+// The strand on which the coroutine runs.
+boost::asio::any_io_executor executorOf(const boost::asio::yield_context &yield);
+
+// Closes a socket when a time has passed. All calls and the closing happen on the given strand. The
+// socket must outlive this object.
+class socket_deadline
+{
+public:
+    socket_deadline(const boost::asio::any_io_executor &strand,
+                    boost::asio::ip::tcp::socket &socket);
+    ~socket_deadline();
+    socket_deadline(const socket_deadline &) = delete;
+    socket_deadline &operator=(const socket_deadline &) = delete;
+
+    // Replaces the running deadline.
+    void start(duration timeout);
+    void stop();
+    bool hasExpired() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace detail
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/net/test_io.h
@@ -0,0 +1,131 @@
+// Fixture of the tests that use sockets: an io_context run by several threads and raw connections.
+// Waits have a generous limit after which the test fails; no verdict depends on how fast a step is.
+#ifndef FESCUEDECK_NET_TEST_IO_H
+#define FESCUEDECK_NET_TEST_IO_H
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/net/tcp_socket.h"
+
+namespace fescuedeck {
+
+constexpr std::chrono::seconds testWaitLimit(60);
+
+// Runs an io_context on several threads until destroyed.
+class test_io
+{
+public:
+    explicit test_io(int threads = 3)
+        : m_work(boost::asio::make_work_guard(m_ioContext))
+    {
+        for (int i = 0; i < threads; ++i)
+            m_threads.emplace_back([this] { m_ioContext.run(); });
+    }
+    ~test_io() { stop(); }
+    test_io(const test_io &) = delete;
+    test_io &operator=(const test_io &) = delete;
+
+    void stop()
+    {
+        m_ioContext.stop();
+        for (std::thread &thread : m_threads)
+            thread.join();
+        m_threads.clear();
+    }
+
+    boost::asio::io_context &context() { return m_ioContext; }
+
+    // Runs a function in a coroutine and returns its value.
+    template <class Function>
+    auto run(Function function)
+    {
+        using value_type = decltype(function(std::declval<boost::asio::yield_context>()));
+        auto promise = std::make_shared<std::promise<value_type>>();
+        auto future = promise->get_future();
+        boost::asio::spawn(m_ioContext, [=](boost::asio::yield_context yield) {
+            promise->set_value(function(yield));
+        });
+        REQUIRE(future.wait_for(testWaitLimit) == std::future_status::ready);
+        return future.get();
+    }
+
+private:
+    boost::asio::io_context m_ioContext;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    std::vector<std::thread> m_threads;
+};
+
+// Whether the condition becomes true within the limit.
+inline bool eventually(const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + testWaitLimit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+inline std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+// A blocking connection that sends and receives bytes as they are.
+class raw_connection
+{
+public:
+    explicit raw_connection(std::uint16_t port)
+        : m_socket(m_ioContext)
+    {
+        m_socket.connect(parseAddress(loopback(port)).value());
+    }
+    explicit raw_connection(boost::asio::ip::tcp::acceptor &acceptor)
+        : m_socket(m_ioContext)
+    {
+        acceptor.accept(m_socket);
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::system::error_code ignored; // the other end may close early
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    // Reads until the bytes received since the last call contain the mark or the connection ends.
+    std::string receiveUntil(const std::string &mark)
+    {
+        boost::system::error_code error;
+        while (m_received.find(mark) == std::string::npos && !error) {
+            char bytes[4096];
+            m_received.append(bytes, m_socket.read_some(boost::asio::buffer(bytes), error));
+        }
+        return std::exchange(m_received, std::string());
+    }
+    std::string receiveAll() { return receiveUntil("\x01 never sent \x01"); }
+    void close() { m_socket.close(); }
+
+private:
+    boost::asio::io_context m_ioContext;
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_received;
+};
+
+} // namespace fescuedeck
+
+#endif
