--- a/src/fescuedeck/fleet/fleet_state.cpp
+++ b/src/fescuedeck/fleet/fleet_state.cpp
@@ -61,6 +61,8 @@
     m_endpoints = std::move(endpoints);
     m_slots = std::move(slots);
     m_view.endpoints = std::move(views);
+    m_kinStepTimes.assign(m_endpoints.size(), 0);
+    rememberKin();
     ++m_view.topology;
     for (int slot = 0; slot < static_cast<int>(m_endpoints.size()); ++slot) {
         if (isHostLeaving(m_endpoints[slot].wanted().host))
@@ -243,20 +245,14 @@
         if (endpoint.isUsable() && endpoint.stepTime().isKnown())
             times[kinKey(endpoint.wanted())].push_back(endpoint.stepTime().mean());
     }
-    m_kinStepTimes.clear();
     for (auto &[key, values] : times) {
-        if (values.size() < smallestKin)
-            continue;
         const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
         std::nth_element(values.begin(), middle, values.end());
-        m_kinStepTimes[key] = *middle;
     }
-}
-
-double fleet_state::kinStepTime(int slot) const
-{
-    const auto found = m_kinStepTimes.find(kinKey(m_endpoints[slot].wanted()));
-    return found == m_kinStepTimes.end() ? 0 : found->second;
+    for (std::size_t slot = 0; slot < m_endpoints.size(); ++slot) {
+        const auto &values = times[kinKey(m_endpoints[slot].wanted())];
+        m_kinStepTimes[slot] = values.size() < smallestKin ? 0 : values[values.size() / 2];
+    }
 }
 
 void fleet_state::settle(int slot, time_point now)
@@ -264,7 +260,7 @@
     endpoint_state &endpoint = m_endpoints[slot];
     if (isHostLeaving(endpoint.wanted().host))
         endpoint.leave({});
-    if (endpoint.shouldEject(kinStepTime(slot)) && othersCover(slot))
+    if (endpoint.shouldEject(m_kinStepTimes[slot]) && othersCover(slot))
         endpoint.eject(now);
     const bool wasUsable = m_view.endpoints[slot].usable;
     updateView(slot, now);
@@ -296,7 +292,7 @@
     view.inFlight = endpoint.inFlight(now);
     view.ownInFlight = endpoint.ownInFlight();
     view.stepPerLayer = endpoint.stepTime().mean();
-    const double kin = kinStepTime(slot);
+    const double kin = m_kinStepTimes[slot];
     const double forKin = kin > 0 && view.stepPerLayer > 0 ? view.stepPerLayer / kin : 1;
     const double slowdown = std::clamp(std::min(endpoint.slowdown(), forKin), 1.0, largestSlowdown);
     view.tokensPerSecond = wanted.tokensPerSecond * view.weight / slowdown;
--- a/src/fescuedeck/fleet/fleet_state.h
+++ b/src/fescuedeck/fleet/fleet_state.h
@@ -112,7 +112,6 @@
     void updateView(int slot, time_point now);
     bool othersCover(int slot) const;
     void restoreCoverage(time_point now);
-    double kinStepTime(int slot) const;
     void rememberKin();
 
     endpoint_settings m_settings;
@@ -121,7 +120,8 @@
     std::map<std::string, std::string> m_hostIncarnations; // newest listed
     std::map<std::string, std::string> m_leftHosts;        // host -> incarnation that left
     std::set<std::string> m_drainedHosts;
-    std::map<std::string, double> m_kinStepTimes; // by model, version and accelerator
+    // By slot: median step time of the same model, version and accelerator; 0 if unknown.
+    std::vector<double> m_kinStepTimes;
     std::vector<endpoint_change> m_changes;
     fleet_view m_view;
 };
