Test the HTTP client and deliver streamed responses part by part

Cause: with an eager parser a part of a chunked response was delivered only when the next chunk arrived; the parser is no longer eager while a part hook is set. The tests cover refused, silent and lossy servers, reuse, ageing, surplus bytes, cancellation and header injection.

--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -384,7 +384,8 @@
             http::async_read(m_socket, m_buffer, *m_parser, m_yield[error]);
         return;
     }
-    m_parser->eager(true);
+    // An eager parser would also wait for the header of the next chunk.
+    m_parser->eager(false);
     std::size_t delivered = 0;
     while (!error && !m_parser->is_done()) {
         http::async_read_some(m_socket, m_buffer, *m_parser, m_yield[error]);
--- /dev/null
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -0,0 +1,296 @@
+#include "fescuedeck/net/http_client.h"
+
+#include <set>
+
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/net/http_server.h"
+#include "fescuedeck/net/test_io.h"
+
+namespace fescuedeck {
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+call_options options()
+{
+    call_options result;
+    result.timeout = testWaitLimit;
+    return result;
+}
+
+call_result call(test_io &io, http_client &client, std::uint16_t port,
+                 const call_options &callOptions = options(),
+                 const http_request &request = { "POST", "/", {}, "body" })
+{
+    return io.run([&](boost::asio::yield_context yield) {
+        return client.send(loopback(port), request, callOptions, yield);
+    });
+}
+
+// A server that runs a script over blocking connections, for answers that a real server never
+// gives.
+class scripted_server
+{
+public:
+    explicit scripted_server(std::function<void(tcp::acceptor &)> script)
+        : m_acceptor(m_ioContext, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , m_thread([this, script = std::move(script)] { script(m_acceptor); })
+    {
+    }
+    ~scripted_server() { m_thread.join(); }
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+    boost::asio::io_context m_ioContext;
+    tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+const std::string okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("addresses are read by number", "[net]")
+{
+    CHECK(toAddress(parseAddress("127.0.0.1:80").value()) == "127.0.0.1:80");
+    CHECK(toAddress(parseAddress("[::1]:65535").value()) == "[::1]:65535");
+    for (const char *invalid : { "", "127.0.0.1", "localhost:80", "127.0.0.1:", "127.0.0.1:70000",
+                                 "::1:80", "127.0.0.1:8x" })
+        CHECK_FALSE(parseAddress(invalid));
+}
+
+TEST_CASE("calls reuse a connection unless a fresh one is asked for", "[net]")
+{
+    test_io io;
+    http_server server(io.context(), {}, [](http_exchange &exchange) {
+        exchange.respond({ 200, { { "X-Seen", exchange.request().body } }, "answer" });
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    http_client client(io.context());
+    for (int i = 0; i < 3; ++i) {
+        const auto outcome = call(io, client, server.port());
+        REQUIRE(outcome.response);
+        CHECK(outcome.response.value().body == "answer");
+        CHECK(*findHeader(outcome.response.value().headers, "x-seen") == "body");
+        CHECK(outcome.mayHaveBeenSent);
+    }
+    CHECK(server.openConnections() == 1);
+    call_options fresh = options();
+    fresh.freshConnection = true;
+    CHECK(call(io, client, server.port(), fresh).response);
+    CHECK(server.openConnections() == 2);
+    CHECK(client.idleConnections() == 2);
+}
+
+TEST_CASE("a refused connection proves that nothing was sent", "[net]")
+{
+    test_io io;
+    std::uint16_t unusedPort = 0;
+    {
+        tcp::acceptor acceptor(io.context(),
+                               tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        unusedPort = acceptor.local_endpoint().port();
+    }
+    http_client client(io.context());
+    const auto outcome = call(io, client, unusedPort);
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.response.error().code == errc::ConnectionFailed);
+    CHECK_FALSE(outcome.mayHaveBeenSent);
+}
+
+TEST_CASE("a silent server ends the call and its connection", "[net]")
+{
+    // Guards against waiting for ever, and against reusing a connection that hangs.
+    std::promise<void> connectionEnded;
+    scripted_server server([&](tcp::acceptor &acceptor) {
+        raw_connection silent(acceptor);
+        silent.receiveAll();
+        connectionEnded.set_value();
+    });
+    test_io io;
+    http_client client(io.context());
+    call_options brief = options();
+    brief.timeout = std::chrono::milliseconds(30);
+    const auto outcome = call(io, client, server.port(), brief);
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.response.error().code == errc::Timeout);
+    CHECK(outcome.mayHaveBeenSent);
+    CHECK(client.idleConnections() == 0);
+    CHECK(connectionEnded.get_future().wait_for(testWaitLimit) == std::future_status::ready);
+}
+
+TEST_CASE("an answer lost after the request was sent may have run", "[net]")
+{
+    // Guards against reporting "not run" for a request that the endpoint has run.
+    scripted_server server(
+            [](tcp::acceptor &acceptor) { raw_connection(acceptor).receiveUntil("body"); });
+    test_io io;
+    http_client client(io.context());
+    const auto outcome = call(io, client, server.port());
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.response.error().code == errc::ConnectionClosed);
+    CHECK(outcome.mayHaveBeenSent);
+}
+
+TEST_CASE("only an idempotent call is repeated after a reused connection fails", "[net]")
+{
+    const bool isIdempotent = GENERATE(false, true);
+    std::atomic<int> requests{ 0 };
+    scripted_server server([&, isIdempotent](tcp::acceptor &acceptor) {
+        raw_connection reused(acceptor);
+        reused.receiveUntil("body");
+        reused.send(okResponse);
+        reused.receiveUntil("body");
+        requests = 2;
+        reused.close();
+        if (!isIdempotent)
+            return;
+        raw_connection fresh(acceptor);
+        fresh.receiveUntil("body");
+        requests = 3;
+        fresh.send(okResponse);
+    });
+    test_io io;
+    http_client client(io.context());
+    REQUIRE(call(io, client, server.port()).response);
+    call_options second = options();
+    second.idempotent = isIdempotent;
+    const auto outcome = call(io, client, server.port(), second);
+    CHECK(outcome.response.has_value() == isIdempotent);
+    CHECK(outcome.mayHaveBeenSent);
+    CHECK(requests == (isIdempotent ? 3 : 2));
+}
+
+TEST_CASE("a connection that was closed or has surplus bytes is not reused", "[net]")
+{
+    // Guards against taking an answer that belongs to nobody for the next call's answer.
+    const std::string surplus = GENERATE("", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+    std::promise<void> mayProceed;
+    std::promise<void> hasFailed;
+    scripted_server server([&, surplus](tcp::acceptor &acceptor) {
+        raw_connection first(acceptor);
+        first.receiveUntil("body");
+        first.send(okResponse);
+        mayProceed.get_future().wait();
+        first.send(surplus);
+        if (surplus.empty())
+            first.close();
+        hasFailed.set_value();
+        raw_connection second(acceptor);
+        second.receiveUntil("body");
+        second.send(okResponse);
+    });
+    test_io io;
+    http_client client(io.context());
+    REQUIRE(call(io, client, server.port()).response);
+    mayProceed.set_value();
+    hasFailed.get_future().wait();
+    const auto outcome = call(io, client, server.port());
+    REQUIRE(outcome.response);
+    CHECK(outcome.response.value().body == "ok");
+}
+
+TEST_CASE("an aged idle connection is not reused", "[net]")
+{
+    http_client_limits limits;
+    limits.maxIdleAge = duration(-1); // every idle connection is too old
+    test_io io;
+    std::set<std::string> callers;
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        callers.insert(exchange.callerAddress());
+        exchange.respond({});
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    http_client client(io.context(), limits);
+    REQUIRE(call(io, client, server.port()).response);
+    REQUIRE(call(io, client, server.port()).response);
+    CHECK(callers.size() == 2);
+}
+
+TEST_CASE("oversized and malformed responses are failures", "[net]")
+{
+    const auto answer = GENERATE(
+            std::make_pair("HTTP/1.1 200 OK\r\nContent-Length: 2000000000\r\n\r\n", errc::TooLarge),
+            std::make_pair("SMTP ready\r\n\r\n", errc::InvalidMessage));
+    scripted_server server([&](tcp::acceptor &acceptor) {
+        raw_connection connection(acceptor);
+        connection.receiveUntil("body");
+        connection.send(answer.first);
+        connection.receiveAll();
+    });
+    test_io io;
+    http_client client(io.context());
+    const auto outcome = call(io, client, server.port());
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.response.error().code == answer.second);
+}
+
+TEST_CASE("a call in progress is cancelled from elsewhere", "[net]")
+{
+    std::promise<void> received;
+    scripted_server server([&](tcp::acceptor &acceptor) {
+        raw_connection connection(acceptor);
+        connection.receiveUntil("body");
+        received.set_value();
+        connection.receiveAll();
+    });
+    test_io io;
+    http_client client(io.context());
+    call_options cancellable = options();
+    cancellable.cancellation.emplace();
+    std::thread canceller([&, cancellation = *cancellable.cancellation]() mutable {
+        received.get_future().wait();
+        cancellation.cancel();
+    });
+    const auto outcome = call(io, client, server.port(), cancellable);
+    canceller.join();
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.response.error().code == errc::ConnectionClosed);
+    CHECK(outcome.mayHaveBeenSent);
+    CHECK_FALSE(call(io, client, server.port(), cancellable).mayHaveBeenSent);
+}
+
+TEST_CASE("a streamed response is delivered in parts", "[net]")
+{
+    test_io io;
+    std::atomic<bool> firstArrived{ false };
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        exchange.startStream({});
+        exchange.writeChunk("first ");
+        boost::asio::steady_timer wait(io.context());
+        while (!firstArrived && !exchange.callerLeft()) {
+            wait.expires_after(std::chrono::milliseconds(1));
+            wait.async_wait(exchange.yield());
+        }
+        exchange.writeChunk("second");
+        exchange.finishStream();
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    http_client client(io.context());
+    std::string parts;
+    call_options streaming = options();
+    streaming.onBodyPart = [&](std::string_view part) {
+        parts += part;
+        firstArrived = true;
+    };
+    const auto outcome = call(io, client, server.port(), streaming);
+    REQUIRE(outcome.response);
+    CHECK(parts == "first second");
+    CHECK(outcome.response.value().body == parts);
+}
+
+TEST_CASE("a request that would change its own framing is not sent", "[net]")
+{
+    test_io io;
+    http_client client(io.context());
+    const http_request split = { "GET", "/", { { "X", "a\r\nContent-Length: 9" } }, "" };
+    const auto outcome = call(io, client, 1, options(), split);
+    CHECK(outcome.response.error().code == errc::InvalidRequest);
+    CHECK_FALSE(outcome.mayHaveBeenSent);
+    const http_request spaced = { "GET", "/ HTTP/1.1", {}, "" };
+    CHECK(call(io, client, 1, options(), spaced).response.error().code == errc::InvalidRequest);
+}
+
+} // namespace fescuedeck
