--- a/tests/standins/platform_model.cpp
+++ b/tests/standins/platform_model.cpp
@@ -15,15 +15,18 @@
                                                                 const nlohmann::json &records,
                                                                 time_point now, unix_millis wall)
 {
+    std::vector<stored_record> stored;
+    for (const auto &record : records)
+        stored.push_back({ record.at("id").get<std::string>(), wall, record.at("body") });
     const std::lock_guard lock(m_mutex);
     // One append may carry several records; the limit is on appends.
     if (!m_appendBucket.take(1, now))
         return std::nullopt;
     log_stream &target = m_streams[stream];
     std::vector<std::int64_t> offsets;
-    for (const auto &record : records) {
+    for (stored_record &record : stored) {
         offsets.push_back(target.first + static_cast<std::int64_t>(target.records.size()));
-        target.records.push_back({ record.at("id").get<std::string>(), wall, record.at("body") });
+        target.records.push_back(std::move(record));
     }
     return offsets;
 }
--- a/tests/standins/platform_model.h
+++ b/tests/standins/platform_model.h
@@ -43,7 +43,8 @@
     explicit platform_model(platform_options options);
 
     // Offsets of the records, or empty if the append rate is exceeded. Records are {id, body}; a
-    // repeated id is stored again, as the log does not know ids.
+    // repeated id is stored again, as the log does not compare ids. Throws nlohmann's exception and
+    // stores nothing if a field is missing.
     std::optional<std::vector<std::int64_t>> append(const std::string &stream,
                                                     const nlohmann::json &records, time_point now,
                                                     unix_millis wall);
