Add the control fold

Purpose: every router derives bundles, leases, drains and quarantines from the same stream and reaches the same state.

A fold that misses records does not guess: it stays as it was until a checkpoint restates them. Checkpoint records carry a MAC with the routers' shared secret, so that an append to the log alone cannot put a bundle into force. A forged or false record never ends a proposal that an approver can still sign.

--- /dev/null
+++ b/src/fescuedeck/control/control_state.cpp
@@ -0,0 +1,250 @@
+#include "fescuedeck/control/control_state.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "fescuedeck/base/hash.h"
+
+namespace fescuedeck {
+namespace {
+
+using json = nlohmann::json;
+
+// About twice the planned number of hosts.
+constexpr std::size_t maxDrained = 5000;
+constexpr std::size_t maxQuarantined = 2000;
+// A copy of an append comes within its retry time, a few minutes. Bundles, drains and quarantines
+// come to about 7,000 records a day at the planned size.
+constexpr std::size_t maxRecentIds = 4000;
+// Renewals are frequent (29 models, one each 5 s), so they have a window of their own and do not
+// evict the ids of other records.
+constexpr std::size_t maxRecentLeaseIds = 4000;
+
+// Ids are of any length, so the state keeps a hash of each.
+std::string idKey(const std::string &id)
+{
+    return sha256Hex(id).substr(0, 24);
+}
+
+} // namespace
+
+control_state::control_state(control_options options)
+    : m_options(std::move(options))
+    , m_bundles(m_options.firstApprovers)
+    , m_drained(maxDrained)
+    , m_quarantined(maxQuarantined)
+    , m_recentIds(maxRecentIds)
+    , m_recentLeaseIds(maxRecentLeaseIds)
+{
+}
+
+result<control_state> control_state::fromCheckpoint(const std::string &state,
+                                                    control_options options)
+{
+    control_state restored(std::move(options));
+    if (!restored.restore(state))
+        return makeFailure(errc::InvalidMessage, "the checkpoint is not a valid control state");
+    return restored;
+}
+
+void control_state::apply(const log_record &record)
+{
+    if (record.offset < m_nextOffset)
+        return;
+    const bool isNext = record.offset == m_nextOffset && isComplete();
+    m_nextOffset = record.offset + 1;
+    if (isNext)
+        m_completeTo = m_nextOffset;
+    applyBody(record);
+}
+
+void control_state::applyBody(const log_record &record)
+{
+    const auto body = parseControlRecord(record.body);
+    if (!body) {
+        ++m_counters.malformed;
+        return;
+    }
+    const std::string key = idKey(record.id);
+    if (m_recentIds.contains(key) || m_recentLeaseIds.contains(key)) {
+        ++m_counters.repeatedId;
+        return;
+    }
+    if (!isComplete() && !std::holds_alternative<checkpoint_taken>(body.value())) {
+        ++m_counters.deferred;
+        return;
+    }
+    ++m_counters.applied;
+    std::visit([&](const auto &typed) { applyRecord(typed, record); }, body.value());
+    const bool isReadAgain = m_nextOffset <= record.offset; // an adopted checkpoint went back
+    if (isReadAgain || std::holds_alternative<unknown_record>(body.value()))
+        return;
+    const bool isLease = std::holds_alternative<lease_requested>(body.value());
+    (isLease ? m_recentLeaseIds : m_recentIds).add(key, record.offset);
+}
+
+void control_state::applyRecord(const bundle_proposed &body, const log_record & /*record*/)
+{
+    if (!m_bundles.propose(body))
+        ++m_counters.rejectedProposals;
+}
+
+void control_state::applyRecord(const bundle_signed &body, const log_record &record)
+{
+    const detail::sign_off_result outcome = m_bundles.sign(body, record.offset);
+    if (outcome == detail::sign_off_result::Stale)
+        ++m_counters.staleSignOffs;
+    if (outcome == detail::sign_off_result::Forged)
+        ++m_counters.forgedSignOffs;
+}
+
+void control_state::applyRecord(const lease_requested &body, const log_record &record)
+{
+    if (!m_leases.apply(body, record.offset, record.time))
+        ++m_counters.staleLeases;
+}
+
+void control_state::applyRecord(const host_drained &body, const log_record &record)
+{
+    m_drained.add(body.host, record.offset);
+}
+
+void control_state::applyRecord(const host_undrained &body, const log_record & /*record*/)
+{
+    m_drained.remove(body.host);
+}
+
+void control_state::applyRecord(const request_quarantined &body, const log_record &record)
+{
+    m_quarantined.add(body.fingerprint, record.offset);
+}
+
+void control_state::applyRecord(const unknown_record & /*body*/, const log_record & /*record*/)
+{
+    ++m_counters.unknownType;
+}
+
+// Adopts the checkpoint if this state misses records that it covers.
+void control_state::applyRecord(const checkpoint_taken &body, const log_record &record)
+{
+    const std::optional<control_state> restated = restatedBy(body, record);
+    if (!restated) {
+        ++m_counters.invalidCheckpoints;
+        return;
+    }
+    if (body.covers > m_completeTo) {
+        become(*restated);
+        if (body.covers == record.offset)
+            m_nextOffset = m_completeTo = record.offset + 1;
+    }
+    m_checkpoint = checkpoint_mark{ record.offset, record.time };
+}
+
+// A checkpoint that does not restore would leave routers that start later without a state, so it
+// does not count as one.
+std::optional<control_state> control_state::restatedBy(const checkpoint_taken &body,
+                                                       const log_record &record) const
+{
+    if (body.covers > record.offset)
+        return std::nullopt;
+    if (!m_options.checkpointKey.empty()
+        && !equalConstantTime(checkpointMac(m_options.checkpointKey, body.state), body.mac))
+        return std::nullopt;
+    auto restored = fromCheckpoint(body.state, m_options);
+    if (!restored || restored.value().nextOffset() != body.covers)
+        return std::nullopt;
+    return std::move(restored).value();
+}
+
+void control_state::become(const control_state &restated)
+{
+    const control_counters counters = m_counters;
+    const accepted_bundle accepted = m_bundles.accepted();
+    *this = restated;
+    m_bundles.keepNewer(accepted);
+    m_counters = counters;
+    ++m_counters.adoptedCheckpoints;
+}
+
+void control_state::acceptMissing(std::int64_t firstRetained)
+{
+    if (isComplete())
+        return;
+    ++m_counters.acceptedGaps;
+    m_completeTo = std::max(m_completeTo, firstRetained);
+    m_nextOffset = m_completeTo;
+}
+
+bool control_state::adopt(const std::string &state)
+{
+    const auto offered = fromCheckpoint(state, m_options);
+    if (!offered || offered.value().nextOffset() <= m_completeTo)
+        return false;
+    become(offered.value());
+    return true;
+}
+
+std::string control_state::checkpoint() const
+{
+    json state = { { "next_offset", m_nextOffset },
+                   { "bundles", m_bundles.toJson() },
+                   { "leases", m_leases.toJson() },
+                   { "drained", m_drained.toJson() },
+                   { "quarantined", m_quarantined.toJson() },
+                   { "recent_ids", m_recentIds.toJson() },
+                   { "recent_lease_ids", m_recentLeaseIds.toJson() } };
+    if (m_checkpoint)
+        state["checkpoint"]
+                = { { "offset", m_checkpoint->offset }, { "time_ms", m_checkpoint->time.count() } };
+    return state.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
+std::string control_state::checkpointBody() const
+{
+    checkpoint_taken record;
+    record.state = checkpoint();
+    record.covers = m_nextOffset;
+    if (!m_options.checkpointKey.empty())
+        record.mac = checkpointMac(m_options.checkpointKey, record.state);
+    return recordBody(record);
+}
+
+// For a new state only: an error leaves it in part restored.
+bool control_state::restore(const std::string &text)
+{
+    const json state = json::parse(text, nullptr, false);
+    if (!state.is_object())
+        return false;
+    try {
+        const auto next = state.at("next_offset").get<std::int64_t>();
+        m_nextOffset = m_completeTo = next;
+        if (state.contains("checkpoint")) {
+            const json &mark = state.at("checkpoint");
+            m_checkpoint = checkpoint_mark{ mark.at("offset").get<std::int64_t>(),
+                                            unix_millis(mark.at("time_ms").get<std::int64_t>()) };
+        }
+        return next >= 0 && m_bundles.restore(state.at("bundles"))
+               && m_leases.restore(state.at("leases"), next)
+               && m_drained.restore(state.at("drained"), next)
+               && m_quarantined.restore(state.at("quarantined"), next)
+               && m_recentIds.restore(state.at("recent_ids"), next)
+               && m_recentLeaseIds.restore(state.at("recent_lease_ids"), next);
+    } catch (const json::exception &) {
+        return false;
+    }
+}
+
+std::int64_t applyPage(control_state &state, const std::vector<log_record> &records)
+{
+    for (const log_record &record : records) {
+        const bool isNew = record.offset >= state.nextOffset();
+        state.apply(record);
+        const bool adoptedCheckpoint = isNew && state.nextOffset() <= record.offset;
+        if (adoptedCheckpoint)
+            break;
+    }
+    return state.nextOffset();
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/control/control_state_test.cpp
@@ -0,0 +1,429 @@
+#include "fescuedeck/control/control_state.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "fescuedeck/base/random.h"
+#include "fescuedeck/bundle/canonical_bundle.h"
+#include "fescuedeck/bundle/signature.h"
+#include "fescuedeck/control/checkpoint_scheduler.h"
+
+namespace fescuedeck {
+namespace {
+
+constexpr const char *checkpointSecret = "routers";
+
+struct signer
+{
+    std::string keyId;
+    key_pair keys;
+};
+
+const signer &amina()
+{
+    static const signer instance{ "amina", generateKeyPair().value() };
+    return instance;
+}
+
+const signer &brahim()
+{
+    static const signer instance{ "brahim", generateKeyPair().value() };
+    return instance;
+}
+
+control_options testOptions()
+{
+    return { { { amina().keyId, amina().keys.publicKey } }, checkpointSecret };
+}
+
+struct proposal
+{
+    bundle_proposed proposed;
+    bundle_signed signOff;
+};
+
+// A bundle that brahim approves the successors of, signed by the given key. The weight tells
+// bundles of one version apart.
+proposal makeProposal(std::int64_t version, std::int64_t parent, const signer &by,
+                      double weight = 1)
+{
+    bundle content;
+    content.version = version;
+    content.parent = parent;
+    content.approvers = { { brahim().keyId, brahim().keys.publicKey } };
+    workspace_spec workspace;
+    workspace.name = "tent";
+    workspace.tokenHashes = { std::string(64, 'a') };
+    workspace.weight = weight;
+    workspace.queueLimit = 1;
+    content.workspaces = { workspace };
+    const std::string canonical = canonicalBundle(content);
+    const std::string hash = bundleHash(canonical);
+    return { { version, parent, hash, canonical },
+             { version, hash, by.keyId, signHash(hash, by.keys.privateKey).value() } };
+}
+
+// A log whose oldest records can be dropped.
+struct test_log
+{
+    std::vector<log_record> records;
+    std::size_t first = 0;
+
+    std::int64_t next() const { return static_cast<std::int64_t>(records.size()); }
+
+    void append(const std::string &id, const std::string &body, unix_millis time)
+    {
+        records.push_back({ next(), id, time, body });
+    }
+    void append(const control_record &record, unix_millis time = unix_millis(0))
+    {
+        append("id" + std::to_string(next()), recordBody(record), time);
+    }
+
+    // Reads as a router does, in pages.
+    void foldInto(control_state &state, std::size_t pageSize) const
+    {
+        while (state.nextOffset() < next()) {
+            const std::size_t from = std::max<std::size_t>(first, state.nextOffset());
+            const std::size_t to = std::min(from + pageSize, records.size());
+            applyPage(state, { records.begin() + from, records.begin() + to });
+        }
+    }
+    control_state fold(std::size_t pageSize = 7) const
+    {
+        control_state state(testOptions());
+        foldInto(state, pageSize);
+        return state;
+    }
+};
+
+// Random records: valid ones, copies, forged, corrupt and unknown ones.
+class log_generator
+{
+public:
+    explicit log_generator(std::uint64_t seed)
+        : m_random(seededRandom(seed))
+        , m_state(testOptions())
+    {
+    }
+
+    test_log generate(int size)
+    {
+        for (int i = 0; i < size; ++i) {
+            appendOne();
+            m_state.apply(m_log.records.back());
+            if (below(10) == 0)
+                m_earlier = m_state.checkpointBody();
+        }
+        return m_log;
+    }
+
+private:
+    std::int64_t below(std::int64_t bound)
+    {
+        return static_cast<std::int64_t>(uniformBelow(m_random, bound));
+    }
+
+    static const std::vector<proposal> &pool()
+    {
+        static const std::vector<proposal> proposals = [] {
+            std::vector<proposal> made;
+            for (int version = 1; version <= 5; ++version) {
+                for (const int step : { 1, 2 }) {
+                    const int parent = std::max(0, version - step);
+                    made.push_back(
+                            makeProposal(version, parent, parent == 0 ? amina() : brahim(), step));
+                    made.push_back(makeProposal(version, parent, amina(), 10 + step));
+                }
+            }
+            return made;
+        }();
+        return proposals;
+    }
+
+    void appendOne()
+    {
+        m_time += unix_millis(below(400));
+        const bool isCopy = !m_log.records.empty() && below(6) == 0;
+        if (isCopy) {
+            const log_record copied = m_log.records[below(m_log.next())];
+            m_log.append(copied.id, copied.body, m_time);
+            return;
+        }
+        std::string body = randomBody();
+        if (below(8) == 0)
+            body[below(static_cast<std::int64_t>(body.size()))] = static_cast<char>(below(256));
+        m_log.append("id" + std::to_string(m_log.next()), body, m_time);
+    }
+
+    // Mostly one that may come next.
+    const proposal &chooseProposal()
+    {
+        const auto size = static_cast<std::int64_t>(pool().size());
+        const proposal *chosen = &pool()[below(size)];
+        for (int i = 0; i < 3 && chosen->proposed.parent != m_state.acceptedVersion(); ++i)
+            chosen = &pool()[below(size)];
+        return *chosen;
+    }
+
+    std::string randomBody()
+    {
+        const proposal &chosen = chooseProposal();
+        const std::string name = std::to_string(below(3));
+        switch (below(20)) {
+        case 0:
+            return m_earlier.empty() ? "[]" : m_earlier;
+        case 1:
+            return R"({"type":"from_a_later_version","version":1})";
+        case 2:
+        case 3:
+            return recordBody(request_quarantined{ name, 2 });
+        case 4:
+        case 5:
+            return recordBody(host_drained{ name });
+        case 6:
+            return recordBody(host_undrained{ name });
+        case 7:
+        case 8:
+        case 9: {
+            const auto held = m_state.leaseOf(name);
+            const std::int64_t newest = held ? held->offset : -1;
+            return recordBody(lease_requested{ name, std::to_string(below(2)),
+                                               below(3) == 0 ? below(20) - 1 : newest,
+                                               unix_millis(500) });
+        }
+        default:
+            if (below(2) == 0)
+                return recordBody((m_lastProposed = chosen).proposed);
+            return recordBody(below(3) == 0 ? chosen.signOff : m_lastProposed.signOff);
+        }
+    }
+
+    random_fn m_random;
+    test_log m_log;
+    control_state m_state;
+    unix_millis m_time{ 1'000'000 };
+    std::string m_earlier;
+    proposal m_lastProposed = pool().front();
+};
+
+void requireState(const control_state &state, const std::string &expected)
+{
+    const std::string actual = state.checkpoint();
+    if (actual != expected)
+        FAIL(nlohmann::json::diff(nlohmann::json::parse(actual), nlohmann::json::parse(expected)));
+}
+
+} // namespace
+
+TEST_CASE("random control streams fold to one state", "[control]")
+{
+    constexpr int sequences = 2000;
+    constexpr int size = 40;
+    int versions = 0;
+    int adopted = 0;
+    for (int seed = 1; seed <= sequences; ++seed) {
+        CAPTURE(seed);
+        const test_log log = log_generator(seed).generate(size);
+        const random_fn random = seededRandom(seed);
+        const control_state whole = log.fold();
+        const std::string expected = whole.checkpoint();
+        versions += static_cast<int>(whole.acceptedVersion());
+
+        // Guards against state that depends on how the stream is cut into pages.
+        if (seed % 10 == 0)
+            requireState(log.fold(1), expected);
+
+        // Guards against a repeated append that takes effect twice.
+        test_log withoutCopies = log;
+        std::set<std::string> ids;
+        for (log_record &record : withoutCopies.records) {
+            if (!ids.insert(record.id).second)
+                record.body = "{}";
+        }
+        requireState(withoutCopies.fold(), expected);
+
+        // Guards against state that a checkpoint forgets, and a bundle replaced by an older one.
+        const auto cut = uniformBelow(random, size);
+        control_state prefix(testOptions());
+        for (const log_record &record : log.records) {
+            if (record.offset == static_cast<std::int64_t>(cut))
+                prefix = control_state::fromCheckpoint(prefix.checkpoint(), testOptions()).value();
+            const std::int64_t version = prefix.acceptedVersion();
+            prefix.apply(record);
+            REQUIRE(prefix.acceptedVersion() >= version);
+        }
+        requireState(prefix, expected);
+
+        // Guards against a router that starts after the log dropped records and differs from one
+        // that read them all.
+        test_log truncated = log;
+        truncated.first = cut;
+        control_state late = truncated.fold(5);
+        adopted += late.isComplete() ? static_cast<int>(late.counters().adoptedCheckpoints) : 0;
+        if (late.isComplete())
+            requireState(late, expected);
+        REQUIRE(late.acceptedVersion() <= whole.acceptedVersion());
+    }
+    // Guards against a generator whose sequences exercise nothing.
+    CHECK(versions > sequences);
+    CHECK(adopted > sequences / 10);
+}
+
+TEST_CASE("of two racing bundles the first signed one wins", "[control]")
+{
+    test_log log;
+    const proposal first = makeProposal(1, 0, amina());
+    const proposal left = makeProposal(2, 1, brahim(), 2);
+    const proposal right = makeProposal(2, 1, brahim(), 3);
+    const proposal after = makeProposal(3, 2, brahim(), 4);
+    for (const proposal &each : { first, left, right, after })
+        log.append(each.proposed);
+    log.append(after.signOff);
+    log.append(first.signOff);
+    log.append(right.signOff);
+    log.append(left.signOff);
+    const control_state state = log.fold();
+    CHECK(state.acceptedHash() == right.signOff.hash);
+    CHECK(state.acceptedOffset() == 6);
+    const proposal_status loser = state.proposalStatus(2, left.signOff.hash);
+    CHECK(loser.state == proposal_state::Superseded);
+    CHECK(loser.rebaseOn == 2);
+    CHECK(state.proposalStatus(1, first.signOff.hash).state == proposal_state::Accepted);
+    CHECK(state.proposalStatus(3, after.signOff.hash).state == proposal_state::Pending);
+    CHECK(state.proposalStatus(4, after.signOff.hash).state == proposal_state::Unknown);
+}
+
+TEST_CASE("a bundle without an approver's signature never comes into force", "[control]")
+{
+    test_log log;
+    const proposal first = makeProposal(1, 0, amina());
+    // Signed by a key that the bundle itself lists but the one in force does not.
+    const proposal forged = makeProposal(1, 0, brahim(), 2);
+    proposal borrowed = makeProposal(1, 0, brahim(), 3);
+    borrowed.signOff.keyId = amina().keyId;
+    proposal swapped = makeProposal(1, 0, amina(), 4);
+    swapped.signOff.signature = first.signOff.signature;
+    for (const proposal &each : { forged, borrowed, swapped }) {
+        log.append(each.proposed);
+        log.append(each.signOff);
+    }
+    const control_state state = log.fold();
+    CHECK(state.acceptedVersion() == 0);
+    CHECK(state.counters().forgedSignOffs == 3);
+    CHECK_FALSE(state.proposalStatus(1, forged.signOff.hash).reason.empty());
+    // The approver of the settings has no say once a bundle names others.
+    const proposal next = makeProposal(2, 1, amina());
+    log.append(first.proposed);
+    log.append(first.signOff);
+    log.append(next.proposed);
+    log.append(next.signOff);
+    CHECK(log.fold().acceptedVersion() == 1);
+}
+
+TEST_CASE("a false content under a bundle's hash does not block the bundle", "[control]")
+{
+    test_log log;
+    const proposal first = makeProposal(1, 0, amina());
+    bundle_proposed junk = first.proposed;
+    junk.content = makeProposal(1, 0, amina(), 9).proposed.content;
+    log.append(junk);
+    CHECK(log.fold().proposalStatus(1, junk.hash).state == proposal_state::Rejected);
+    log.append(first.proposed);
+    log.append(junk);
+    log.append(first.signOff);
+    CHECK(log.fold().acceptedVersion() == 1);
+}
+
+TEST_CASE("a lease is taken over only after its term and only once", "[control]")
+{
+    // Guards against two holders of one fencing number or an overlap of two terms.
+    test_log log;
+    const unix_millis term(1000);
+    log.append(lease_requested{ "waiver", "r1", -1, term }, unix_millis(100));
+    log.append(lease_requested{ "waiver", "r2", -1, term }, unix_millis(101));
+    log.append(lease_requested{ "waiver", "r2", 0, term }, unix_millis(1100));
+    CHECK(log.fold().leaseOf("waiver")->holder == "r1");
+    log.append(lease_requested{ "waiver", "r1", 0, term }, unix_millis(1101));
+    CHECK(log.fold().leaseOf("waiver")->offset == 3);
+    log.append(lease_requested{ "waiver", "r3", 3, term }, unix_millis(2102));
+    log.append(lease_requested{ "waiver", "r2", 3, term }, unix_millis(2102));
+    log.append(lease_requested{ "waiver", "r1", 3, term }, unix_millis(2103));
+    const auto held = log.fold().leaseOf("waiver");
+    CHECK(held->holder == "r3");
+    CHECK(held->offset == 4);
+    CHECK(held->expiry() == unix_millis(3102));
+    CHECK(log.fold().counters().staleLeases == 4);
+}
+
+TEST_CASE("a repeated drain does not undo a later undrain", "[control]")
+{
+    test_log log;
+    log.append("a", recordBody(host_drained{ "h1" }), unix_millis(0));
+    CHECK(log.fold().isDrained("h1"));
+    log.append("b", recordBody(host_undrained{ "h1" }), unix_millis(0));
+    log.append("a", recordBody(host_drained{ "h1" }), unix_millis(0));
+    CHECK_FALSE(log.fold().isDrained("h1"));
+    CHECK(log.fold().counters().repeatedId == 1);
+}
+
+TEST_CASE("quarantines are bounded and the oldest goes first", "[control]")
+{
+    test_log log;
+    for (int i = 0; i <= 2000; ++i)
+        log.append(request_quarantined{ "f" + std::to_string(i), 2 });
+    const control_state state = log.fold(500);
+    CHECK(state.quarantined().size() == 2000);
+    CHECK_FALSE(state.isQuarantined("f0"));
+    CHECK(state.isQuarantined("f2000"));
+}
+
+TEST_CASE("a router that starts late takes a checkpoint by another router only", "[control]")
+{
+    test_log log;
+    log.append(host_drained{ "h1" });
+    const std::string state = log.fold().checkpoint();
+    log.append(checkpoint_taken{ state, 1, checkpointMac("another key", state) });
+    log.first = 1;
+    CHECK_FALSE(log.fold().isDrained("h1"));
+    CHECK_FALSE(log.fold().isComplete());
+    log.append(checkpoint_taken{ state, 1, checkpointMac(checkpointSecret, state) });
+    control_state late = log.fold();
+    CHECK(late.isDrained("h1"));
+    // Offset 1 is still in the log, so nothing is missing.
+    CHECK(late.isComplete());
+    log.first = 2;
+    late = log.fold();
+    CHECK_FALSE(late.isComplete());
+    late.acceptMissing(2);
+    log.foldInto(late, 5);
+    CHECK(late.isComplete());
+    CHECK_FALSE(late.adopt(state));
+}
+
+TEST_CASE("one router appends a checkpoint after a delay and a second look", "[control]")
+{
+    test_log log;
+    log.append(host_drained{ "h1" });
+    control_state state = log.fold();
+    const unix_millis wall(1'000'000);
+    const checkpoint_schedule schedule{ unix_millis(10'000), std::chrono::seconds(1) };
+    checkpoint_scheduler scheduler(schedule, seededRandom(1));
+    checkpoint_scheduler other(schedule, seededRandom(2));
+    const time_point start{};
+    const time_point later = start + std::chrono::seconds(1);
+    CHECK_FALSE(scheduler.poll(start, wall, state, true));
+    CHECK_FALSE(other.poll(start, wall, state, true));
+    CHECK_FALSE(scheduler.poll(later, wall, state, false));
+    CHECK(scheduler.poll(later, wall, state, true));
+    log.append("checkpoint", state.checkpointBody(), wall);
+    log.foldInto(state, 10);
+    CHECK_FALSE(other.poll(later, wall, state, true));
+    const unix_millis halfRetention = wall + unix_millis(5001);
+    CHECK_FALSE(other.poll(later, halfRetention, state, true));
+    CHECK(other.poll(later + std::chrono::seconds(1), halfRetention, state, true));
+}
+
+} // namespace fescuedeck
