Keep evidence of crashes by position and shorten holds of lost routers

Evidence now carries the position, and a suspect has passed when it has produced a token after it. - An innocent suspect that had passed its lone run shared an endpoint with the crashing request, whose own first crash was unknown because its router had been killed. It was taken for the only request at both crashes. Evidence that has been passed no longer counts without a lone run. - A lone run of a killed router blocked its request for 30 s. Holds of lost peers now end after 2 s.

Run: scripts/lint, scripts/run-tests: 16 stream tests and all others pass.

--- a/src/fescuedeck/stream/crash_suspects.cpp
+++ b/src/fescuedeck/stream/crash_suspects.cpp
@@ -9,11 +9,15 @@
 {
 }
 
-suspect_actions crash_suspects::peersChanged(std::set<std::string> livePeers)
+suspect_actions crash_suspects::peersChanged(std::set<std::string> livePeers,
+                                             const suspect_time &now)
 {
     suspect_actions actions;
     m_peers = std::move(livePeers);
-    // A hold of a lost peer stays until its term ends: the peer's hop may still be running.
+    for (peer_hold &hold : m_holds) {
+        if (m_peers.count(hold.peer) == 0)
+            hold.until = std::min(hold.until, now.steady + m_settings.lostPeerHoldTerm);
+    }
     for (own_run &run : m_ownRuns) {
         for (auto peer = run.waitingFor.begin(); peer != run.waitingFor.end();)
             peer = m_peers.count(*peer) > 0 ? std::next(peer) : run.waitingFor.erase(peer);
@@ -38,7 +42,7 @@
     if (found == m_suspects.end()
         || now.wall >= found->second.newestCrash + m_settings.suspectExpiry)
         return false;
-    return hasActiveEvidence(found->second) && !found->second.hasPassedCrashPoint;
+    return hasOpenEvidence(found->second);
 }
 
 std::set<std::string> crash_suspects::crashedEndpoints(const std::string &fingerprint) const
@@ -73,12 +77,13 @@
 }
 
 suspect_actions crash_suspects::hopStarted(const std::string &fingerprint,
-                                           const std::string &endpoint, const suspect_time &now)
+                                           const std::string &endpoint, int position,
+                                           const suspect_time &now)
 {
-    m_running[endpoint].emplace(fingerprint, now.wall);
+    m_running[endpoint].emplace(fingerprint, running_hop{ now.wall, position });
     for (const own_run &run : m_ownRuns) {
         if (run.isReady && run.fingerprint == fingerprint && run.endpoint == endpoint)
-            return { announce_lone_run{ run.ticket, now.wall } };
+            return { announce_lone_run{ run.ticket, now.wall, position } };
     }
     return {};
 }
@@ -107,11 +112,20 @@
     return actions;
 }
 
-void crash_suspects::passedCrashPoint(const std::string &fingerprint)
+suspect_actions crash_suspects::tokenProduced(const std::string &fingerprint, int position)
 {
     const auto found = m_suspects.find(fingerprint);
-    if (found != m_suspects.end())
-        found->second.hasPassedCrashPoint = true;
+    if (found == m_suspects.end())
+        return {};
+    bool hasPassed = false;
+    for (auto &crash : found->second.crashes) {
+        const bool isPast = position > crash.second.position && !crash.second.isPassed;
+        crash.second.isPassed = crash.second.isPassed || isPast;
+        hasPassed = hasPassed || isPast;
+    }
+    if (!hasPassed)
+        return {};
+    return { announce_evidence{ evidenceOf(fingerprint) } };
 }
 
 suspect_actions crash_suspects::finished(const std::string &fingerprint)
@@ -131,9 +145,10 @@
     std::vector<crash_evidence> found;
     const auto hops = m_running.find(endpoint);
     if (hops != m_running.end()) {
-        for (const auto &[fingerprint, startedAt] : hops->second) {
+        for (const auto &[fingerprint, hop] : hops->second) {
             const bool ranAlone = hasReservation(fingerprint, endpoint, now);
-            found.push_back({ fingerprint, endpoint, incarnation, startedAt, now.wall, ranAlone });
+            found.push_back({ fingerprint, endpoint, incarnation, hop.startedAt, now.wall,
+                              hop.position, ranAlone });
         }
     }
     // The peer that holds the endpoint may not live to report this.
@@ -202,12 +217,13 @@
 }
 
 suspect_actions crash_suspects::loneRunStarted(const std::string &peer, std::uint64_t ticket,
-                                               unix_millis startedAt, const suspect_time &now)
+                                               unix_millis startedAt, int position,
+                                               const suspect_time &now)
 {
     for (peer_hold &hold : m_holds) {
         if (hold.peer != peer || hold.ticket != ticket)
             continue;
-        hold.startedAt = startedAt;
+        hold.hop = running_hop{ startedAt, position };
         return conclude(crashEvidence(hold), now);
     }
     return {};
@@ -280,10 +296,11 @@
     m_holds.erase(std::remove_if(m_holds.begin(), m_holds.end(), isOver), m_holds.end());
 }
 
-bool crash_suspects::hasActiveEvidence(const suspect &entry) const
+bool crash_suspects::hasOpenEvidence(const suspect &entry) const
 {
-    return std::any_of(entry.crashes.begin(), entry.crashes.end(),
-                       [](const auto &crash) { return !crash.second.isCleared; });
+    return std::any_of(entry.crashes.begin(), entry.crashes.end(), [](const auto &crash) {
+        return !crash.second.isCleared && !crash.second.isPassed;
+    });
 }
 
 bool crash_suspects::isRunning(const std::string &endpoint) const
@@ -362,6 +379,9 @@
         return false;
     if (wasAlone(first) || wasAlone(second))
         return true;
+    // A request that has passed a lone run since is no more suspect than its new neighbours.
+    if (first.isPassed || second.isPassed)
+        return false;
     // Hops that were running at the same time may have failed together, for example with their
     // rack, so the second one must have started after the first crash.
     return second.startedAt >= first.crashedAt
@@ -395,10 +415,10 @@
 // Empty unless the hop has started and the endpoint has crashed since.
 std::vector<crash_evidence> crash_suspects::crashEvidence(const peer_hold &hold)
 {
-    if (!hold.startedAt || hold.crashedIncarnation.empty() || *hold.startedAt > hold.crashedAt)
+    if (!hold.hop || hold.crashedIncarnation.empty() || hold.hop->startedAt > hold.crashedAt)
         return {};
-    return { { hold.fingerprint, hold.endpoint, hold.crashedIncarnation, *hold.startedAt,
-               hold.crashedAt, true } };
+    return { { hold.fingerprint, hold.endpoint, hold.crashedIncarnation, hold.hop->startedAt,
+               hold.crashedAt, hold.hop->position, true } };
 }
 
 suspect_actions crash_suspects::conclude(const std::vector<crash_evidence> &found,
@@ -419,10 +439,9 @@
         return; // peers keep sending what they have not dropped yet
     suspect &entry = m_suspects[evidence.fingerprint];
     const crash_id id(evidence.endpoint, evidence.incarnation);
-    const auto [known, isNew] = entry.crashes.emplace(id, evidence);
-    if (isNew && !evidence.isCleared)
-        entry.hasPassedCrashPoint = false;
+    const auto known = entry.crashes.emplace(id, evidence).first;
     known->second.ranAlone = known->second.ranAlone || evidence.ranAlone;
+    known->second.isPassed = known->second.isPassed || evidence.isPassed;
     known->second.isCleared = known->second.isCleared || evidence.isCleared;
     entry.newestCrash = std::max(entry.newestCrash, evidence.crashedAt);
     enforceLimit();
--- a/src/fescuedeck/stream/crash_suspects.h
+++ b/src/fescuedeck/stream/crash_suspects.h
@@ -37,7 +37,9 @@
     std::string endpoint, incarnation; // together they name the crash
     unix_millis startedAt{ 0 };        // of the hop
     unix_millis crashedAt{ 0 };
+    int position = 0; // of the token that the hop was to produce, as in hop_identity
     bool ranAlone = false;
+    bool isPassed = false;  // the request has produced the next token since
     bool isCleared = false; // the request has finished since
 };
 
@@ -65,6 +67,8 @@
     // A reservation that is not released ends after this time. It must exceed the longest step
     // deadline.
     duration holdTerm = std::chrono::seconds(30);
+    // A lost peer's hop may run on after it. Within this time a crash is still attributed to it.
+    duration lostPeerHoldTerm = std::chrono::seconds(2);
 };
 
 // Actions.
@@ -102,6 +106,7 @@
 {
     std::uint64_t ticket = 0;
     unix_millis startedAt{ 0 };
+    int position = 0;
 };
 // Send to every peer.
 struct release_lone_run
@@ -126,7 +131,7 @@
 
     // Peers whose digests are current. A lone run needs the consent of each.
     // A peer's name must differ between its incarnations.
-    suspect_actions peersChanged(std::set<std::string> livePeers);
+    suspect_actions peersChanged(std::set<std::string> livePeers, const suspect_time &now);
 
     run_permission permissionFor(const std::string &fingerprint, const suspect_time &now) const;
     bool mustRunAlone(const std::string &fingerprint, const suspect_time &now) const;
@@ -138,15 +143,15 @@
                      const suspect_time &now) const;
     // Perform the actions before the hop is sent.
     suspect_actions hopStarted(const std::string &fingerprint, const std::string &endpoint,
-                               const suspect_time &now);
+                               int position, const suspect_time &now);
     // The hop was answered, has failed or will not be sent. Releases its reservation. Report a
     // crash of the endpoint first. A caller that leaves does not end its hop: the endpoint may
     // still run it and crash.
     suspect_actions hopEnded(const std::string &fingerprint, const std::string &endpoint);
-    // A suspect has produced two tokens in the attempt after the crash: by a prefill up to the
-    // point of the crash and by a step. Its hops need not run alone any longer, but the evidence
-    // stays until it finishes.
-    void passedCrashPoint(const std::string &fingerprint);
+    // A suspect that gets past the position of its crash need not run alone any longer. Its
+    // evidence stays until it finishes. After a retry that is the second token: the first one
+    // comes from a prefill, which may not take the path that crashed.
+    suspect_actions tokenProduced(const std::string &fingerprint, int position);
     // The request has finished: it is no suspect any longer.
     suspect_actions finished(const std::string &fingerprint);
     // Call for every crash that the router sees, whether or not it had work there, and before the
@@ -164,7 +169,7 @@
                                    const std::vector<crash_evidence> &evidence,
                                    const suspect_time &now);
     suspect_actions loneRunStarted(const std::string &peer, std::uint64_t ticket,
-                                   unix_millis startedAt, const suspect_time &now);
+                                   unix_millis startedAt, int position, const suspect_time &now);
     void loneRunReleased(const std::string &peer, std::uint64_t ticket);
 
     // Evidence from a peer's announcement, or all of it when a peer connects.
@@ -185,7 +190,11 @@
     {
         std::map<crash_id, crash_evidence> crashes;
         unix_millis newestCrash{ 0 };
-        bool hasPassedCrashPoint = false;
+    };
+    struct running_hop
+    {
+        unix_millis startedAt{ 0 };
+        int position = 0;
     };
     struct own_run // reservation by this router
     {
@@ -201,12 +210,12 @@
         std::uint64_t ticket = 0;
         time_point until;
         bool isGranted = false;
-        std::optional<unix_millis> startedAt; // of the hop
-        std::string crashedIncarnation;       // of the endpoint, during the hold
+        std::optional<running_hop> hop; // once it has started
+        std::string crashedIncarnation; // of the endpoint, during the hold
         unix_millis crashedAt{ 0 };
     };
 
-    bool hasActiveEvidence(const suspect &entry) const;
+    bool hasOpenEvidence(const suspect &entry) const;
     bool isRunning(const std::string &endpoint) const;
     bool isRunningAnywhere(const std::string &fingerprint) const;
     bool isReserved(const std::string &endpoint, const suspect_time &now) const;
@@ -235,8 +244,8 @@
     std::set<std::string> m_peers;
     std::map<std::string, suspect> m_suspects;
     std::map<std::string, unix_millis> m_quarantined; // since when
-    // Start times of running hops by endpoint and fingerprint.
-    std::map<std::string, std::multimap<std::string, unix_millis>> m_running;
+    // By endpoint and fingerprint.
+    std::map<std::string, std::multimap<std::string, running_hop>> m_running;
     std::vector<own_run> m_ownRuns;
     std::vector<peer_hold> m_holds;
     std::uint64_t m_nextTicket = 1;
--- a/src/fescuedeck/stream/crash_suspects_schedule_test.cpp
+++ b/src/fescuedeck/stream/crash_suspects_schedule_test.cpp
@@ -67,7 +67,6 @@
     {
         std::shared_ptr<request> caller;
         int delivered = 0; // tokens
-        int deliveredInAttempt = 0;
         int endpoint = -1;
         bool isPrefill = true;
         bool isInFlight = false;
@@ -160,7 +159,7 @@
                     peers.insert(routerName(other));
             }
             if (m_routers[i].isUp)
-                perform(i, m_routers[i].suspects->peersChanged(peers));
+                perform(i, m_routers[i].suspects->peersChanged(peers, now()));
         }
     }
 
@@ -181,12 +180,12 @@
 
     void submit(const std::shared_ptr<request> &caller)
     {
-        ++caller->sends;
         const int index = m_schedule.below(routerCount);
         if (!m_routers[index].isUp) {
             resend(caller);
             return;
         }
+        ++caller->sends;
         auto started = std::make_shared<job>();
         started->caller = caller;
         m_routers[index].runs.push_back(started);
@@ -226,7 +225,6 @@
             started->endpoint = m_schedule.below(endpointCount);
         while (excluded.count(endpointName(started->endpoint)) > 0);
         started->isPrefill = true;
-        started->deliveredInAttempt = 0;
         runHop(index, started);
     }
 
@@ -257,7 +255,8 @@
         crash_suspects &suspects = *m_routers[index].suspects;
         const std::string &fingerprint = running->caller->fingerprint;
         m_tally.loneRuns += suspects.mustRunAlone(fingerprint, now()) ? 1 : 0;
-        perform(index, suspects.hopStarted(fingerprint, endpointName(running->endpoint), now()));
+        perform(index, suspects.hopStarted(fingerprint, endpointName(running->endpoint),
+                                           running->delivered, now()));
         const int hop = ++running->hop;
         running->isInFlight = true;
         const int target = running->endpoint;
@@ -327,10 +326,9 @@
             return;
         const std::string &fingerprint = running->caller->fingerprint;
         crash_suspects &suspects = *m_routers[index].suspects;
+        perform(index, suspects.tokenProduced(fingerprint, running->delivered));
         ++running->delivered;
         running->isPrefill = false;
-        if (++running->deliveredInAttempt == 2)
-            suspects.passedCrashPoint(fingerprint);
         if (running->delivered < running->caller->tokens) {
             runHop(index, running);
             return;
@@ -383,7 +381,8 @@
     void handle(int index, const announce_lone_run &started)
     {
         sendToPeers(index, [this, started, from = routerName(index)](int to, crash_suspects &peer) {
-            perform(to, peer.loneRunStarted(from, started.ticket, started.startedAt, now()));
+            perform(to, peer.loneRunStarted(from, started.ticket, started.startedAt,
+                                            started.position, now()));
         });
     }
     void handle(int index, const release_lone_run &released)
--- a/src/fescuedeck/stream/crash_suspects_test.cpp
+++ b/src/fescuedeck/stream/crash_suspects_test.cpp
@@ -24,7 +24,7 @@
 void crashWithTwo(crash_suspects &suspects)
 {
     for (const char *fingerprint : { "bad", "good" })
-        suspects.hopStarted(fingerprint, "a", at(0));
+        suspects.hopStarted(fingerprint, "a", 5, at(0));
     suspects.endpointCrashed("a", "1", at(1));
     for (const char *fingerprint : { "bad", "good" })
         suspects.hopEnded(fingerprint, "a");
@@ -35,7 +35,7 @@
 {
     CHECK(find<lone_run_ready>(suspects.askLoneRun(fingerprint, endpoint, now)));
     CHECK(suspects.mayStartHop(fingerprint, endpoint, now));
-    CHECK(find<announce_lone_run>(suspects.hopStarted(fingerprint, endpoint, now)));
+    CHECK(find<announce_lone_run>(suspects.hopStarted(fingerprint, endpoint, 5, now)));
 }
 
 } // namespace
@@ -52,7 +52,12 @@
     runAlone(suspects, "good", "b", at(2));
     CHECK_FALSE(suspects.mayStartHop("other", "b", at(2)));
     suspects.hopEnded("good", "b");
+    suspects.tokenProduced("good", 5);
+    CHECK(suspects.mustRunAlone("good", at(2)));
+    suspects.tokenProduced("good", 6);
+    CHECK_FALSE(suspects.mustRunAlone("good", at(2)));
     suspects.finished("good");
+    CHECK(suspects.crashedEndpoints("good").empty());
     CHECK(suspects.permissionFor("good", at(2)) == run_permission::Run);
 
     runAlone(suspects, "bad", "b", at(3));
@@ -74,9 +79,9 @@
     // Guards against two routers that each think their suspect is alone on one endpoint.
     crash_suspects asker({});
     crash_suspects peer({});
-    asker.peersChanged({ "p" });
+    asker.peersChanged({ "p" }, at(0));
     crashWithTwo(asker);
-    peer.hopStarted("other", "b", at(1));
+    peer.hopStarted("other", "b", 5, at(1));
     const suspect_actions asked = asker.askLoneRun("bad", "b", at(2));
     const std::uint64_t ticket = find<ask_lone_run>(asked)->ticket;
     CHECK_FALSE(find<lone_run_ready>(asked));
@@ -95,7 +100,7 @@
     {
         // Guards against a second crash that nobody knows of.
         peer.evidenceLearned(asker.evidence(), at(3));
-        peer.loneRunStarted("r", ticket, at(3).wall, at(3));
+        peer.loneRunStarted("r", ticket, at(3).wall, 5, at(3));
         const suspect_actions actions = peer.endpointCrashed("b", "1", at(4));
         CHECK(find<publish_quarantine>(actions)->fingerprint == "bad");
     }
@@ -111,8 +116,8 @@
 {
     // Guards against a popular request being quarantined after a rack has failed.
     crash_suspects suspects({});
-    suspects.hopStarted("popular", "a", at(0));
-    suspects.hopStarted("popular", "b", at(0));
+    suspects.hopStarted("popular", "a", 5, at(0));
+    suspects.hopStarted("popular", "b", 5, at(0));
     suspects.endpointCrashed("a", "1", at(1));
     suspects.endpointCrashed("b", "1", at(2));
     CHECK(suspects.permissionFor("popular", at(2)) == run_permission::RunAlone);
@@ -134,7 +139,7 @@
 
     for (int i = 0; i < 10; ++i) {
         const std::string name = std::to_string(i);
-        suspects.evidenceLearned({ { name, "a", name, at(i).wall, at(i).wall } }, at(10));
+        suspects.evidenceLearned({ { name, "a", name, at(i).wall, at(i).wall, 5 } }, at(10));
     }
     CHECK(suspects.size() == 5);
     CHECK_FALSE(suspects.mustRunAlone("0", at(10)));
