--- a/src/fescuedeck/base/ranked_mutex.h
+++ b/src/fescuedeck/base/ranked_mutex.h
@@ -11,7 +11,8 @@
 namespace fescuedeck {
 
 enum class lock_rank {
-    Control = 1,
+    Installation, // serializes the changes that bring a bundle into force
+    Control,
     Fleet,
     Admission,
     Claims,
--- a/src/fescuedeck/fleet/fleet_state.cpp
+++ b/src/fescuedeck/fleet/fleet_state.cpp
@@ -83,9 +83,9 @@
     return listed != m_hostIncarnations.end() && listed->second == left->second;
 }
 
-void fleet_state::applyHostList(const std::vector<host_entry> &hosts, time_point now)
+void fleet_state::applyHostList(const std::vector<listed_host> &hosts, time_point now)
 {
-    for (const host_entry &entry : hosts) {
+    for (const listed_host &entry : hosts) {
         m_hostIncarnations[entry.host] = entry.incarnation;
         if (entry.leaving)
             m_leftHosts[entry.host] = entry.incarnation;
--- a/src/fescuedeck/fleet/fleet_state.h
+++ b/src/fescuedeck/fleet/fleet_state.h
@@ -20,7 +20,7 @@
 namespace fescuedeck {
 
 // One line of the platform's host list.
-struct host_entry
+struct listed_host
 {
     std::string host;
     std::string incarnation;
@@ -66,7 +66,7 @@
     explicit fleet_state(endpoint_settings settings = {});
 
     void setWanted(const std::vector<wanted_endpoint> &wanted, time_point now);
-    void applyHostList(const std::vector<host_entry> &hosts, time_point now);
+    void applyHostList(const std::vector<listed_host> &hosts, time_point now);
     // Endpoints of these hosts leave. An endpoint returns with a new incarnation after its host has
     // been removed from the set.
     void setDrainedHosts(const std::set<std::string> &hosts, time_point now);
--- /dev/null
+++ b/src/fescuedeck/router/caller_server.cpp
@@ -0,0 +1,63 @@
+#include "fescuedeck/router/caller_server.h"
+
+#include "fescuedeck/router/caller_error.h"
+#include "fescuedeck/router/readiness.h"
+
+namespace fescuedeck {
+namespace {
+
+constexpr std::string_view completionsPath = "/v1/completions";
+
+std::string pathOf(const std::string &target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+caller_server::caller_server(router_context &context, completions_handler &completions,
+                             service_handler &services)
+    : m_context(context)
+    , m_completions(completions)
+    , m_services(services)
+{
+}
+
+void caller_server::handle(http_exchange &exchange)
+{
+    const std::string *header = findHeader(exchange.request().headers, "traceparent");
+    const auto parent = header ? parseTraceparent(*header) : std::nullopt;
+    const random_fn random = m_context.randomFn();
+    const trace_context trace = parent ? childOf(*parent, random) : newTrace(random);
+    const std::int64_t start = nowUnixNanos();
+    route(exchange, trace);
+    m_context.traces.record({ trace,
+                              parent ? parent->spanId : "",
+                              "request",
+                              start,
+                              nowUnixNanos(),
+                              false,
+                              { { "method", exchange.request().method },
+                                { "path", pathOf(exchange.request().target) },
+                                { "router", m_context.settings.routerId } } });
+}
+
+void caller_server::route(http_exchange &exchange, const trace_context &trace)
+{
+    const readiness state = evaluateReadiness(m_context, steadyNow());
+    if (!state.mayServe)
+        return exchange.respond(
+                callerError(makeFailure(errc::NotReady, state.reason), outcomeNotRun));
+    const auto index = m_context.bundleInForce();
+    const http_request &request = exchange.request();
+    if (pathOf(request.target) == completionsPath && request.method == "POST")
+        return m_completions.handle(exchange, index, trace);
+    if (const service_spec *service = findService(index->content(), request.target))
+        return m_services.handle(exchange, index, *service, trace);
+    exchange.respond(
+            callerError(makeFailure(errc::NotFound, request.method + " " + pathOf(request.target)
+                                                            + " does not exist"),
+                        outcomeNotRun));
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/router/caller_server.h
@@ -0,0 +1,30 @@
+// The callers' HTTP interface: chooses the handler of a request by its path.
+#ifndef FESCUEDECK_ROUTER_CALLER_SERVER_H
+#define FESCUEDECK_ROUTER_CALLER_SERVER_H
+
+#include "fescuedeck/net/http_server.h"
+#include "fescuedeck/router/completions_handler.h"
+#include "fescuedeck/router/router_context.h"
+#include "fescuedeck/router/service_handler.h"
+
+namespace fescuedeck {
+
+class caller_server
+{
+public:
+    caller_server(router_context &context, completions_handler &completions,
+                  service_handler &services);
+
+    void handle(http_exchange &exchange);
+
+private:
+    void route(http_exchange &exchange, const trace_context &trace);
+
+    router_context &m_context;
+    completions_handler &m_completions;
+    service_handler &m_services;
+};
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/router/claim_partitions.cpp
@@ -0,0 +1,137 @@
+#include "fescuedeck/router/claim_partitions.h"
+
+#include <algorithm>
+
+#include "fescuedeck/claims/claim_record.h"
+
+namespace fescuedeck {
+namespace {
+
+constexpr int pageSize = 512;
+constexpr duration longPoll = std::chrono::milliseconds(500);
+constexpr duration shortestBackoff = std::chrono::milliseconds(50);
+constexpr duration longestBackoff = std::chrono::seconds(1);
+
+claim_table_settings tableSettings(const router_settings &settings)
+{
+    claim_table_settings table;
+    const duration kept = settings.platform.retention - settings.platform.retentionMargin;
+    table.keepFor = std::chrono::duration_cast<unix_millis>(kept);
+    return table;
+}
+
+} // namespace
+
+claim_partitions::claim_partitions(router_context &context, log_client &log)
+    : m_context(context)
+    , m_log(log)
+    , m_tableSettings(tableSettings(context.settings))
+{
+    for (std::int64_t i = 0; i < context.settings.platform.claimPartitions; ++i)
+        m_partitions.push_back(std::make_unique<partition>(lock_rank::Claims));
+    context.counters.setGauge("fescuedeck_claimed_keys", {},
+                              [this] { return static_cast<double>(keys()); });
+}
+
+void claim_partitions::start()
+{
+    for (std::size_t i = 0; i < m_partitions.size(); ++i) {
+        boost::asio::spawn(m_context.io, [this, i](boost::asio::yield_context yield) {
+            follow(static_cast<int>(i), yield);
+        });
+    }
+}
+
+std::string claim_partitions::streamOf(const std::string &scopedKey) const
+{
+    return "claims-" + std::to_string(numberOf(scopedKey));
+}
+
+int claim_partitions::numberOf(const std::string &scopedKey) const
+{
+    return fescuedeck::partitionOf(scopedKey, static_cast<int>(m_partitions.size()));
+}
+
+claim_partitions::partition &claim_partitions::partitionOf(const std::string &scopedKey) const
+{
+    return *m_partitions[static_cast<std::size_t>(numberOf(scopedKey))];
+}
+
+bool claim_partitions::withTable(const std::string &scopedKey,
+                                 const std::function<void(const claim_table &)> &use) const
+{
+    return partitionOf(scopedKey).with([&](const partition_state &state) {
+        if (!state.isCaughtUp)
+            return false;
+        use(*state.table);
+        return true;
+    });
+}
+
+bool claim_partitions::waitForOffset(const std::string &scopedKey, std::int64_t offset,
+                                     time_point deadline, boost::asio::yield_context yield)
+{
+    const wait_event reached(yield);
+    const bool isThere = partitionOf(scopedKey).with([&](partition_state &state) {
+        if (state.table && state.table->nextOffset() > offset)
+            return true;
+        state.waiters.push_back({ offset, reached });
+        return false;
+    });
+    return isThere || reached.waitUntil(deadline, yield);
+}
+
+std::size_t claim_partitions::keys() const
+{
+    std::size_t sum = 0;
+    for (const auto &each : m_partitions) {
+        sum += each->with(
+                [](const partition_state &state) { return state.table ? state.table->size() : 0; });
+    }
+    return sum;
+}
+
+void claim_partitions::applyPage(partition_state &state, const log_page &page)
+{
+    if (!state.table)
+        state.table = std::make_unique<claim_table>(m_tableSettings, page.first);
+    for (const log_entry &entry : page.records)
+        state.table->apply({ entry.offset, entry.id, entry.time, entry.body });
+    state.table->expire(wallNow());
+    if (page.records.size() < static_cast<std::size_t>(pageSize))
+        state.isCaughtUp = true;
+    const std::int64_t next = state.table->nextOffset();
+    const auto isReached = [&](const waiter &each) {
+        if (each.offset >= next)
+            return false;
+        each.event.set();
+        return true;
+    };
+    auto &waiters = state.waiters;
+    waiters.erase(std::remove_if(waiters.begin(), waiters.end(), isReached), waiters.end());
+}
+
+void claim_partitions::follow(int number, boost::asio::yield_context yield)
+{
+    partition &mine = *m_partitions[static_cast<std::size_t>(number)];
+    const std::string stream = "claims-" + std::to_string(number);
+    duration backoff = shortestBackoff;
+    for (;;) {
+        const std::int64_t from = mine.with([](const partition_state &state) {
+            return state.table ? state.table->nextOffset() : 0;
+        });
+        const auto page = m_log.read(stream, from, pageSize, longPoll,
+                                     m_context.settings.timing.logTimeout + longPoll, yield);
+        if (!page) {
+            m_context.counters.counterOf("fescuedeck_log_failures_total", { { "call", "read" } })
+                    .add();
+            sleepFor(backoff, yield);
+            backoff = std::min(longestBackoff, backoff * 2);
+            continue;
+        }
+        backoff = shortestBackoff;
+        mine.with([&](partition_state &state) { applyPage(state, page.value()); });
+    }
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/router/draft_runner.cpp
@@ -0,0 +1,355 @@
+#include "fescuedeck/router/draft_runner.h"
+
+#include <algorithm>
+#include <deque>
+
+#include "fescuedeck/base/name_table.h"
+#include "fescuedeck/router/engine_client.h"
+#include "fescuedeck/router/stage_transport.h"
+#include "fescuedeck/stream/step_deadline.h"
+
+namespace fescuedeck {
+namespace {
+
+// Deadline of best-effort calls that release work on an engine.
+constexpr duration cancelTimeout = std::chrono::seconds(2);
+// A stream that has begun goes before new prefills on the engines.
+constexpr int newDraftPriority = 0;
+constexpr int startedDraftPriority = 1;
+// A draft that lost its last route looks for a new one this often, until its deadline.
+constexpr duration routeRetryInterval = std::chrono::milliseconds(25);
+// Deadline of the probe that tells a crashed engine from a lost connection.
+constexpr duration crashProbeTimeout = std::chrono::milliseconds(500);
+
+constexpr name_table<hop_failure, 6> hopFailureNames = { {
+        { hop_failure::NotSent, "not_sent" },
+        { hop_failure::Refused, "refused" },
+        { hop_failure::ConnectionClosed, "connection_closed" },
+        { hop_failure::DeadlineMissed, "deadline_missed" },
+        { hop_failure::ProbeFailed, "probe_failed" },
+        { hop_failure::InvalidAnswer, "invalid_answer" },
+} };
+
+draft_route toDraftRoute(const route &found)
+{
+    draft_route converted;
+    for (const route_stage &stage : found.stages)
+        converted.push_back({ stage.endpoint, stage.layers });
+    return converted;
+}
+
+class draft_run
+{
+public:
+    draft_run(router_context &context, const draft_job &job, const draft_sink &sink,
+              boost::asio::yield_context yield)
+        : m_context(context)
+        , m_job(job)
+        , m_sink(sink)
+        , m_yield(yield)
+        , m_stream(job.spec)
+    {
+    }
+    ~draft_run() { releaseRoute(); }
+    draft_run(const draft_run &) = delete;
+    draft_run &operator=(const draft_run &) = delete;
+
+    draft_end run();
+
+private:
+    void enqueue(draft_actions actions);
+    void carryOut(draft_action &action);
+    void carryOutHop(const run_hop &hop);
+    void findRoute(const request_route &wanted);
+    void deliver(const deliver_token &delivery);
+    void cancel(const cancel_work &work);
+    void drop(const drop_answer &dropped, const hop_identity &hop);
+    void answered(const run_hop &hop, hop_answer answer, duration elapsed);
+    void failed(const run_hop &hop, const hop_error &error);
+    bool checkCrash(const std::string &endpoint);
+    void adoptRoute(const draft_route &route);
+    void releaseRoute();
+    result<route> chooseRouteNow(const request_route &wanted);
+    duration hopTimeout(const run_hop &hop);
+    hop_context contextOf(const run_hop &hop, const trace_context &span);
+    void recordSpan(const run_hop &hop, const trace_context &span, std::int64_t start,
+                    const hop_result &answer);
+    std::string addressOf(const std::string &endpoint) const;
+
+    router_context &m_context;
+    const draft_job &m_job;
+    const draft_sink &m_sink;
+    boost::asio::yield_context m_yield;
+    draft_stream m_stream;
+    draft_route m_route; // assigned in the fleet's in-flight counts
+    std::deque<draft_action> m_actions;
+    std::optional<hop_identity> m_hopInFlight;
+    draft_end m_end;
+};
+
+draft_end draft_run::run()
+{
+    const auto prompt = static_cast<int>(m_job.spec.promptTokens.size());
+    const auto first = chooseRouteNow({ 1, {}, prompt, false });
+    if (!first) {
+        m_end.outcome = draft_outcome::NotRun;
+        m_end.error = first.error();
+        return m_end;
+    }
+    adoptRoute(toDraftRoute(first.value()));
+    enqueue(m_stream.start(steadyNow(), m_route));
+    while (!m_actions.empty()) {
+        draft_action action = std::move(m_actions.front());
+        m_actions.pop_front();
+        carryOut(action);
+    }
+    m_end.deliveredTokens = static_cast<int>(m_stream.deliveredTokens().size());
+    m_end.attempts = m_stream.attempt();
+    return m_end;
+}
+
+void draft_run::enqueue(draft_actions actions)
+{
+    for (draft_action &action : actions)
+        m_actions.push_back(std::move(action));
+}
+
+void draft_run::carryOut(draft_action &action)
+{
+    if (auto *hop = std::get_if<run_hop>(&action))
+        carryOutHop(*hop);
+    else if (auto *wanted = std::get_if<request_route>(&action))
+        findRoute(*wanted);
+    else if (auto *delivery = std::get_if<deliver_token>(&action))
+        deliver(*delivery);
+    else if (auto *work = std::get_if<cancel_work>(&action))
+        cancel(*work);
+    else if (auto *dropped = std::get_if<drop_answer>(&action))
+        drop(*dropped, m_hopInFlight.value_or(hop_identity{}));
+    else if (auto *finished = std::get_if<finish_draft>(&action)) {
+        m_end.outcome = draft_outcome::Ran;
+        m_end.reason = finished->reason;
+    } else if (auto *failure = std::get_if<fail_draft>(&action)) {
+        m_end.outcome = failure->outcome;
+        m_end.error = failure->error;
+    }
+}
+
+std::string draft_run::addressOf(const std::string &endpoint) const
+{
+    const endpoint_spec *spec = m_job.index->findEndpoint(endpoint);
+    return spec ? spec->address : std::string();
+}
+
+duration draft_run::hopTimeout(const run_hop &hop)
+{
+    const auto steps = m_context.fleet.with(
+            [&](fleet_tables &tables) { return tables.stepTimes[hop.endpoint].steps(); });
+    step_deadline_settings settings;
+    settings.floor = m_context.settings.timing.stepTimeoutFloor;
+    const duration timeout = stepDeadline(steps, std::max(1, hop.inputTokens()), settings);
+    const duration left
+            = std::chrono::duration_cast<duration>(m_stream.nextDeadline() - steadyNow());
+    return std::max(duration(1), std::min(timeout, left));
+}
+
+hop_context draft_run::contextOf(const run_hop &hop, const trace_context &span)
+{
+    hop_context context;
+    context.address = addressOf(hop.endpoint);
+    context.workspace = m_job.workspace;
+    context.priority = m_stream.deliveredTokens().empty() ? newDraftPriority : startedDraftPriority;
+    context.traceparent = formatTraceparent(span);
+    context.timeout = hopTimeout(hop);
+    return context;
+}
+
+void draft_run::carryOutHop(const run_hop &hop)
+{
+    if (m_sink.callerLeft())
+        return enqueue(m_stream.callerLeft(steadyNow()));
+    const auto permitted
+            = m_context.suspects.enterHop(m_job.fingerprint, hop.endpoint, hop.identity.position,
+                                          m_stream.nextDeadline(), m_yield);
+    if (!permitted) {
+        const auto kind = static_cast<errc>(permitted.error().code.value());
+        return enqueue(m_stream.abandon(kind, permitted.error().detail));
+    }
+    const trace_context span = childOf(m_job.trace, m_context.randomFn());
+    const hop_context context = contextOf(hop, span);
+    m_hopInFlight = hop.identity;
+    const std::int64_t start = nowUnixNanos();
+    // A caller that leaves does not end the hop: the engine may still run it and crash, and the hop
+    // must then count as evidence. The draft stops after it.
+    hop_result outcome = runHop(m_context.client, hop, context, m_yield);
+    recordSpan(hop, span, start, outcome);
+    if (auto *answer = std::get_if<hop_answer>(&outcome.value))
+        answered(hop, std::move(*answer), outcome.elapsed);
+    else
+        failed(hop, std::get<hop_error>(outcome.value));
+}
+
+void draft_run::recordSpan(const run_hop &hop, const trace_context &span, std::int64_t start,
+                           const hop_result &answer)
+{
+    const auto *error = std::get_if<hop_error>(&answer.value);
+    const hop_identity &identity = hop.identity;
+    m_context.traces.record({ span,
+                              m_job.trace.spanId,
+                              "hop",
+                              start,
+                              nowUnixNanos(),
+                              error != nullptr,
+                              { { "endpoint", hop.endpoint },
+                                { "layers", toString(identity.layers) },
+                                { "position", std::to_string(identity.position) },
+                                { "attempt", std::to_string(identity.attempt) },
+                                { "error", error ? error->reason : "" } } });
+}
+
+void draft_run::answered(const run_hop &hop, hop_answer answer, duration elapsed)
+{
+    m_context.suspects.leaveHop(m_job.fingerprint, hop.endpoint);
+    const hop_timing timing{ hop.identity.layers, hop.inputTokens(), elapsed };
+    m_context.fleet.with([&](fleet_tables &tables) {
+        tables.state.callSucceeded(hop.endpoint, answer.incarnation, timing, steadyNow());
+        if (hop.inputTokens() == 1)
+            tables.stepTimes[hop.endpoint].add(elapsed);
+    });
+    enqueue(m_stream.hopAnswered(steadyNow(), std::move(answer)));
+}
+
+void draft_run::failed(const run_hop &hop, const hop_error &error)
+{
+    const std::string kind(nameOf(hopFailureNames, error.kind));
+    m_context.counters.counterOf("fescuedeck_hop_failures_total", { { "kind", kind } }).add();
+    const bool isLeaving = error.kind == hop_failure::Refused && error.reason == "leaving";
+    m_context.fleet.with([&](fleet_tables &tables) {
+        if (isLeaving)
+            tables.state.callRefusedLeaving(hop.endpoint, "", steadyNow());
+        else
+            tables.state.callFailed(hop.endpoint, steadyNow());
+    });
+    const bool hasCrashed = error.kind == hop_failure::ConnectionClosed && checkCrash(hop.endpoint);
+    m_context.suspects.leaveHop(m_job.fingerprint, hop.endpoint);
+    enqueue(m_stream.hopFailed(steadyNow(), hop.identity, error.kind, hasCrashed));
+}
+
+// Whether the engine's process is gone, or is another one than the one that the draft used. The
+// crash is reported before the caller of any of its requests is answered.
+bool draft_run::checkCrash(const std::string &endpoint)
+{
+    const endpoint_spec *spec = m_job.index->findEndpoint(endpoint);
+    if (!spec)
+        return false;
+    const std::string before = m_context.fleet.with([&](fleet_tables &tables) {
+        const endpoint_state *state = tables.state.find(endpoint);
+        return state ? state->incarnation() : std::string();
+    });
+    const auto report = fetchReport(m_context.client, spec->address, crashProbeTimeout, m_yield);
+    const bool isGone = !report && report.error().code == errc::ConnectionFailed;
+    const bool isReplaced = report && report.value().incarnation != before;
+    if (isGone || isReplaced)
+        m_context.suspects.endpointCrashed(endpoint, before);
+    return isGone || isReplaced;
+}
+
+void draft_run::drop(const drop_answer &dropped, const hop_identity &hop)
+{
+    const std::string field(toString(dropped.mismatch));
+    m_context.counters.counterOf("fescuedeck_dropped_answers_total", { { "field", field } }).add();
+    // HTTP gives one answer a request, so the hop's own answer cannot follow on the connection, and
+    // what else is in flight on the endpoint's connections cannot be trusted.
+    m_context.client.dropIdle(addressOf(dropped.endpoint));
+    enqueue(m_stream.hopFailed(steadyNow(), hop, hop_failure::InvalidAnswer, false));
+}
+
+void draft_run::deliver(const deliver_token &delivery)
+{
+    m_context.suspects.tokenProduced(m_job.fingerprint, delivery.position);
+    if (!m_sink.deliver(delivery.token))
+        enqueue(m_stream.callerLeft(steadyNow()));
+}
+
+void draft_run::cancel(const cancel_work &work)
+{
+    const std::string address = addressOf(work.endpoint);
+    if (address.empty())
+        return;
+    boost::asio::spawn(m_context.io, [&client = m_context.client, address,
+                                      work](boost::asio::yield_context yield) {
+        cancelWork(client, address, work, cancelTimeout, yield);
+    });
+}
+
+result<route> draft_run::chooseRouteNow(const request_route &wanted)
+{
+    route_request request;
+    request.failureDomain = m_context.settings.failureDomain;
+    std::set<std::string> excluded = m_context.suspects.crashedEndpoints(m_job.fingerprint);
+    excluded.insert(wanted.excluded.begin(), wanted.excluded.end());
+    request.excluded.assign(excluded.begin(), excluded.end());
+    request.promptTokens = wanted.inputTokens;
+    request.outputTokens = m_job.predictedTokens;
+    request.alone = m_context.suspects.mustRunAlone(m_job.fingerprint);
+    random_fn random = m_context.randomFn();
+    return m_context.fleet.with([&](fleet_tables &tables) -> result<route> {
+        const auto table = tables.routes.find(m_job.spec.model);
+        if (table == tables.routes.end())
+            return makeFailure(errc::NoRoute, "model " + m_job.spec.model + " has no endpoints");
+        table->second->rebuildIfChanged(tables.state.view());
+        return chooseRoute(*table->second->graph(), tables.state.view(), request, random);
+    });
+}
+
+void draft_run::findRoute(const request_route &wanted)
+{
+    releaseRoute();
+    const bool mayRetry = m_context.admission.with(
+            [&](admission_tables &tables) { return tables.retries.takeRetry(m_job.spec.model); });
+    if (!mayRetry)
+        return enqueue(m_stream.abandon(
+                errc::Overloaded, "the retry budget of model " + m_job.spec.model + " is spent"));
+    m_context.counters
+            .counterOf("fescuedeck_draft_retries_total", { { "model", m_job.spec.model } })
+            .add();
+    auto found = chooseRouteNow(wanted);
+    // Without exclusions, nothing covers the model now; endpoints may return before the deadline.
+    while (!found && wanted.excluded.empty() && steadyNow() < m_stream.nextDeadline()
+           && !m_sink.callerLeft()) {
+        sleepFor(routeRetryInterval, m_yield);
+        found = chooseRouteNow(wanted);
+    }
+    if (!found)
+        return enqueue(m_stream.noRoute(steadyNow()));
+    adoptRoute(toDraftRoute(found.value()));
+    enqueue(m_stream.routeFound(steadyNow(), m_route));
+}
+
+void draft_run::adoptRoute(const draft_route &route)
+{
+    m_route = route;
+    m_context.fleet.with([&](fleet_tables &tables) {
+        for (const draft_stage &stage : m_route)
+            tables.state.assign(stage.endpoint, stage.layers, steadyNow());
+    });
+}
+
+void draft_run::releaseRoute()
+{
+    m_context.fleet.with([&](fleet_tables &tables) {
+        for (const draft_stage &stage : m_route)
+            tables.state.release(stage.endpoint, stage.layers, steadyNow());
+    });
+    m_route.clear();
+}
+
+} // namespace
+
+draft_end runDraft(router_context &context, const draft_job &job, const draft_sink &sink,
+                   boost::asio::yield_context yield)
+{
+    return draft_run(context, job, sink, yield).run();
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/router/readiness.cpp
@@ -0,0 +1,28 @@
+#include "fescuedeck/router/readiness.h"
+
+namespace fescuedeck {
+
+readiness evaluateReadiness(const router_context &context, time_point now)
+{
+    struct control_facts
+    {
+        bool hasBundle;
+        time_point lastLogContact;
+    };
+    const auto facts = context.control.with([](const control_tables &tables) {
+        return control_facts{ tables.index != nullptr, tables.lastLogContact };
+    });
+    if (!facts.hasBundle)
+        return { false, false, "no bundle is known yet" };
+    const duration limit = context.settings.timing.isolationTimeout;
+    const bool hasLog = now - facts.lastLogContact <= limit;
+    const bool hasPeer = now - context.lastPeerContact.load() <= limit;
+    const bool isAlone = context.otherLiveRouters.load() == 0;
+    if (!hasLog && !hasPeer && !isAlone)
+        return { false, false, "neither the log nor a peer has been reached lately" };
+    if (context.isShuttingDown)
+        return { true, false, "shutting down" };
+    return { true, true, "" };
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/router/router.cpp
@@ -0,0 +1,181 @@
+#include "fescuedeck/router/router.h"
+
+#include <csignal>
+#include <cstdio>
+#include <functional>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "fescuedeck/control/control_record.h"
+#include "fescuedeck/net/http_server.h"
+#include "fescuedeck/platform/log_appender.h"
+#include "fescuedeck/platform/log_client.h"
+#include "fescuedeck/router/caller_server.h"
+#include "fescuedeck/router/completions_handler.h"
+#include "fescuedeck/router/control_follower.h"
+#include "fescuedeck/router/draft_admission.h"
+#include "fescuedeck/router/fleet_monitor.h"
+#include "fescuedeck/router/keyed_calls.h"
+#include "fescuedeck/router/operators_handler.h"
+#include "fescuedeck/router/router_context.h"
+#include "fescuedeck/router/service_handler.h"
+#include "fescuedeck/router/wait_event.h"
+#include "fescuedeck/telemetry/log_setup.h"
+
+namespace fescuedeck {
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+// How often a shutdown looks whether the requests in flight have ended.
+constexpr duration shutdownPollInterval = std::chrono::milliseconds(20);
+
+http_server_limits callerLimits(const router_settings &settings)
+{
+    http_server_limits limits;
+    limits.maxBodyBytes = static_cast<std::size_t>(settings.limits.bodyBytes);
+    limits.maxHeaderBytes = static_cast<std::size_t>(settings.limits.headerBytes);
+    limits.maxConnections = static_cast<int>(settings.limits.connections);
+    return limits;
+}
+
+append_fn appendThrough(log_client &log)
+{
+    return [&log](const std::string &stream, const std::vector<log_append> &records,
+                  duration timeout, boost::asio::yield_context yield) {
+        return log.tryAppend(stream, records, timeout, yield);
+    };
+}
+
+// Members are destroyed in reverse order, so each part outlives those that use it.
+class router
+{
+public:
+    explicit router(const router_settings &settings);
+
+    int run();
+
+private:
+    bool listen();
+    void shutDown(boost::asio::yield_context yield);
+    void logHandlerException(const std::string &what);
+    void drainHost(const std::string &host);
+
+    boost::asio::io_context m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    router_context m_context;
+    log_client m_log;
+    log_appender m_appender;
+    draft_admission m_admission;
+    control_follower m_control;
+    fleet_monitor m_fleet;
+    keyed_calls m_keyedCalls;
+    completions_handler m_completions;
+    service_handler m_services;
+    caller_server m_callers;
+    operators_handler m_operators;
+    http_server m_callersServer;
+    http_server m_operatorsServer;
+};
+
+router::router(const router_settings &settings)
+    : m_work(boost::asio::make_work_guard(m_io))
+    , m_context(settings, m_io)
+    , m_log(m_context.client, settings.platform.address)
+    , m_appender(m_io, appendThrough(m_log), log_appender_settings{}, m_context.randomFn())
+    , m_admission(static_cast<int>(settings.limits.draftsInFlight))
+    , m_control(m_context, m_admission, m_log)
+    , m_fleet(m_context)
+    , m_keyedCalls(m_context, m_log, m_appender)
+    , m_completions(m_context, m_admission)
+    , m_services(m_context, m_keyedCalls)
+    , m_callers(m_context, m_completions, m_services)
+    , m_operators(m_context, m_admission,
+                  { [this](const std::string &host) { drainHost(host); }, {} })
+    , m_callersServer(m_io, callerLimits(settings),
+                      [this](http_exchange &exchange) { m_callers.handle(exchange); })
+    , m_operatorsServer(m_io, http_server_limits{},
+                        [this](http_exchange &exchange) { m_operators.handle(exchange); })
+{
+    const auto log = [this](const std::string &what) { logHandlerException(what); };
+    m_callersServer.onHandlerException(log);
+    m_operatorsServer.onHandlerException(log);
+}
+
+void router::logHandlerException(const std::string &what)
+{
+    m_context.counters.counterOf("fescuedeck_handler_exceptions_total").add();
+    logError("router", "a request handler failed: " + what);
+}
+
+void router::drainHost(const std::string &host)
+{
+    m_control.drainLocally(host);
+    m_control.append(recordBody(host_drained{ host }));
+}
+
+bool router::listen()
+{
+    const auto open = [](http_server &server, const char *name, const std::string &address) {
+        const std::error_code error = server.listen(address);
+        if (error) {
+            logError("router",
+                     std::string(name) + " cannot listen on " + address + ": " + error.message());
+            return false;
+        }
+        const std::string ip = address.substr(0, address.rfind(':'));
+        std::printf("%s %s:%u\n", name, ip.c_str(), static_cast<unsigned>(server.port()));
+        std::fflush(stdout);
+        return true;
+    };
+    return open(m_callersServer, "callers", m_context.settings.callersAddress)
+           && open(m_operatorsServer, "operators", m_context.settings.operatorsAddress);
+}
+
+void router::shutDown(boost::asio::yield_context yield)
+{
+    logInfo("router", "shutting down");
+    m_context.isShuttingDown = true;
+    sleepFor(m_context.settings.timing.shutdownNotice, yield);
+    m_callersServer.stopAccepting();
+    const time_point deadline = steadyNow() + m_context.settings.timing.shutdownTimeout;
+    while (m_callersServer.openExchanges() > 0 && steadyNow() < deadline)
+        sleepFor(shutdownPollInterval, yield);
+    const int open = m_callersServer.openExchanges();
+    if (open > 0)
+        logWarning("router", std::to_string(open) + " requests were cut at the shutdown timeout");
+    m_operatorsServer.stopAccepting();
+    m_io.stop();
+}
+
+int router::run()
+{
+    boost::asio::signal_set signals(m_io, SIGTERM, SIGINT);
+    signals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error)
+            boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { shutDown(yield); });
+    });
+    if (!listen())
+        return exitFailed;
+    m_control.start();
+    m_fleet.start();
+    m_keyedCalls.start();
+    std::vector<std::thread> workers;
+    for (std::int64_t i = 0; i < m_context.settings.workers; ++i)
+        workers.emplace_back([this] { m_io.run(); });
+    for (std::thread &worker : workers)
+        worker.join();
+    return exitOk;
+}
+
+} // namespace
+
+int runRouter(const router_settings &settings)
+{
+    return router(settings).run();
+}
+
+} // namespace fescuedeck
