--- /dev/null
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -0,0 +1,73 @@
+// What each peer last said, merged. Use it for in-flight hints, news about endpoints and to learn
+// who has a newer bundle. Everything in it is a hint: it lags and it expires.
+#ifndef FESCUEDECK_PEER_PEER_DIRECTORY_H
+#define FESCUEDECK_PEER_PEER_DIRECTORY_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fescuedeck/base/time.h"
+#include "fescuedeck/peer/peer_message.h"
+
+namespace fescuedeck {
+
+// Union of the digests in force.
+struct peer_view
+{
+    std::map<std::string, int> inFlight; // sum over the peers, by endpoint
+    std::set<std::string> suspects;
+    std::set<std::string> leaving;
+    std::set<std::string> drained;
+    std::set<std::string> quarantined;
+};
+
+struct newer_bundle
+{
+    std::string router;
+    std::int64_t version = 0;
+    std::string hash;
+    std::int64_t offset = 0;
+};
+
+// Not thread-safe.
+class peer_directory
+{
+public:
+    // A digest is in force for its lifetime, counted from its arrival.
+    explicit peer_directory(duration digestLifetime);
+
+    void onDigest(const std::string &router, peer_digest digest, time_point now);
+    // Drops what the router said, for example when it has restarted. A router whose connection is
+    // lost is left to expire, since its calls may still be running.
+    void forget(const std::string &router);
+    // Releases the memory of expired digests.
+    void expire(time_point now);
+
+    peer_view merged(time_point now) const;
+    // Calls that peers have in flight on one endpoint.
+    int inFlight(const std::string &endpoint, time_point now) const;
+    // The peer with the greatest version above this one; among equals the one that has read the
+    // control stream furthest, then the first by id.
+    std::optional<newer_bundle> newerBundle(std::int64_t version, time_point now) const;
+    // Peers whose digest is in force, in order of their ids.
+    std::vector<std::string> livePeers(time_point now) const;
+    std::optional<peer_digest> digestOf(const std::string &router, time_point now) const;
+
+private:
+    struct entry
+    {
+        peer_digest digest;
+        time_point expires;
+    };
+
+    const duration m_digestLifetime;
+    std::map<std::string, entry> m_entries;
+};
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/peer/peer_directory_test.cpp
@@ -0,0 +1,83 @@
+#include "fescuedeck/peer/peer_directory.h"
+
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/peer/peer_send_queue.h"
+
+namespace fescuedeck {
+namespace {
+
+constexpr duration lifetime = std::chrono::seconds(3);
+
+time_point at(int seconds)
+{
+    return time_point(std::chrono::seconds(seconds));
+}
+
+peer_digest digestOf(std::int64_t version, std::int64_t offset)
+{
+    peer_digest digest;
+    digest.version = version;
+    digest.hash = "hash" + std::to_string(version);
+    digest.offset = offset;
+    digest.inFlight = { { "e", 2 } };
+    digest.leaving = { "e" + std::to_string(version) };
+    return digest;
+}
+
+} // namespace
+
+TEST_CASE("digests are merged until they expire", "[peer]")
+{
+    // Guards against counting the calls of a router that has gone for ever.
+    peer_directory directory(lifetime);
+    directory.onDigest("a", digestOf(1, 1), at(0));
+    directory.onDigest("b", digestOf(2, 1), at(2));
+    CHECK(directory.inFlight("e", at(2)) == 4);
+    CHECK(directory.merged(at(2)).inFlight.at("e") == 4);
+    CHECK(directory.merged(at(2)).leaving == std::set<std::string>{ "e1", "e2" });
+    CHECK(directory.inFlight("e", at(3)) == 2);
+    CHECK(directory.merged(at(3)).leaving == std::set<std::string>{ "e2" });
+    CHECK(directory.livePeers(at(3)) == std::vector<std::string>{ "b" });
+    directory.onDigest("b", digestOf(3, 1), at(4));
+    CHECK(directory.merged(at(4)).leaving == std::set<std::string>{ "e3" });
+    CHECK(directory.digestOf("b", at(6)));
+    CHECK_FALSE(directory.digestOf("b", at(7)));
+    directory.expire(at(7));
+    directory.forget("b");
+    CHECK(directory.livePeers(at(4)).empty());
+}
+
+TEST_CASE("the peer with the newest bundle is found", "[peer]")
+{
+    peer_directory directory(lifetime);
+    directory.onDigest("a", digestOf(4, 10), at(0));
+    directory.onDigest("b", digestOf(5, 11), at(0));
+    directory.onDigest("c", digestOf(5, 12), at(0));
+    directory.onDigest("d", digestOf(5, 12), at(0));
+    const auto newest = directory.newerBundle(4, at(1));
+    REQUIRE(newest);
+    CHECK(newest->router == "c");
+    CHECK(newest->version == 5);
+    CHECK(newest->hash == "hash5");
+    CHECK_FALSE(directory.newerBundle(5, at(1)));
+    CHECK_FALSE(directory.newerBundle(4, at(3)));
+}
+
+TEST_CASE("a full send queue drops old digests first", "[peer]")
+{
+    peer_send_queue queue(10);
+    CHECK(queue.push("dig1", true));
+    CHECK(queue.push("msg1", false));
+    CHECK(queue.push("dig2", true)); // replaces dig1
+    CHECK(queue.push("msg2", false));
+    CHECK_FALSE(queue.push("msg3", false));
+    CHECK(queue.push("dig3", true)); // no room, dropped
+    CHECK(queue.bytes() == 8);
+    CHECK(queue.pop() == "msg1");
+    CHECK(queue.pop() == "msg2");
+    CHECK_FALSE(queue.pop());
+    CHECK(queue.isEmpty());
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -0,0 +1,358 @@
+#include "fescuedeck/peer/peer_message.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <nlohmann/json.hpp>
+
+namespace fescuedeck {
+namespace {
+
+using nlohmann::json;
+
+// Deeper frames are refused before the recursive decoder of the JSON library sees them.
+constexpr int maxDepth = 8;
+constexpr std::size_t maxIdBytes = 512;
+
+// Accepts a frame whose nesting and stated lengths are within limits.
+class frame_limiter : public nlohmann::json_sax<json>
+{
+public:
+    explicit frame_limiter(std::size_t frameBytes)
+        : m_frameBytes(frameBytes)
+    {
+    }
+
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }               // NOLINT
+    bool number_unsigned(number_unsigned_t) override { return true; }             // NOLINT
+    bool number_float(number_float_t, const string_t &) override { return true; } // NOLINT
+    bool string(string_t &) override { return true; }
+    bool binary(binary_t &) override { return true; }
+    bool start_object(std::size_t size) override { return enter(size); } // NOLINT
+    bool key(string_t &) override { return true; }
+    bool end_object() override { return leave(); }                      // NOLINT
+    bool start_array(std::size_t size) override { return enter(size); } // NOLINT
+    bool end_array() override { return leave(); }                       // NOLINT
+    bool parse_error(std::size_t, const std::string &,                  // NOLINT
+                     const nlohmann::detail::exception &) override
+    {
+        return false;
+    }
+
+private:
+    // Each element takes at least one byte, so that a greater size is false. The decoder throws on
+    // the largest ones. An unstated size is the greatest value of the type.
+    bool enter(std::size_t size)
+    {
+        const bool isStated = size != std::numeric_limits<std::size_t>::max();
+        return ++m_depth <= maxDepth && (!isStated || size <= m_frameBytes);
+    }
+    bool leave()
+    {
+        --m_depth;
+        return true;
+    }
+
+    std::size_t m_frameBytes;
+    int m_depth = 0;
+};
+
+// Reads fields and remembers the first one that is missing or invalid.
+class field_reader
+{
+public:
+    explicit field_reader(const json &object)
+        : m_object(object)
+    {
+    }
+
+    const std::string &invalidField() const { return m_invalidField; }
+    void reject(const char *name)
+    {
+        if (m_invalidField.empty())
+            m_invalidField = name;
+    }
+
+    std::string text(const char *name, std::size_t maxBytes = maxIdBytes)
+    {
+        const json *value = find(name);
+        const auto *found = value ? value->get_ptr<const std::string *>() : nullptr;
+        if (found && found->size() <= maxBytes)
+            return *found;
+        reject(name);
+        return {};
+    }
+
+    // An identifier that may be logged as it is.
+    std::string identifier(const char *name)
+    {
+        std::string value = text(name);
+        const bool isPrintable = std::all_of(value.begin(), value.end(),
+                                             [](char c) { return c > ' ' && c < '\x7f'; });
+        if (value.empty() || !isPrintable)
+            reject(name);
+        return value;
+    }
+
+    std::int64_t integer(const char *name, std::int64_t least, std::int64_t greatest)
+    {
+        const json *value = find(name);
+        return value ? toInteger(*value, name, least, greatest) : 0;
+    }
+
+    std::set<std::string> textSet(const char *name)
+    {
+        std::set<std::string> values;
+        const json *list = find(name);
+        if (!list || !list->is_array()) {
+            reject(name);
+            return values;
+        }
+        for (const json &item : *list) {
+            const auto *found = item.get_ptr<const std::string *>();
+            if (found && found->size() <= maxIdBytes)
+                values.insert(*found);
+            else
+                reject(name);
+        }
+        return values;
+    }
+
+    std::map<std::string, int> counts(const char *name)
+    {
+        std::map<std::string, int> values;
+        const json *object = find(name);
+        if (!object || !object->is_object()) {
+            reject(name);
+            return values;
+        }
+        for (const auto &[key, value] : object->items()) {
+            const std::int64_t count = toInteger(value, name, 0, std::numeric_limits<int>::max());
+            values[key] = static_cast<int>(count);
+            if (key.size() > maxIdBytes)
+                reject(name);
+        }
+        return values;
+    }
+
+    // Null if the object has no such field.
+    const json *optional(const char *name) const
+    {
+        const auto found = m_object.find(name);
+        return found == m_object.end() ? nullptr : &*found;
+    }
+
+private:
+    const json *find(const char *name)
+    {
+        const json *value = optional(name);
+        if (!value)
+            reject(name);
+        return value;
+    }
+
+    std::int64_t toInteger(const json &value, const char *name, std::int64_t least,
+                           std::int64_t greatest)
+    {
+        const bool isTooGreat
+                = value.is_number_unsigned()
+                  && value.get<std::uint64_t>() > static_cast<std::uint64_t>(greatest);
+        if (!value.is_number_integer() || isTooGreat || value.get<std::int64_t>() < least
+            || value.get<std::int64_t>() > greatest) {
+            reject(name);
+            return 0;
+        }
+        return value.get<std::int64_t>();
+    }
+
+    const json &m_object;
+    std::string m_invalidField;
+};
+
+constexpr std::int64_t maxInteger = std::numeric_limits<std::int64_t>::max();
+
+json encode(const peer_hello &message)
+{
+    return { { "type", "hello" },
+             { "deployment", message.deployment },
+             { "cell", message.cell },
+             { "router", message.router },
+             { "incarnation", message.incarnation },
+             { "nonce", message.nonce } };
+}
+
+json encode(const peer_proof &message)
+{
+    return { { "type", "proof" }, { "hmac", message.hmac } };
+}
+
+json encode(const peer_digest &message)
+{
+    return { { "type", "digest" },
+             { "version", message.version },
+             { "hash", message.hash },
+             { "offset", message.offset },
+             { "in_flight", json(message.inFlight) },
+             { "suspects", json(message.suspects) },
+             { "leaving", json(message.leaving) },
+             { "drained", json(message.drained) },
+             { "quarantined", json(message.quarantined) } };
+}
+
+json encode(const bundle_request &message)
+{
+    return { { "type", "bundle_request" }, { "version", message.version } };
+}
+
+json encode(const bundle_state &message)
+{
+    return { { "type", "bundle_state" }, { "checkpoint", message.checkpoint } };
+}
+
+json encode(const outcome_request &message)
+{
+    return { { "type", "outcome_request" }, { "key", message.key } };
+}
+
+json encode(const outcome_reply &message)
+{
+    json object = { { "type", "outcome" },
+                    { "key", message.key },
+                    { "status", std::string(nameOf(outcomeStatusNames, message.status)) } };
+    if (message.answer) {
+        object["answer"] = { { "status", message.answer->status },
+                             { "content_type", message.answer->contentType },
+                             { "body", message.answer->body } };
+    }
+    return object;
+}
+
+peer_message parseHello(field_reader &fields)
+{
+    peer_hello message;
+    message.deployment = fields.identifier("deployment");
+    message.cell = fields.identifier("cell");
+    message.router = fields.identifier("router");
+    message.incarnation = fields.identifier("incarnation");
+    message.nonce = fields.identifier("nonce");
+    return message;
+}
+
+peer_message parseProof(field_reader &fields)
+{
+    return peer_proof{ fields.identifier("hmac") };
+}
+
+peer_message parseDigest(field_reader &fields)
+{
+    peer_digest message;
+    message.version = fields.integer("version", 0, maxInteger);
+    message.hash = fields.text("hash");
+    message.offset = fields.integer("offset", 0, maxInteger);
+    message.inFlight = fields.counts("in_flight");
+    message.suspects = fields.textSet("suspects");
+    message.leaving = fields.textSet("leaving");
+    message.drained = fields.textSet("drained");
+    message.quarantined = fields.textSet("quarantined");
+    return message;
+}
+
+peer_message parseBundleRequest(field_reader &fields)
+{
+    return bundle_request{ fields.integer("version", 0, maxInteger) };
+}
+
+peer_message parseBundleState(field_reader &fields)
+{
+    return bundle_state{ fields.text("checkpoint", maxPeerFrameBytes) };
+}
+
+peer_message parseOutcomeRequest(field_reader &fields)
+{
+    return outcome_request{ fields.text("key") };
+}
+
+peer_message parseOutcome(field_reader &fields)
+{
+    outcome_reply message;
+    message.key = fields.text("key");
+    const auto status = valueOf(outcomeStatusNames, fields.text("status"));
+    if (!status)
+        fields.reject("status");
+    message.status = status.value_or(outcome_status::Unknown);
+    const json *object = fields.optional("answer");
+    if (!object)
+        return message;
+    field_reader answerFields(*object);
+    outcome_answer answer;
+    answer.status = static_cast<int>(answerFields.integer("status", 100, 999));
+    answer.contentType = answerFields.text("content_type");
+    answer.body = answerFields.text("body", maxPeerFrameBytes);
+    if (!answerFields.invalidField().empty())
+        fields.reject("answer");
+    message.answer = std::move(answer);
+    return message;
+}
+
+struct message_parser
+{
+    std::string_view type;
+    peer_message (*parse)(field_reader &);
+};
+
+constexpr message_parser parsers[] = {
+    { "hello", parseHello },
+    { "proof", parseProof },
+    { "digest", parseDigest },
+    { "bundle_request", parseBundleRequest },
+    { "bundle_state", parseBundleState },
+    { "outcome_request", parseOutcomeRequest },
+    { "outcome", parseOutcome },
+};
+
+failure invalid(const std::string &what)
+{
+    return makeFailure(errc::InvalidMessage, "peer message " + what);
+}
+
+bool isWithinLimits(std::string_view frame)
+{
+    frame_limiter limiter(frame.size());
+    return json::sax_parse(frame.begin(), frame.end(), &limiter, json::input_format_t::cbor);
+}
+
+} // namespace
+
+std::string toCbor(const peer_message &message)
+{
+    const json object = std::visit([](const auto &typed) { return encode(typed); }, message);
+    std::string frame;
+    json::to_cbor(object, frame);
+    return frame;
+}
+
+result<peer_message> parsePeerMessage(std::string_view frame, std::size_t maxBytes)
+{
+    if (frame.size() > maxBytes)
+        return invalid("of " + std::to_string(frame.size()) + " bytes is too large");
+    if (!isWithinLimits(frame))
+        return invalid("is not CBOR or nested too deeply");
+    const json object = json::from_cbor(frame.begin(), frame.end(), true, false);
+    if (!object.is_object())
+        return invalid("is not a map");
+    field_reader fields(object);
+    const std::string type = fields.text("type");
+    for (const message_parser &parser : parsers) {
+        if (parser.type != type)
+            continue;
+        peer_message message = parser.parse(fields);
+        if (!fields.invalidField().empty())
+            return invalid(type + " has no valid " + fields.invalidField());
+        return message;
+    }
+    return invalid("has an unknown type");
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/peer/peer_message.h
@@ -0,0 +1,108 @@
+// Messages between routers and their CBOR form. Use them wherever a module speaks to peers; the
+// transport is net/peer_network.
+#ifndef FESCUEDECK_PEER_PEER_MESSAGE_H
+#define FESCUEDECK_PEER_PEER_MESSAGE_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "fescuedeck/base/error.h"
+#include "fescuedeck/base/name_table.h"
+
+namespace fescuedeck {
+
+// First message of each side of a connection.
+struct peer_hello
+{
+    std::string deployment; // routers of different deployments do not talk to each other
+    std::string cell;
+    std::string router;
+    std::string incarnation; // new for each start of the process
+    std::string nonce;       // new for each connection
+};
+
+struct peer_proof
+{
+    std::string hmac; // hex, see peer_handshake.h
+};
+
+// What a router knows and does; sent on change and at least each second.
+struct peer_digest
+{
+    std::int64_t version = 0; // of the bundle in force, with its hash
+    std::string hash;
+    std::int64_t offset = 0;             // next offset of the control stream
+    std::map<std::string, int> inFlight; // calls by endpoint
+    std::set<std::string> suspects;      // endpoints
+    std::set<std::string> leaving;       // endpoints
+    std::set<std::string> drained;       // hosts
+    std::set<std::string> quarantined;   // fingerprints
+};
+
+// Asks for the state of the control stream of a peer whose bundle has this or a greater version.
+struct bundle_request
+{
+    std::int64_t version = 0;
+};
+
+struct bundle_state
+{
+    std::string checkpoint; // of the control state
+};
+
+// Asks whether the peer holds the answer of a non-idempotent call.
+struct outcome_request
+{
+    std::string key;
+};
+
+enum class outcome_status {
+    Unknown, // the peer knows nothing about the key
+    InProgress,
+    Completed,
+};
+
+inline constexpr name_table<outcome_status, 3> outcomeStatusNames = { {
+        { outcome_status::Unknown, "unknown" },
+        { outcome_status::InProgress, "in_progress" },
+        { outcome_status::Completed, "completed" },
+} };
+
+struct outcome_answer
+{
+    int status = 0; // of HTTP
+    std::string contentType;
+    std::string body;
+};
+
+struct outcome_reply
+{
+    std::string key;
+    outcome_status status = outcome_status::Unknown;
+    std::optional<outcome_answer> answer;
+};
+
+using peer_message = std::variant<peer_hello, peer_proof, peer_digest, bundle_request, bundle_state,
+                                  outcome_request, outcome_reply>;
+
+// A bundle of the planned size (2,000 endpoints, 4,300 workspaces) is below 2 MiB.
+constexpr std::size_t maxPeerFrameBytes = 4 * 1024 * 1024;
+// Limit for hello and proof, which come from unauthenticated connections.
+constexpr std::size_t maxHandshakeFrameBytes = 4 * 1024;
+
+std::string toCbor(const peer_message &message);
+
+// InvalidMessage if the frame is oversized, damaged, nested too deeply, of an unknown type, or has
+// fields that are missing or out of range. Unknown fields are ignored.
+result<peer_message> parsePeerMessage(std::string_view frame,
+                                      std::size_t maxBytes = maxPeerFrameBytes);
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -0,0 +1,110 @@
+#include "fescuedeck/peer/peer_message.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "fescuedeck/base/random.h"
+
+namespace fescuedeck {
+namespace {
+
+peer_digest sampleDigest()
+{
+    peer_digest digest;
+    digest.version = 7;
+    digest.hash = "ab";
+    digest.offset = 99;
+    digest.inFlight = { { "e1", 3 }, { "e2", 0 } };
+    digest.suspects = { "e2" };
+    digest.leaving = { "e3", "e4" };
+    digest.drained = { "h1" };
+    digest.quarantined = { "f1" };
+    return digest;
+}
+
+std::string cborOf(const nlohmann::json &object)
+{
+    std::string frame;
+    nlohmann::json::to_cbor(object, frame);
+    return frame;
+}
+
+} // namespace
+
+TEST_CASE("messages survive their CBOR form", "[peer]")
+{
+    const outcome_reply reply{ "key", outcome_status::Completed,
+                               outcome_answer{ 201, "application/json", "{}" } };
+    const peer_message messages[] = { peer_hello{ "d", "c", "r", "i", "n" },
+                                      peer_proof{ "00" },
+                                      sampleDigest(),
+                                      bundle_request{ 5 },
+                                      bundle_state{ "{}" },
+                                      outcome_request{ "key" },
+                                      reply,
+                                      outcome_reply{ "key", outcome_status::InProgress, {} } };
+    for (const peer_message &message : messages) {
+        const std::string frame = toCbor(message);
+        const auto parsed = parsePeerMessage(frame);
+        REQUIRE(parsed);
+        CHECK(parsed.value().index() == message.index());
+        CHECK(toCbor(parsed.value()) == frame);
+    }
+    const peer_digest digest
+            = std::get<peer_digest>(parsePeerMessage(toCbor(sampleDigest())).value());
+    CHECK(digest.inFlight == sampleDigest().inFlight);
+    CHECK(digest.leaving == sampleDigest().leaving);
+}
+
+TEST_CASE("damaged frames are failures, not exceptions", "[peer]")
+{
+    // Guards against one bad frame ending a router.
+    const std::string frame = toCbor(sampleDigest());
+    for (std::size_t size = 0; size < frame.size(); ++size)
+        CHECK_FALSE(parsePeerMessage(frame.substr(0, size)));
+    const random_fn random = seededRandom(GENERATE(1, 2, 3));
+    for (int round = 0; round < 3000; ++round) {
+        std::string damaged = frame;
+        for (int i = 0; i < 3; ++i)
+            damaged[uniformBelow(random, damaged.size())] = static_cast<char>(random());
+        const auto parsed = parsePeerMessage(damaged);
+        if (!parsed)
+            CHECK(parsed.error().code == errc::InvalidMessage);
+    }
+}
+
+TEST_CASE("oversized, deep and false lengths are refused", "[peer]")
+{
+    const std::string frame = toCbor(bundle_state{ std::string(5000, 'x') });
+    CHECK(parsePeerMessage(frame));
+    CHECK(parsePeerMessage(frame, maxHandshakeFrameBytes).error().code == errc::InvalidMessage);
+    CHECK_FALSE(parsePeerMessage(std::string(1000000, '\x81'))); // nested arrays
+    CHECK_FALSE(parsePeerMessage(std::string("\xbb\xff\xff\xff\xff\xff\xff\xff\xfe", 9)));
+    CHECK_FALSE(parsePeerMessage(std::string("\x9b\x7f\xff\xff\xff\xff\xff\xff\xfe", 9)));
+}
+
+TEST_CASE("fields that are missing or out of range are refused", "[peer]")
+{
+    const auto object = nlohmann::json::from_cbor(toCbor(sampleDigest()));
+    for (const auto &item : object.items()) {
+        nlohmann::json lacking = object;
+        lacking.erase(item.key());
+        CHECK_FALSE(parsePeerMessage(cborOf(lacking)));
+        nlohmann::json wrong = object;
+        wrong[item.key()] = nlohmann::json::binary({ 1, 2 });
+        CHECK_FALSE(parsePeerMessage(cborOf(wrong)));
+    }
+    nlohmann::json negative = object;
+    negative["in_flight"]["e1"] = -1;
+    CHECK_FALSE(parsePeerMessage(cborOf(negative)));
+    nlohmann::json huge = object;
+    huge["version"] = 0xffffffffffffffffULL;
+    CHECK_FALSE(parsePeerMessage(cborOf(huge)));
+    nlohmann::json extended = object;
+    extended["field_of_a_later_version"] = 1;
+    CHECK(parsePeerMessage(cborOf(extended)));
+    CHECK_FALSE(parsePeerMessage(cborOf({ { "type", "other" } })));
+    CHECK_FALSE(parsePeerMessage(toCbor(peer_hello{ "d", "c", "line\nbreak", "i", "n" })));
+}
+
+} // namespace fescuedeck
