--- /dev/null
+++ b/src/fescuedeck/claims/idempotent_call_schedule_test.cpp
@@ -0,0 +1,448 @@
+// Seeded schedules of non-idempotent calls over four routers, a faulty log and a faulty service on
+// virtual time.
+#include "fescuedeck/claims/idempotent_call.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/base/ids.h"
+#include "fescuedeck/stream/virtual_schedule.h"
+
+namespace fescuedeck {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int routerCount = 4;
+constexpr unix_millis logRetention = seconds(60);
+constexpr duration callDeadline = seconds(2);
+
+call_policy testPolicy()
+{
+    call_policy policy;
+    policy.keyWindow = seconds(40);
+    policy.maxAppends = 20;
+    return policy;
+}
+
+claim_table_settings testTableSettings()
+{
+    claim_table_settings settings;
+    settings.keepFor = seconds(48);
+    return settings;
+}
+
+struct call_tally
+{
+    int ran = 0, notRun = 0, unknown = 0, executions = 0, replays = 0, kills = 0, pauses = 0;
+    std::map<std::string, int> errors;
+};
+
+class call_world
+{
+public:
+    call_world(std::uint64_t seed, call_tally &tally)
+        : m_schedule(seed)
+        , m_tally(tally)
+    {
+        for (int i = 0; i < routerCount; ++i) {
+            m_routers[i].skew = milliseconds(m_schedule.below(800) - 400);
+            startRouter(i);
+        }
+        m_faultRate = m_schedule.chance(0.2) ? 0.0 : 0.3 * uniformReal(m_schedule.random());
+    }
+
+    violations run()
+    {
+        const int keys = 1 + m_schedule.below(3);
+        for (int i = 0; i < keys; ++i)
+            m_schedule.after(milliseconds(m_schedule.below(3000)), [this] { useNewKey(); });
+        const int faults = m_schedule.below(6);
+        for (int i = 0; i < faults; ++i)
+            m_schedule.after(milliseconds(m_schedule.below(4000)), [this] { disturb(); });
+        m_schedule.run(time_point(seconds(200)));
+        for (const auto &sent : m_sends)
+            checkSend(*sent);
+        for (const auto &executed : m_executions)
+            m_tally.executions += executed.second;
+        return m_violations;
+    }
+
+private:
+    struct sent_call // one request of a caller to one router
+    {
+        std::string key, request, attempt; // request: key and fingerprint
+        time_point sentAt;
+        std::optional<answer_caller> answer;
+        time_point answeredAt;
+        bool wasExecuted = false;
+        bool isLost = false; // its router was killed
+        std::unique_ptr<idempotent_call> call;
+        int router = 0, incarnation = 0;
+    };
+    struct router
+    {
+        int incarnation = 0;
+        time_point pausedSince, pausedUntil;
+        unix_millis skew{ 0 };
+        std::unique_ptr<claim_table> table;
+        std::vector<std::shared_ptr<sent_call>> calls;
+    };
+
+    unix_millis wall(int index) const { return m_schedule.wall() + m_routers[index].skew; }
+    call_time now(int index) const { return { m_schedule.now(), wall(index) }; }
+    bool isDown(time_point until) const { return m_schedule.now() < until; }
+    duration hop() { return m_schedule.between(milliseconds(1), milliseconds(4)); }
+    bool fault() { return m_schedule.chance(m_faultRate); }
+
+    // Runs the event when the router is not paused, unless it has been killed.
+    void atRouter(int index, duration delay, const std::function<void()> &event)
+    {
+        const int incarnation = m_routers[index].incarnation;
+        m_schedule.after(delay, [this, index, incarnation, event] {
+            if (m_routers[index].incarnation != incarnation)
+                return;
+            if (isDown(m_routers[index].pausedUntil))
+                atRouter(index, m_routers[index].pausedUntil - m_schedule.now(), event);
+            else
+                event();
+        });
+    }
+
+    void startRouter(int index)
+    {
+        router &started = m_routers[index];
+        ++started.incarnation;
+        started.pausedSince = started.pausedUntil = {};
+        started.calls.clear();
+        started.table = std::make_unique<claim_table>(testTableSettings(), firstRetained());
+        readLog(index);
+    }
+
+    std::int64_t firstRetained() const
+    {
+        std::int64_t first = 0;
+        while (first < static_cast<std::int64_t>(m_log.size())
+               && m_log[first].time + logRetention < m_schedule.wall())
+            ++first;
+        return first;
+    }
+
+    // Reads the log, tells the open calls, and reads again later.
+    void readLog(int index)
+    {
+        router &reader = m_routers[index];
+        reader.table->expire(wall(index));
+        if (!isDown(m_logDownUntil)) {
+            std::int64_t next = std::max(reader.table->nextOffset(), firstRetained());
+            for (; next < static_cast<std::int64_t>(m_log.size()); ++next)
+                reader.table->apply(m_log[next]);
+        }
+        bool hasOpenCalls = false;
+        const auto calls = reader.calls;
+        for (const auto &sent : calls) {
+            if (sent->call->hasEnded())
+                continue;
+            hasOpenCalls = true;
+            perform(sent, sent->call->logRead(now(index), *reader.table));
+        }
+        const duration pause = milliseconds(hasOpenCalls ? 5 + m_schedule.below(40) : 500);
+        if (m_schedule.now() < time_point(seconds(190)))
+            atRouter(index, pause, [this, index] { readLog(index); });
+    }
+
+    void disturb()
+    {
+        const int index = m_schedule.below(routerCount);
+        switch (m_schedule.below(4)) {
+        case 0:
+            ++m_tally.kills;
+            for (const auto &sent : m_routers[index].calls)
+                loseCall(*sent);
+            startRouter(index);
+            break;
+        case 1:
+        case 2:
+            ++m_tally.pauses;
+            m_routers[index].pausedUntil
+                    = m_schedule.now()
+                      + milliseconds(m_schedule.chance(0.2) ? 60000 : m_schedule.below(8000));
+            break;
+        default:
+            m_logDownUntil = m_schedule.now() + milliseconds(m_schedule.below(6000));
+        }
+    }
+
+    void loseCall(sent_call &lost)
+    {
+        lost.isLost = !lost.answer;
+        if (lost.isLost)
+            sendAgain(lost.key, lost.request);
+    }
+
+    void useNewKey()
+    {
+        const std::vector<int> ages = { 0, 0, 0, 0, 3000, -3000, -8000, -20000 };
+        const unix_millis created
+                = m_schedule.wall()
+                  - milliseconds(ages[m_schedule.below(static_cast<int>(ages.size()))]);
+        const std::string key = makeUuidV7(created, m_schedule.random());
+        const int copies = m_schedule.chance(0.5) ? 1 : 1 + m_schedule.below(routerCount);
+        for (int i = 0; i < copies; ++i)
+            sendLater(key, key + "#a", milliseconds(m_schedule.below(3)));
+        if (m_schedule.chance(0.1)) // another request with the same key
+            sendLater(key, key + "#b", milliseconds(m_schedule.below(1000)));
+        for (const int late : { 5000, 30000, 42000, 55000, 100000 }) {
+            if (m_schedule.chance(0.3))
+                sendLater(key, key + "#a", milliseconds(late + m_schedule.below(3000)));
+        }
+    }
+
+    void sendLater(const std::string &key, const std::string &request, duration delay)
+    {
+        m_schedule.after(delay, [this, key, request] { send(key, request); });
+    }
+
+    // A caller without an answer, or told that it may repeat the call, does so a few times.
+    void sendAgain(const std::string &key, const std::string &request)
+    {
+        if (m_resends[request]++ < 4)
+            sendLater(key, request,
+                      milliseconds(m_schedule.below(m_schedule.chance(0.5) ? 20 : 8000)));
+    }
+
+    void send(const std::string &key, const std::string &request)
+    {
+        auto sent = std::make_shared<sent_call>();
+        sent->key = key;
+        sent->request = request;
+        sent->attempt = "t" + std::to_string(m_sends.size());
+        sent->sentAt = m_schedule.now();
+        sent->router = m_schedule.below(routerCount);
+        m_sends.push_back(sent);
+        sent->incarnation = m_routers[sent->router].incarnation;
+        const int index = sent->router;
+        m_routers[index].calls.push_back(sent);
+        m_schedule.after(hop(), [this, sent, index] {
+            // A paused router accepts the request later, but knows when it was paused.
+            const router &reader = m_routers[index];
+            const bool isPaused = isDown(reader.pausedUntil);
+            const duration paused = isPaused ? m_schedule.now() - reader.pausedSince : duration(0);
+            const call_time since{ m_schedule.now() - paused,
+                                   wall(index) - std::chrono::duration_cast<unix_millis>(paused) };
+            atRouter(index, duration(0),
+                     [this, sent, index, since] { accept(sent, index, since); });
+        });
+        // The caller gives up on a router that is silent and tries another one.
+        m_schedule.after(callDeadline + seconds(1), [this, sent] {
+            if (!sent->answer && !sent->isLost)
+                sendAgain(sent->key, sent->request);
+        });
+        sent->call = std::make_unique<idempotent_call>(call_spec{}); // idle until accepted
+    }
+
+    void accept(const std::shared_ptr<sent_call> &sent, int index, const call_time &since)
+    {
+        call_spec spec;
+        spec.attempt = sent->attempt;
+        spec.router = std::to_string(index) + "." + std::to_string(sent->incarnation);
+        spec.workspace = "w";
+        spec.key = sent->key;
+        spec.fingerprint = sent->request;
+        spec.accepted = since;
+        spec.deadline
+                = { spec.accepted.steady + callDeadline,
+                    spec.accepted.wall + std::chrono::duration_cast<unix_millis>(callDeadline) };
+        spec.policy = testPolicy();
+        sent->call = std::make_unique<idempotent_call>(spec);
+        perform(sent, sent->call->start(now(index), m_routers[index].table.get()));
+        atRouter(index, callDeadline,
+                 [this, sent, index] { perform(sent, sent->call->deadlinePassed(now(index))); });
+    }
+
+    void perform(const std::shared_ptr<sent_call> &sent, const call_actions &actions)
+    {
+        for (const call_action &action : actions)
+            std::visit([&](const auto &one) { handle(sent, one); }, action);
+    }
+
+    // The record may be lost, stored, or stored with its response lost; any of it late.
+    void handle(const std::shared_ptr<sent_call> &sent, const append_record &record)
+    {
+        const int index = sent->router;
+        atRouter(index, record.delay, [this, sent, index, record] {
+            const bool isStored = !isDown(m_logDownUntil) && !fault();
+            const bool isAnswered = isStored && !fault();
+            const duration landing = fault() ? milliseconds(m_schedule.below(5000)) : hop();
+            if (isStored)
+                m_schedule.after(landing, [this, record] { store(record); });
+            atRouter(index, isAnswered ? landing + hop() : milliseconds(100),
+                     [this, sent, index, record, isAnswered] {
+                         perform(sent, isAnswered
+                                               ? sent->call->recordAppended(now(index), record.id,
+                                                                            m_offsets[record.id])
+                                               : sent->call->appendFailed(now(index), record.id));
+                     });
+        });
+    }
+
+    void store(const append_record &record)
+    {
+        const auto offset = static_cast<std::int64_t>(m_log.size());
+        m_offsets[record.id] = offset;
+        m_log.push_back({ offset, record.id, m_schedule.wall(), record.body });
+    }
+
+    void handle(const std::shared_ptr<sent_call> & /*sent*/, const read_log & /*read*/) {}
+
+    void handle(const std::shared_ptr<sent_call> &sent, const open_connection & /*open*/)
+    {
+        const int index = sent->router;
+        const bool isReady = !fault();
+        atRouter(index, hop(), [this, sent, index, isReady] {
+            perform(sent, isReady ? sent->call->connectionReady(now(index))
+                                  : sent->call->connectionFailed(now(index)));
+        });
+    }
+
+    void handle(const std::shared_ptr<sent_call> &sent, const send_request & /*send*/)
+    {
+        const int index = sent->router;
+        // The router may be paused or killed between its check and the write.
+        atRouter(index, duration(m_schedule.below(500)), [this, sent, index] {
+            if (fault()) {
+                atRouter(index, hop(), [this, sent, index] {
+                    perform(sent, m_schedule.chance(0.5)
+                                          ? sent->call->responseLost(now(index), false)
+                                          : sent->call->refused(now(index)));
+                });
+                return;
+            }
+            m_schedule.after(hop(), [this, sent, index] { execute(sent, index); });
+        });
+    }
+
+    void execute(const std::shared_ptr<sent_call> &sent, int index)
+    {
+        const bool diesBefore = fault();
+        const bool diesAfter = fault();
+        if (!diesBefore) {
+            sent->wasExecuted = true;
+            if (++m_executions[sent->key] > 1)
+                m_violations.push_back(sent->key + " was executed twice");
+        }
+        const stored_answer answer{
+            201, "text/plain", sent->attempt + std::string(m_schedule.chance(0.2) ? 3000 : 1, 'x')
+        };
+        if (!diesBefore)
+            m_firstAnswer.emplace(sent->key, answer);
+        const duration time = milliseconds(m_schedule.chance(0.1) ? 2500 : 5);
+        atRouter(index, time, [this, sent, index, answer, isLost = diesBefore || diesAfter] {
+            perform(sent, isLost ? sent->call->responseLost(now(index), true)
+                                 : sent->call->responseReceived(now(index), answer));
+        });
+    }
+
+    void handle(const std::shared_ptr<sent_call> &sent, const ask_claimant &ask)
+    {
+        const int index = sent->router;
+        const int target = ask.router[0] - '0';
+        const bool isAlive
+                = ask.router
+                  == std::to_string(target) + "." + std::to_string(m_routers[target].incarnation);
+        const bool isReachable = isAlive && !isDown(m_routers[target].pausedUntil) && !fault();
+        std::optional<peer_outcome> outcome;
+        if (isReachable) {
+            for (const auto &other : m_routers[target].calls) {
+                if (other != sent && other->key == sent->key
+                    && (!outcome || outcome->status != peer_call_status::Completed))
+                    outcome = other->call->outcomeForPeer();
+            }
+        }
+        atRouter(index, hop() * 2, [this, sent, index, outcome] {
+            perform(sent, sent->call->outcomeFromPeer(now(index), outcome));
+        });
+    }
+
+    void handle(const std::shared_ptr<sent_call> &sent, const answer_caller &answer)
+    {
+        if (sent->answer)
+            m_violations.push_back(sent->attempt + " was answered twice");
+        sent->answer = answer;
+        sent->answeredAt = m_schedule.now();
+        if (answer.outcome == call_outcome::Ran && !sent->wasExecuted)
+            ++m_tally.replays;
+        if (answer.outcome == call_outcome::Ran && m_executions[sent->key] != 1)
+            m_violations.push_back(sent->attempt + ": ran, but was not executed once");
+        if (answer.response && !(*answer.response == m_firstAnswer[sent->key]))
+            m_violations.push_back(sent->attempt + ": the answer differs from the first one");
+        if (answer.retryAfter && m_schedule.chance(0.5))
+            sendAgain(sent->key, sent->request);
+    }
+
+    void checkSend(const sent_call &sent)
+    {
+        if (!sent.answer) {
+            if (!sent.isLost && !isDown(m_routers[sent.router].pausedUntil))
+                m_violations.push_back(sent.attempt + " got no answer");
+            return;
+        }
+        m_tally.ran += sent.answer->outcome == call_outcome::Ran ? 1 : 0;
+        m_tally.notRun += sent.answer->outcome == call_outcome::NotRun ? 1 : 0;
+        m_tally.unknown += sent.answer->outcome == call_outcome::Unknown ? 1 : 0;
+        if (sent.answer->error)
+            ++m_tally.errors[sent.answer->error->message()];
+        if (sent.answer->outcome != call_outcome::NotRun)
+            return;
+        // Copies that the caller sent before it was told must not run, on any router.
+        for (const auto &other : m_sends) {
+            if (other->request == sent.request && other->wasExecuted
+                && other->sentAt <= sent.answeredAt)
+                m_violations.push_back(sent.attempt + ": not-run, but " + other->attempt + " ran");
+        }
+    }
+
+    virtual_schedule m_schedule;
+    call_tally &m_tally;
+    double m_faultRate = 0;
+    std::array<router, routerCount> m_routers;
+    std::vector<claim_record> m_log;
+    std::map<std::string, std::int64_t> m_offsets;
+    time_point m_logDownUntil;
+    std::vector<std::shared_ptr<sent_call>> m_sends;
+    std::map<std::string, int> m_resends, m_executions;
+    std::map<std::string, stored_answer> m_firstAnswer;
+    violations m_violations;
+};
+
+} // namespace
+
+TEST_CASE("calls with a key run at most once and their outcomes are true", "[claims][schedule]")
+{
+    // Guards against lost or duplicated signatures and reservations when callers repeat a call to
+    // other routers while routers, log and service fail.
+    call_tally tally;
+    const violations found
+            = runSeeds(6000, [&](std::uint64_t seed) { return call_world(seed, tally).run(); });
+    INFO(summaryOf(found));
+    CHECK(found.empty());
+    if (runsOneSeed())
+        return;
+    for (const auto &error : tally.errors)
+        UNSCOPED_INFO(error.second << " " << error.first);
+    CHECK(tally.executions > 4000);
+    CHECK(tally.ran > 4000);
+    CHECK(tally.replays > 1000);
+    CHECK(tally.notRun > 500);
+    CHECK(tally.unknown > 1000);
+    CHECK(tally.kills > 1000);
+    CHECK(tally.pauses > 1000);
+}
+
+} // namespace fescuedeck
--- a/src/fescuedeck/stream/crash_suspects_test.cpp
+++ b/src/fescuedeck/stream/crash_suspects_test.cpp
@@ -11,13 +11,13 @@
 }
 
 template <class Action>
-const Action *find(const suspect_actions &actions)
+std::optional<Action> find(const suspect_actions &actions)
 {
     for (const suspect_action &action : actions) {
         if (const auto *match = std::get_if<Action>(&action))
-            return match;
+            return *match;
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 // Two requests are running on endpoint a when it crashes.
--- a/src/fescuedeck/stream/draft_stream_test.cpp
+++ b/src/fescuedeck/stream/draft_stream_test.cpp
@@ -23,13 +23,13 @@
 }
 
 template <class Action>
-const Action *find(const draft_actions &actions)
+std::optional<Action> find(const draft_actions &actions)
 {
     for (const draft_action &action : actions) {
         if (const auto *match = std::get_if<Action>(&action))
-            return match;
+            return *match;
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 hop_answer answerTo(const run_hop &hop, int layers)
@@ -62,7 +62,7 @@
     draft_actions actions = produce(draft, draft.start({}, twoStages), 1);
     const hop_identity lost = find<run_hop>(actions)->identity;
     actions = draft.hopFailed({}, lost, hop_failure::ConnectionClosed, true);
-    const auto *request = find<request_route>(actions);
+    const auto request = find<request_route>(actions);
     REQUIRE(request);
     CHECK(request->excluded == std::set<std::string>{ "a" });
     CHECK(request->inputTokens == 4);
@@ -87,7 +87,7 @@
         hop_answer answer = good;
         change(answer);
         const draft_actions actions = draft.hopAnswered({}, answer);
-        const auto *dropped = find<drop_answer>(actions);
+        const auto dropped = find<drop_answer>(actions);
         return dropped && actions.size() == 1 ? dropped->mismatch : answer_mismatch::None;
     };
     CHECK(mismatchAfter([](auto &a) { a.identity.request = "r2"; }) == answer_mismatch::Request);
