--- /dev/null
+++ b/src/fescuedeck/orders/order_planner.h
@@ -0,0 +1,124 @@
+// Plans the orders that bring the engines of one model from what they hold to what the bundle
+// wants. Use it on the router that holds the model's lease (lease_keeper.h).
+//
+// An engine first gets the wanted range beside what it holds and loses the old range only when the
+// engines' reports show that the rest can serve the needed capacity. So an engine must have room
+// for both during a change.
+#ifndef FESCUEDECK_ORDERS_ORDER_PLANNER_H
+#define FESCUEDECK_ORDERS_ORDER_PLANNER_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fescuedeck/base/time.h"
+#include "fescuedeck/bundle/bundle.h"
+#include "fescuedeck/orders/engine_order.h"
+#include "fescuedeck/orders/lease_keeper.h"
+#include "fescuedeck/orders/load_budget.h"
+
+namespace fescuedeck {
+
+struct planner_policy
+{
+    // Share of the bundle's capacity for the model that removals must leave.
+    double neededShare = 0.8;
+    double layersPerSecond = 100; // rate of the weight store
+    double burstLayers = 100;
+    // Longest age of a report's content when it is received.
+    duration reportLag = std::chrono::seconds(2);
+    // An engine without a report for this long counts as holding nothing.
+    duration reportExpiry = std::chrono::seconds(10);
+    duration resendAfter = std::chrono::seconds(1); // without an answer, or after a refusal
+    // Longest time from sending an order to its effect, for engines that do not check fencing.
+    duration longestDelivery = std::chrono::milliseconds(1500);
+    // An accepted order is repeated if the report does not show its loads by then. A repeated order
+    // may start a load anew, so this exceeds the longest load.
+    duration loadTimeout = std::chrono::minutes(10);
+};
+
+// Not thread-safe.
+class order_planner
+{
+public:
+    order_planner(planner_policy policy, std::string model);
+
+    void setBundle(std::shared_ptr<const bundle> content);
+    // Reports of all engines, also of other models: an engine may still hold this model's layers.
+    void report(const std::string &endpoint, const load_report &report, time_point now);
+    // The engine's answer to the newest order; accepted is false for an old fencing number.
+    void answered(const std::string &endpoint, bool accepted, time_point now);
+
+    // Orders to send now, each at once. authority is lease_keeper's at this time.
+    std::vector<engine_order> plan(time_point now, const order_authority &authority);
+
+    // True if every engine of the model reports exactly what the bundle wants.
+    bool hasConverged(time_point now) const;
+
+private:
+    struct sent_order
+    {
+        std::int64_t fencing = 0;
+        std::vector<engine_load> loads;
+        time_point at{};
+    };
+    struct engine
+    {
+        std::optional<load_report> report;
+        time_point reportedAt{};
+        // Newest order of the current authority to this incarnation.
+        std::optional<sent_order> ordered;
+        bool isAccepted = false;
+        // Earlier orders without an answer, which may still take effect.
+        std::vector<sent_order> doubtful;
+        bool isFenced = false; // accepted an order of the current authority
+        time_point fencedAt{};
+    };
+    using holdings = std::map<std::string, std::vector<engine_load>>; // by endpoint
+
+    engine_load wantedLoad(const endpoint_spec &endpoint) const;
+    bool isFresh(const engine &state, time_point now) const;
+    holdings currentHoldings(time_point now) const;
+    std::vector<const endpoint_spec *> byScarcity(const holdings &held) const;
+    std::optional<engine_order> planEngine(const endpoint_spec &endpoint, holdings &held,
+                                           time_point now, const order_authority &authority);
+    std::vector<engine_load> targetOf(const endpoint_spec &endpoint, holdings &held, time_point now,
+                                      const order_authority &authority);
+    bool mayLoad(const endpoint_spec &endpoint, const engine_load &wanted, time_point now);
+    bool remove(const std::string &endpoint, const engine_load &load, holdings &held) const;
+    bool isModelSettled(const holdings &held, time_point now,
+                        const order_authority &authority) const;
+    bool isSettled(const endpoint_spec &endpoint, time_point now,
+                   const order_authority &authority) const;
+    bool needsOrder(const endpoint_spec &endpoint, const std::vector<engine_load> &target,
+                    time_point now, const order_authority &authority) const;
+    static bool isCertain(const engine &state, const engine_load &load);
+    static void forget(engine &state);
+    static void doubtOrder(engine &state);
+    void settleDoubts(time_point now);
+    double servingCapacity(const std::string &model, const holdings &held) const;
+    double neededCapacity(const std::string &model) const;
+
+    planner_policy m_policy;
+    std::string m_model;
+    std::shared_ptr<const bundle> m_bundle;
+    detail::load_budget m_budget;
+    std::map<std::string, engine> m_engines; // by endpoint id
+    std::int64_t m_since = -1;               // authority that the orders in m_engines belong to
+};
+
+namespace detail {
+
+// Tokens per second that the endpoints can serve with these loads of a model, where each endpoint
+// uses one of its loads: the bundle's if it has it, or else another. A lower bound of the capacity
+// during a change, in which endpoints hold old and new ranges.
+double servingCapacity(const bundle &content, const std::string &model,
+                       const std::map<std::string, std::vector<engine_load>> &held);
+
+} // namespace detail
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/orders/order_planner_test.cpp
@@ -0,0 +1,407 @@
+#include "fescuedeck/orders/order_planner.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/orders/chain_capacity.h"
+
+namespace fescuedeck {
+namespace {
+
+constexpr int chains = 5;
+constexpr duration tick = std::chrono::milliseconds(100);
+
+// Two stages per chain. The new version also swaps the halves of the first chain.
+std::shared_ptr<const bundle> makeBundle(const std::string &version, bool swapped,
+                                         const std::vector<bool> &checksFencing)
+{
+    auto content = std::make_shared<bundle>();
+    model_spec model;
+    model.name = "waiver";
+    model.version = version;
+    model.layers = 32;
+    content->models = { model };
+    for (int i = 0; i < 2 * chains; ++i) {
+        endpoint_spec endpoint;
+        endpoint.id = "e" + std::to_string(i);
+        endpoint.model = model.name;
+        endpoint.version = version;
+        const bool isFirstHalf = (i % 2 == 0) != (swapped && i < 2);
+        endpoint.layers = isFirstHalf ? layer_range{ 0, 16 } : layer_range{ 16, 32 };
+        endpoint.tokensPerSecond = 100;
+        endpoint.checksFencing = checksFencing[i];
+        content->endpoints.push_back(endpoint);
+    }
+    return content;
+}
+
+struct sim_engine
+{
+    bool checksFencing = true;
+    std::int64_t fencing = -1;
+    std::vector<engine_load> loads;
+    std::vector<std::pair<engine_load, time_point>> loading;
+    load_report reported; // lags
+    time_point reportedAt{};
+
+    bool apply(const engine_order &order, time_point ready)
+    {
+        if (checksFencing && order.fencing < fencing)
+            return false;
+        fencing = order.fencing;
+        const auto isDropped = [&](const engine_load &load) {
+            return std::find(order.loads.begin(), order.loads.end(), load) == order.loads.end();
+        };
+        loads.erase(std::remove_if(loads.begin(), loads.end(), isDropped), loads.end());
+        loading.clear();
+        for (const engine_load &load : order.loads) {
+            if (std::find(loads.begin(), loads.end(), load) == loads.end())
+                loading.emplace_back(load, ready);
+        }
+        return true;
+    }
+
+    void advance(time_point now, duration lag)
+    {
+        for (const auto &[load, ready] : loading) {
+            if (ready <= now)
+                loads.push_back(load);
+        }
+        loading.erase(std::remove_if(loading.begin(), loading.end(),
+                                     [&](const auto &entry) { return entry.second <= now; }),
+                      loading.end());
+        if (now < reportedAt + lag)
+            return;
+        reported = { "i1", false, loads };
+        reportedAt = now;
+    }
+};
+
+struct sim_order
+{
+    int router;
+    engine_order order;
+    time_point arrives;
+};
+
+struct sim_router
+{
+    lease_keeper keeper;
+    order_planner planner;
+    time_point pausedUntil{};
+};
+
+// Engines, the log's lease table and two routers on virtual time.
+class simulation
+{
+public:
+    explicit simulation(std::uint64_t seed)
+        : m_random(seededRandom(seed))
+    {
+        std::vector<bool> checks;
+        for (int i = 0; i < 2 * chains; ++i)
+            checks.push_back(below(2) == 0);
+        const auto oldBundle = makeBundle("1", false, checks);
+        m_wanted = makeBundle("2", true, checks);
+        for (const endpoint_spec &endpoint : oldBundle->endpoints) {
+            sim_engine &engine = m_engines[endpoint.id];
+            engine.checksFencing = endpoint.checksFencing;
+            engine.loads = { { "waiver", "1", endpoint.layers, {} } };
+            engine.reported = { "i1", false, engine.loads };
+        }
+        for (int i = 0; i < 2; ++i) {
+            m_routers.push_back(
+                    { lease_keeper({}, "waiver", "r" + std::to_string(i), seededRandom(seed + i)),
+                      order_planner({}, "waiver") });
+            m_routers.back().planner.setBundle(m_wanted);
+        }
+    }
+
+    // Returns the time at which a router found the engines as the bundle wants them.
+    time_point run()
+    {
+        for (time_point now{}; now < time_point(std::chrono::minutes(10)); now += tick) {
+            step(now);
+            REQUIRE((capacity() >= neededTokens || bestCapacity() >= neededTokens));
+            for (const sim_router &router : m_routers) {
+                if (router.planner.hasConverged(now) && router.keeper.authority(now))
+                    return now;
+            }
+        }
+        return time_point::max();
+    }
+
+    double capacity() const
+    {
+        std::map<std::string, std::vector<engine_load>> held;
+        for (const auto &[id, engine] : m_engines)
+            held[id] = engine.loads;
+        return detail::servingCapacity(*m_wanted, "waiver", held);
+    }
+
+    // Over all choices of one load per engine.
+    double bestCapacity() const
+    {
+        double best = 0;
+        for (unsigned choice = 0; choice < 1U << (2U * chains); ++choice) {
+            std::map<std::string, std::vector<engine_load>> held;
+            unsigned bits = choice;
+            for (const auto &[id, engine] : m_engines) {
+                if (!engine.loads.empty())
+                    held[id] = { engine.loads[(bits & 1U) % engine.loads.size()] };
+                bits >>= 1U;
+            }
+            best = std::max(best, detail::servingCapacity(*m_wanted, "waiver", held));
+        }
+        return best;
+    }
+
+    int refusals() const { return m_refusals; }
+
+    static constexpr double neededTokens = 0.8 * 100 * chains;
+
+private:
+    std::int64_t below(std::int64_t bound)
+    {
+        return static_cast<std::int64_t>(uniformBelow(m_random, bound));
+    }
+
+    duration millisBelow(std::int64_t bound) { return std::chrono::milliseconds(below(bound)); }
+
+    void step(time_point now)
+    {
+        const unix_millis wall = std::chrono::duration_cast<unix_millis>(now.time_since_epoch());
+        for (auto &[id, engine] : m_engines)
+            engine.advance(now, std::chrono::milliseconds(1500));
+        deliver(now);
+        for (int i = 0; i < 2; ++i) {
+            sim_router &router = m_routers[i];
+            if (now < router.pausedUntil)
+                continue;
+            const auto request = router.keeper.poll(now, wall, m_log.find("waiver"), true);
+            if (request && below(10) != 0)
+                m_log.apply(*request, m_offset++, wall);
+            for (const auto &[id, engine] : m_engines)
+                router.planner.report(id, engine.reported, now);
+            plan(i, now);
+            if (below(150) == 0)
+                router.pausedUntil = now + millisBelow(20'000);
+        }
+    }
+
+    void plan(int index, time_point now)
+    {
+        sim_router &router = m_routers[index];
+        const auto authority = router.keeper.authority(now);
+        if (!authority)
+            return;
+        for (const engine_order &order : router.planner.plan(now, *authority)) {
+            // An engine that checks fencing may also get an order long after it was sent.
+            const bool isLate = m_engines[order.endpoint].checksFencing && below(10) == 0;
+            if (below(10) != 0)
+                m_orders.push_back({ index, order, now + millisBelow(isLate ? 30'000 : 1000) });
+        }
+    }
+
+    void deliver(time_point now)
+    {
+        std::vector<sim_order> later;
+        for (const sim_order &sent : m_orders) {
+            if (sent.arrives > now) {
+                later.push_back(sent);
+                continue;
+            }
+            const duration loadTime = std::chrono::seconds(1) + millisBelow(15'000);
+            const bool accepted = m_engines[sent.order.endpoint].apply(sent.order, now + loadTime);
+            m_refusals += accepted ? 0 : 1;
+            if (below(10) != 0)
+                m_routers[sent.router].planner.answered(sent.order.endpoint, accepted, now);
+        }
+        m_orders = later;
+    }
+
+    random_fn m_random;
+    std::shared_ptr<const bundle> m_wanted;
+    std::map<std::string, sim_engine> m_engines;
+    std::vector<sim_router> m_routers;
+    std::vector<sim_order> m_orders;
+    detail::lease_table m_log;
+    std::int64_t m_offset = 0;
+    int m_refusals = 0;
+};
+
+order_authority authorityFrom(std::int64_t since, time_point removalsFrom = {},
+                              std::int64_t fencing = 0)
+{
+    return { std::max(since, fencing), since, removalsFrom };
+}
+
+planner_policy unpaced()
+{
+    planner_policy policy;
+    policy.layersPerSecond = policy.burstLayers = 1e6;
+    return policy;
+}
+
+struct planner_fixture
+{
+    explicit planner_fixture(bool checksFencing)
+        : wanted(makeBundle("2", false, std::vector<bool>(2 * chains, checksFencing)))
+    {
+        planner.setBundle(wanted);
+    }
+
+    // Every engine reports its range of these versions.
+    void reportAll(time_point now, const std::vector<std::string> &versions = { "1", "2" })
+    {
+        for (const endpoint_spec &endpoint : wanted->endpoints) {
+            load_report report{ "i1", false, {} };
+            for (const std::string &version : versions)
+                report.loads.push_back({ "waiver", version, endpoint.layers, {} });
+            planner.report(endpoint.id, report, now);
+        }
+    }
+
+    std::shared_ptr<const bundle> wanted;
+    order_planner planner{ unpaced(), "waiver" };
+};
+
+} // namespace
+
+TEST_CASE("two routers, one paused at times, bring the engines to the bundle", "[orders]")
+{
+    // Guards against orders of two holders that together take a layer range below its needed
+    // capacity, with engines that check the fencing number and some that ignore it.
+    int refusals = 0;
+    for (int seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        simulation world(seed);
+        REQUIRE(world.run() != time_point::max());
+        CHECK(world.capacity() == Approx(100.0 * chains));
+        refusals += world.refusals();
+    }
+    CHECK(refusals > 0);
+}
+
+TEST_CASE("removals wait until a previous holder's orders are without effect", "[orders]")
+{
+    const bool checksFencing = GENERATE(false, true);
+    CAPTURE(checksFencing);
+    planner_fixture test(checksFencing);
+    const order_authority authority = authorityFrom(9, time_point(std::chrono::seconds(6)));
+    const time_point answered(std::chrono::seconds(8));
+    const time_point settled = checksFencing ? answered : authority.removalsFrom;
+    const time_point removed = settled + planner_policy().reportLag;
+    int orders = 0;
+    for (time_point now{}; now < removed; now += tick) {
+        test.reportAll(now);
+        for (const engine_order &order : test.planner.plan(now, authority)) {
+            REQUIRE(order.loads.size() == 2);
+            ++orders;
+        }
+        for (const endpoint_spec &endpoint : test.wanted->endpoints) {
+            if (now == answered)
+                test.planner.answered(endpoint.id, true, now);
+        }
+    }
+    // Only engines that check the fencing number need an order that removes nothing.
+    CHECK((orders > 0) == checksFencing);
+    test.reportAll(removed);
+    CHECK(test.planner.plan(removed, authority).size() == 2 * chains);
+}
+
+TEST_CASE("a load that an unanswered order may drop does not count", "[orders]")
+{
+    // Guards against an order that arrives late, after the newer one that added the load.
+    planner_fixture test(true);
+    const auto at = [](int seconds) { return time_point(std::chrono::seconds(seconds)); };
+    test.reportAll(at(0), { "1" });
+    for (const engine_order &order : test.planner.plan(at(0), authorityFrom(9)))
+        test.planner.answered(order.endpoint, order.endpoint > "e2", at(0));
+    // e0, e1 and e2 got an order that could be late; the next one to them is accepted.
+    test.wanted = makeBundle("3", false, std::vector<bool>(2 * chains, true));
+    test.planner.setBundle(test.wanted);
+    for (const engine_order &order : test.planner.plan(at(2), authorityFrom(9)))
+        test.planner.answered(order.endpoint, true, at(2));
+    test.reportAll(at(5), { "1", "3" });
+    const auto removals = test.planner.plan(at(5), authorityFrom(9));
+    for (const engine_order &order : removals)
+        CHECK(order.endpoint > "e2");
+    // A higher fencing number shuts the late orders out.
+    for (const engine_order &order : test.planner.plan(at(6), authorityFrom(9, {}, 12)))
+        test.planner.answered(order.endpoint, true, at(6));
+    test.reportAll(at(9), { "1", "3" });
+    CHECK(removals.size() + test.planner.plan(at(9), authorityFrom(9, {}, 12)).size()
+          >= 2 * chains);
+}
+
+TEST_CASE("loads are paced at the weight store's rate", "[orders]")
+{
+    const std::vector<bool> ignoreFencing(2 * chains, false);
+    const auto wanted = makeBundle("2", false, ignoreFencing);
+    planner_policy policy;
+    policy.layersPerSecond = 4;
+    policy.burstLayers = 20;
+    order_planner planner(policy, "waiver");
+    planner.setBundle(wanted);
+    int ordered = 0;
+    for (time_point now{}; now <= time_point(std::chrono::seconds(12)); now += tick) {
+        for (const endpoint_spec &endpoint : wanted->endpoints)
+            planner.report(endpoint.id, { "i1", false, {} }, now);
+        for (const engine_order &order : planner.plan(now, authorityFrom(1))) {
+            CHECK(order.loads.size() == 1);
+            planner.answered(order.endpoint, true, now);
+            ++ordered;
+        }
+        // One load may overdraw the budget.
+        const double seconds = std::chrono::duration<double>(now.time_since_epoch()).count();
+        REQUIRE(ordered * 16 <= 20 + 4 * seconds + 16);
+    }
+    CHECK(ordered >= 4);
+}
+
+TEST_CASE("an engine that restarts gets its order again", "[orders]")
+{
+    const std::vector<bool> checkFencing(2 * chains, true);
+    const auto wanted = makeBundle("2", false, checkFencing);
+    order_planner planner({}, "waiver");
+    planner.setBundle(wanted);
+    planner.report("e0", { "i1", false, {} }, {});
+    REQUIRE(planner.plan({}, authorityFrom(1)).size() == 1);
+    planner.answered("e0", true, {});
+    CHECK(planner.plan(time_point(std::chrono::seconds(5)), authorityFrom(1)).empty());
+    planner.report("e0", { "i2", false, {} }, time_point(std::chrono::seconds(5)));
+    CHECK(planner.plan(time_point(std::chrono::seconds(5)), authorityFrom(1)).size() == 1);
+    planner.report("e0", { "i2", true, {} }, time_point(std::chrono::seconds(9)));
+    CHECK(planner.plan(time_point(std::chrono::seconds(9)), authorityFrom(1)).empty());
+}
+
+TEST_CASE("the capacity of ranges is that of their chains", "[orders]")
+{
+    using detail::chainCapacity;
+    CHECK(chainCapacity({ { { 0, 16 }, 100 }, { { 16, 32 }, 60 } }, 32) == Approx(60));
+    // Layers that are covered but whose ranges do not continue each other.
+    CHECK(chainCapacity({ { { 0, 20 }, 100 }, { { 16, 32 }, 60 } }, 32) == Approx(0));
+    CHECK(chainCapacity({ { { 0, 8 }, 50 },
+                          { { 8, 32 }, 20 },
+                          { { 0, 16 }, 30 },
+                          { { 8, 16 }, 40 },
+                          { { 16, 32 }, 45 } },
+                        32)
+          == Approx(65));
+}
+
+TEST_CASE("an engine's report and order keep their form", "[orders]")
+{
+    const auto report = parseLoadReport(R"({"incarnation":"i1","state":"serving","layers":[
+            {"model":"waiver","version":"2","begin":0,"end":16,"adapters":["tent"]}]})");
+    REQUIRE(report);
+    CHECK(report.value().loads.front() == engine_load{ "waiver", "2", { 0, 16 }, { "tent" } });
+    CHECK_FALSE(parseLoadReport(R"({"incarnation":"i1"})"));
+    CHECK(orderBody({ "e0", "", 7, report.value().loads }, { { "waiver", 32 } })
+          == R"({"fencing":7,"wanted":{"loads":[{"adapters":["tent"],"layer_begin":0,)"
+             R"("layer_end":16,"layers":32,"model":"waiver","version":"2"}],"role":"serving"}})");
+}
+
+} // namespace fescuedeck
