--- a/src/fescuedeck/ctl/bundle_commands.cpp
+++ b/src/fescuedeck/ctl/bundle_commands.cpp
@@ -44,7 +44,12 @@
     command_result outcome{ exit_status::Ok, "", document };
     switch (status.state) {
     case proposal_state::Accepted:
-        outcome.text = versionText(version) + " is accepted, hash " + file.hash + "\n";
+        outcome.text
+                = versionText(version) + " is accepted, hash " + file.hash
+                  + (version < state.acceptedVersion()
+                             ? ", and " + versionText(state.acceptedVersion()) + " has replaced it"
+                             : "")
+                  + "\n";
         return outcome;
     case proposal_state::Superseded:
         outcome = failedResult(makeFailure(
@@ -139,6 +144,21 @@
     return readToEnd(hooks, state, deadline);
 }
 
+void addLogStatus(const control_state &state, command_result &outcome)
+{
+    const std::string hint = approversHint(state);
+    if (!hint.empty())
+        outcome.status = exit_status::Refused;
+    outcome.text = state.acceptedVersion() == 0
+                           ? "log: no bundle is in force" + hint + "\n"
+                           : "log: " + versionText(state.acceptedVersion()) + ", hash "
+                                     + state.acceptedHash() + ", offset "
+                                     + std::to_string(state.acceptedOffset()) + "\n";
+    outcome.document["bundle"] = { { "version", state.acceptedVersion() },
+                                   { "hash", state.acceptedHash() },
+                                   { "offset", state.acceptedOffset() } };
+}
+
 } // namespace
 
 result<std::vector<approver_spec>> parseApprovers(const std::string &list)
@@ -186,16 +206,10 @@
     control_state state = newFold(options);
     const auto read = readToEnd(hooks, state, hooks.now() + options.timeout);
     command_result outcome;
-    if (read) {
-        outcome.text = "log: " + versionText(state.acceptedVersion()) + ", hash "
-                       + state.acceptedHash() + ", offset " + std::to_string(state.acceptedOffset())
-                       + approversHint(state) + "\n";
-        outcome.document["bundle"] = { { "version", state.acceptedVersion() },
-                                       { "hash", state.acceptedHash() },
-                                       { "offset", state.acceptedOffset() } };
-    } else {
+    if (!read)
         outcome = failedResult(read.error());
-    }
+    else
+        addLogStatus(state, outcome);
     outcome.document["routers"] = json::array();
     for (const router_answer &answer : fetchRouterStatus(hooks, options.routers, statusTimeout)) {
         outcome.text += routerLine(answer);
--- a/src/fescuedeck/ctl/command_line.cpp
+++ b/src/fescuedeck/ctl/command_line.cpp
@@ -183,12 +183,11 @@
     if (words.size() < 2) {
         if (line.wantsHelp)
             return line;
-        return usageFailure("no command is given; see `fescuedeckctl --help`");
+        return usageFailure("no command is given");
     }
     line.command = findCommand(words[0] + " " + words[1]);
     if (line.command == nullptr)
-        return usageFailure("unknown command " + words[0] + " " + words[1]
-                            + "; see `fescuedeckctl --help`");
+        return usageFailure("unknown command " + words[0] + " " + words[1]);
     if (line.wantsHelp)
         return line;
     const std::size_t expected = line.command->argument.empty() ? 2 : 3;
--- a/src/fescuedeck/ctl/command_result.cpp
+++ b/src/fescuedeck/ctl/command_result.cpp
@@ -1,16 +1,34 @@
 #include "fescuedeck/ctl/command_result.h"
 
 namespace fescuedeck {
+namespace {
+
+// The remedies of the error kinds address callers of a router; these address an operator.
+std::string remedyOf(exit_status status, const failure &error)
+{
+    if (status == exit_status::Usage)
+        return "see `fescuedeckctl --help`";
+    if (error.code == errc::LogUnavailable)
+        return "repeat the command once the log answers";
+    if (error.code == errc::InvalidRequest)
+        return "correct the argument or the file and repeat the command";
+    if (error.code == errc::NotFound)
+        return "check the id and that --router names every router";
+    return error.remedy();
+}
+
+} // namespace
 
 command_result failedResult(exit_status status, const failure &error)
 {
     const auto kind = static_cast<errc>(error.code.value());
-    return { status,
-             "error: " + error.message() + "\n",
-             { { "error",
-                 { { "kind", errorName(kind) },
-                   { "message", error.detail },
-                   { "remedy", error.remedy() } } } } };
+    const std::string remedy = remedyOf(status, error);
+    return {
+        status,
+        "error: " + error.detail + "; " + remedy + "\n",
+        { { "error",
+            { { "kind", errorName(kind) }, { "message", error.detail }, { "remedy", remedy } } } }
+    };
 }
 
 command_result failedResult(const failure &error)
--- a/src/fescuedeck/ctl/ctl_test.cpp
+++ b/src/fescuedeck/ctl/ctl_test.cpp
@@ -187,6 +187,11 @@
     CHECK(outcome.status == exit_status::Superseded);
     CHECK(outcome.document["rebase_on"] == 3);
     CHECK_THAT(renderText(outcome), Catch::Contains("superseded: rebase on version 3"));
+    // Without the approvers of the first bundle the log tells nothing, which must not look like
+    // an empty log.
+    const auto blind = showBundleStatus(world.hooks(), {});
+    CHECK(blind.status == exit_status::Refused);
+    CHECK_THAT(renderText(blind), Catch::Contains("--approvers"));
     // The next attempt on the old parent appends nothing.
     const auto size = world.records.size();
     const bundle_file late = makeFile(4, 1);
