--- a/src/fescuedeck/fleet/endpoint_state.cpp
+++ b/src/fescuedeck/fleet/endpoint_state.cpp
@@ -101,6 +101,26 @@
     m_nextProbe = std::max(m_nextProbe, now);
 }
 
+void endpoint_state::timeOut(const hop_timing &timing, time_point now)
+{
+    const double perLayer = seconds(timing.elapsed) / std::max(1, timing.layers.size());
+    if (timing.tokens <= 1)
+        m_step.add(perLayer);
+    else
+        m_prefill.add(perLayer / timing.tokens);
+    fail(now);
+}
+
+duration endpoint_state::deadline(const hop_timing &hop) const
+{
+    const bool isStep = hop.tokens <= 1;
+    const service_time &learned = isStep ? m_step : m_prefill;
+    const double time = learned.quantile() * hop.layers.size() * std::max(1, hop.tokens);
+    const duration floor = isStep ? m_settings.stepDeadlineFloor : m_settings.prefillDeadlineFloor;
+    return std::max(floor,
+                    duration(static_cast<std::int64_t>(time * m_settings.deadlineFactor * 1e6)));
+}
+
 void endpoint_state::leave(const std::string &incarnation)
 {
     if (adopt(incarnation))
--- a/src/fescuedeck/fleet/endpoint_state.h
+++ b/src/fescuedeck/fleet/endpoint_state.h
@@ -80,6 +80,10 @@
     // Serving for this long without an ejection resets the backoff.
     duration stableTime = std::chrono::seconds(60);
     duration probeInterval = std::chrono::milliseconds(500);
+    // Deadline of a hop: a multiple of the learned quantile, with floors for a step and a prefill.
+    double deadlineFactor = 3.0;
+    duration stepDeadlineFloor = std::chrono::milliseconds(50);
+    duration prefillDeadlineFloor = std::chrono::milliseconds(500);
     // A peer's digest older than this says nothing about its load.
     duration peerExpiry = std::chrono::seconds(3);
 };
@@ -100,6 +104,9 @@
     void report(const endpoint_report &report, time_point now);
     void succeed(const std::string &incarnation, const hop_timing &timing, time_point now);
     void fail(time_point now);
+    // A missed deadline: a failure whose time also counts for the learned quantile. Otherwise only
+    // the fast answers would be learned, and the deadline would stay too short under load.
+    void timeOut(const hop_timing &timing, time_point now);
     void leave(const std::string &incarnation);
     void hint(); // a peer's suspicion: asks for a probe and changes nothing else
     void probed(bool alive, const std::string &incarnation, time_point now);
@@ -128,6 +135,8 @@
     const service_time &stepTime() const { return m_step; }
     // Seconds per layer and token of a prefill.
     const service_time &prefillTime() const { return m_prefill; }
+    // Time after which a hop counts as failed; the elapsed field is not used.
+    duration deadline(const hop_timing &hop) const;
     // Step time over its own long-term level; 1 where either is unknown.
     double slowdown() const;
 
--- a/src/fescuedeck/fleet/fleet_state.cpp
+++ b/src/fescuedeck/fleet/fleet_state.cpp
@@ -155,6 +155,15 @@
     settle(slot, now);
 }
 
+void fleet_state::callTimedOut(const std::string &id, const hop_timing &timing, time_point now)
+{
+    const int slot = slotOf(id);
+    if (slot < 0)
+        return;
+    m_endpoints[slot].timeOut(timing, now);
+    settle(slot, now);
+}
+
 void fleet_state::callRefusedLeaving(const std::string &id, const std::string &incarnation,
                                      time_point now)
 {
--- a/src/fescuedeck/fleet/fleet_state.h
+++ b/src/fescuedeck/fleet/fleet_state.h
@@ -78,6 +78,7 @@
     void callSucceeded(const std::string &id, const std::string &incarnation,
                        const hop_timing &timing, time_point now);
     void callFailed(const std::string &id, time_point now);
+    void callTimedOut(const std::string &id, const hop_timing &timing, time_point now);
     void callRefusedLeaving(const std::string &id, const std::string &incarnation, time_point now);
     void setExclusive(const std::string &id, bool exclusive, time_point now);
     void setLimit(const std::string &id, double limit);
