Routing: the same queue price per layer on all accelerators, hop time as a fixed cost

Cause: the cost of a layer was its service time times a power of the load, so slow accelerators stayed idle until the fast ones were loaded several times over (rate over capacity 0.00-0.05 of kind e, 1.0 of kind a). Sub-ranges were charged per layer although an iteration of a batch takes as long for a part of the range, so routes had needless cuts. Change: queue price relative to the neutral load (the split at 35 ms a token), equal for all kinds; learned hop time as a cost of each stage.

--- a/src/fescuedeck/fleet/endpoint_state.cpp
+++ b/src/fescuedeck/fleet/endpoint_state.cpp
@@ -74,7 +74,7 @@
 {
     if (!adopt(incarnation))
         return;
-    const double perLayer = seconds(timing.elapsed) / std::max(1, timing.layers.size());
+    const double perLayer = seconds(timing.elapsed) / std::max(1, m_wanted.layers.size());
     if (timing.tokens <= 1) {
         m_step.add(perLayer);
         m_history.add(perLayer);
@@ -103,7 +103,7 @@
 
 void endpoint_state::timeOut(const hop_timing &timing, time_point now)
 {
-    const double perLayer = seconds(timing.elapsed) / std::max(1, timing.layers.size());
+    const double perLayer = seconds(timing.elapsed) / std::max(1, m_wanted.layers.size());
     if (timing.tokens <= 1)
         m_step.add(perLayer);
     else
@@ -115,7 +115,7 @@
 {
     const bool isStep = hop.tokens <= 1;
     const service_time &learned = isStep ? m_step : m_prefill;
-    const double time = learned.quantile() * hop.layers.size() * std::max(1, hop.tokens);
+    const double time = learned.quantile() * m_wanted.layers.size() * std::max(1, hop.tokens);
     const duration floor = isStep ? m_settings.stepDeadlineFloor : m_settings.prefillDeadlineFloor;
     return std::max(floor,
                     duration(static_cast<std::int64_t>(time * m_settings.deadlineFactor * 1e6)));
--- a/src/fescuedeck/fleet/endpoint_state.h
+++ b/src/fescuedeck/fleet/endpoint_state.h
@@ -83,7 +83,9 @@
     // Deadline of a hop: a multiple of the learned quantile, with floors for a step and a prefill.
     double deadlineFactor = 3.0;
     duration stepDeadlineFloor = std::chrono::milliseconds(50);
-    duration prefillDeadlineFloor = std::chrono::milliseconds(500);
+    // A prefill waits behind other prefills, and to start it again costs as much as it did: its
+    // floor is high, and failing steps show a dead endpoint sooner.
+    duration prefillDeadlineFloor = std::chrono::seconds(3);
     // A peer's digest older than this says nothing about its load.
     duration peerExpiry = std::chrono::seconds(3);
 };
@@ -131,12 +133,15 @@
 
     // Share of its normal load that it should get now, in (0, 1].
     double weight(time_point now) const;
-    // Seconds per layer of one step, with the queue at the endpoint.
+    // Seconds of one step with the queue at the endpoint, for each layer that the endpoint holds.
+    // An iteration of its batch passes all of them, so a hop over a part of them takes as long.
     const service_time &stepTime() const { return m_step; }
-    // Seconds per layer and token of a prefill.
+    // Same for each token of a prefill.
     const service_time &prefillTime() const { return m_prefill; }
     // Time after which a hop counts as failed; the elapsed field is not used.
     duration deadline(const hop_timing &hop) const;
+    // Long-term mean of stepTime().
+    double usualStepTime() const { return m_history.mean(); }
     // Step time over its own long-term level; 1 where either is unknown.
     double slowdown() const;
 
--- a/src/fescuedeck/fleet/fleet_state.cpp
+++ b/src/fescuedeck/fleet/fleet_state.cpp
@@ -300,9 +300,10 @@
     view.weight = endpoint.weight(now);
     view.inFlight = endpoint.inFlight(now);
     view.ownInFlight = endpoint.ownInFlight();
-    view.stepPerLayer = endpoint.stepTime().mean();
+    view.hopSeconds = endpoint.usualStepTime() * wanted.layers.size();
+    const double step = endpoint.stepTime().mean();
     const double kin = m_kinStepTimes[slot];
-    const double forKin = kin > 0 && view.stepPerLayer > 0 ? view.stepPerLayer / kin : 1;
+    const double forKin = kin > 0 && step > 0 ? step / kin : 1;
     const double slowdown = std::clamp(std::min(endpoint.slowdown(), forKin), 1.0, largestSlowdown);
     view.tokensPerSecond = wanted.tokensPerSecond * view.weight / slowdown;
 }
--- a/src/fescuedeck/fleet/fleet_state.h
+++ b/src/fescuedeck/fleet/fleet_state.h
@@ -43,8 +43,8 @@
     double weight = 1;
     double inFlight = 0; // streams over the whole range: own, peers' and reported
     double ownInFlight = 0;
-    double limit = 0;        // in-flight limit, same unit; 0 for none
-    double stepPerLayer = 0; // learned, seconds; 0 if unknown
+    double limit = 0;      // in-flight limit, same unit; 0 for none
+    double hopSeconds = 0; // learned time of one step, with its wait; 0 if unknown
 };
 
 struct fleet_view
--- a/src/fescuedeck/routing/route_planner.cpp
+++ b/src/fescuedeck/routing/route_planner.cpp
@@ -16,8 +16,12 @@
 constexpr double suspectFactor = 8;
 // Costs of different endpoints that are closer than this are treated as equal.
 constexpr double tieBreakSpread = 0.02;
-// Growth of the cost with the load relative to the split.
-constexpr double loadExponent = 4;
+// Time in which a stream that passes all layers gets one token when every endpoint carries its part
+// of the split. The load that is neutral for an endpoint is what it serves in this time.
+constexpr double roundSeconds = 0.035;
+// Growth of the queue cost with the load relative to that. The queue cost of a layer is the same
+// for all accelerators: under load, a slow endpoint with room is worth as much as a fast one.
+constexpr double loadExponent = 6;
 // Prompt positions are processed together and cost this part of an output token.
 constexpr double prefillPart = 0.1;
 
@@ -44,13 +48,25 @@
     return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
 }
 
-// Streams over the whole model that the endpoints carry together.
-double totalStreams(const layer_graph &graph, const fleet_view &view)
+// Load that is neutral for the endpoint: its part of what the bound serves in roundSeconds.
+double neutralLoad(const layer_graph &graph, const graph_endpoint &endpoint,
+                   const endpoint_view &view)
 {
-    double layerStreams = 0;
-    for (const graph_endpoint &endpoint : graph.endpoints)
-        layerStreams += view.endpoints[endpoint.slot].inFlight * endpoint.layers.size();
-    return layerStreams / std::max(1, graph.layers);
+    return std::max(endpoint.share * graph.bound * roundSeconds * view.weight, 0.5);
+}
+
+// Load of the whole model over its neutral load, at least 1. Above 1 only the differences between
+// endpoints matter.
+double overallLoad(const layer_graph &graph, const fleet_view &view)
+{
+    double load = 0;
+    double neutral = 0;
+    for (const graph_endpoint &endpoint : graph.endpoints) {
+        const endpoint_view &state = view.endpoints[endpoint.slot];
+        load += state.inFlight * endpoint.layers.size();
+        neutral += neutralLoad(graph, endpoint, state) * endpoint.layers.size();
+    }
+    return neutral > 0 ? std::max(1.0, load / neutral) : 1.0;
 }
 
 double cachedPart(const route_request &request, const std::string &id)
@@ -64,7 +80,8 @@
 }
 
 stage_cost costOf(const graph_endpoint &endpoint, const endpoint_view &view,
-                  const route_request &request, double streams, const random_fn &random)
+                  const route_request &request, const layer_graph &graph, double overall,
+                  const random_fn &random)
 {
     stage_cost cost;
     cost.usable = view.usable && !view.exclusive && view.id == endpoint.id
@@ -73,20 +90,21 @@
         return cost;
     cost.full = view.limit > 0 && view.inFlight >= view.limit;
     const double layerSeconds = 1 / (view.tokensPerSecond * endpoint.layers.size());
-    const double fairLoad = std::max(streams * endpoint.share, 1.0) * view.weight;
-    const double load = view.inFlight / fairLoad;
+    const double load = view.inFlight / neutralLoad(graph, endpoint, view) / overall;
+    const double queue = roundSeconds / graph.layers * std::pow(load, loadExponent);
     double work = 1;
     if (request.promptTokens > 0) {
         const double prompt = request.promptTokens * (1 - cachedPart(request, endpoint.id));
         work += prefillPart * prompt / std::max(1, request.outputTokens);
     }
-    cost.perLayer = layerSeconds * work * (1 + std::pow(load, loadExponent));
+    cost.perLayer = (layerSeconds + queue) * work;
     if (request.alone)
         cost.perLayer += view.inFlight;
     if (view.phase == endpoint_phase::Suspect)
         cost.perLayer *= suspectFactor;
-    cost.perLayer *= 1 + tieBreakSpread * uniformReal(random);
-    cost.fixed = hopSeconds + (cost.full ? fullPenalty : 0);
+    const double tieBreak = 1 + tieBreakSpread * uniformReal(random);
+    cost.perLayer *= tieBreak;
+    cost.fixed = (hopSeconds + view.hopSeconds) * tieBreak + (cost.full ? fullPenalty : 0);
     return cost;
 }
 
@@ -205,11 +223,12 @@
 result<route> chooseRoute(const layer_graph &graph, const fleet_view &view,
                           const route_request &request, random_fn &random)
 {
-    const double streams = totalStreams(graph, view);
+    const double overall = overallLoad(graph, view);
     std::vector<stage_cost> costs;
     costs.reserve(graph.endpoints.size());
     for (const graph_endpoint &endpoint : graph.endpoints)
-        costs.push_back(costOf(endpoint, view.endpoints[endpoint.slot], request, streams, random));
+        costs.push_back(
+                costOf(endpoint, view.endpoints[endpoint.slot], request, graph, overall, random));
     path_search search(graph, request, costs);
     const int domain = search.run();
     if (domain < 0)
