--- a/bench/fake_fleet.cpp
+++ b/bench/fake_fleet.cpp
@@ -86,7 +86,7 @@
     bool killed = false;
     bool frozen = false;
     double heatStart = -1;
-    double samplePoint = 0;
+    double lastBatch = 0;   // seconds
     endpoint_report sample; // delivered at the next report
 
     double heat(double now) const
@@ -622,8 +622,9 @@
                 = target.kind->overhead
                   + segmentLayers
                             * (target.kind->layer * touchedSegments + target.kind->item * items);
+        target.lastBatch = time * target.heat(m_now);
         target.busy = true;
-        schedule(m_now + time * target.heat(m_now), event_kind::BatchEnds, index);
+        schedule(m_now + target.lastBatch, event_kind::BatchEnds, index);
     }
 
     void batchEnds(int index)
@@ -740,7 +741,7 @@
                 one.fleet.applyReport(target.id, target.sample, at(m_now));
         }
         target.sample = { "1", false, static_cast<int>(target.batch.size()),
-                          static_cast<int>(target.waiting.size()), duration{ 0 } };
+                          static_cast<int>(target.waiting.size()), asDuration(target.lastBatch) };
     }
 
     void digest(int index)
--- a/src/fescuedeck/fleet/endpoint_state.cpp
+++ b/src/fescuedeck/fleet/endpoint_state.cpp
@@ -50,6 +50,7 @@
         m_step.reset();
         m_prefill.reset();
         m_history.reset();
+        m_iteration.reset();
         m_reported = 0;
         m_sentSinceReport = 0;
     }
@@ -62,6 +63,8 @@
     if (!adopt(report.incarnation))
         return;
     m_reported = report.running + report.waiting;
+    if (report.step.count() > 0)
+        m_iteration.add(seconds(report.step));
     m_sentSinceReport = 0;
     if (report.leaving)
         leave(report.incarnation);
@@ -210,12 +213,26 @@
 {
     m_ownInFlight += fractionOf(layers);
     m_sentSinceReport += fractionOf(layers);
+    for (range_load &one : m_ownRanges) {
+        if (one.layers == layers) {
+            ++one.streams;
+            return;
+        }
+    }
+    m_ownRanges.push_back({ layers, 1 });
 }
 
 void endpoint_state::release(const layer_range &layers)
 {
     m_ownInFlight = std::max(0.0, m_ownInFlight - fractionOf(layers));
     m_sentSinceReport = std::max(0.0, m_sentSinceReport - fractionOf(layers));
+    for (range_load &one : m_ownRanges) {
+        if (one.layers == layers)
+            --one.streams;
+    }
+    m_ownRanges.erase(std::remove_if(m_ownRanges.begin(), m_ownRanges.end(),
+                                     [](const range_load &one) { return one.streams <= 0; }),
+                      m_ownRanges.end());
 }
 
 void endpoint_state::peerInFlight(const std::string &peer, double inFlight, time_point now)
--- a/src/fescuedeck/fleet/fleet_state.cpp
+++ b/src/fescuedeck/fleet/fleet_state.cpp
@@ -124,6 +124,7 @@
     if (slot < 0)
         return;
     m_endpoints[slot].assign(layers);
+    m_view.endpoints[slot].ownRanges = m_endpoints[slot].ownRanges();
     updateView(slot, now);
 }
 
@@ -133,6 +134,7 @@
     if (slot < 0)
         return;
     m_endpoints[slot].release(layers);
+    m_view.endpoints[slot].ownRanges = m_endpoints[slot].ownRanges();
     updateView(slot, now);
 }
 
@@ -301,6 +303,8 @@
     view.inFlight = endpoint.inFlight(now);
     view.ownInFlight = endpoint.ownInFlight();
     view.hopSeconds = endpoint.usualStepTime() * wanted.layers.size();
+    const double iteration = endpoint.iterationTime();
+    view.waitSeconds = iteration > 0 ? std::max(0.0, view.hopSeconds - iteration) : 0;
     const double step = endpoint.stepTime().mean();
     const double kin = m_kinStepTimes[slot];
     const double forKin = kin > 0 && step > 0 ? step / kin : 1;
