Revert the planned cuts, charge the wait by layer, measure two placements

The benchmark now has a planned placement (every layer has the same capacity without cuts, as an operator would lay it out) beside the uneven one; both keep the target.

--- a/bench/fake_fleet.cpp
+++ b/bench/fake_fleet.cpp
@@ -35,15 +35,52 @@
     double overhead;     // seconds
     double layer;
     double item;
-    std::array<int, 8> begins;
+    // First layers of its endpoints.
+    std::vector<int> planned;
+    std::vector<int> uneven;
 };
 
-constexpr std::array<accelerator_kind, 5> kinds{ {
-        { "a", 24, 16, 0.3e-3, 120e-6, 10e-6, { 0, 24, 0, 24, 0, 24, 0, 24 } },
-        { "b", 16, 16, 0.3e-3, 150e-6, 15e-6, { 0, 16, 32, 8, 24, 0, 16, 32 } },
-        { "c", 12, 12, 0.3e-3, 200e-6, 20e-6, { 0, 12, 24, 36, 0, 12, 24, 36 } },
-        { "d", 12, 8, 0.3e-3, 300e-6, 30e-6, { 4, 16, 28, 36, 0, 12, 24, 36 } },
-        { "e", 8, 8, 0.3e-3, 350e-6, 50e-6, { 0, 8, 16, 24, 32, 40, 4, 20 } },
+const std::array<accelerator_kind, 5> kinds{ {
+        { "a",
+          24,
+          16,
+          0.3e-3,
+          120e-6,
+          10e-6,
+          { 0, 24, 0, 24, 0, 24, 0, 24 },
+          { 0, 24, 0, 24, 0, 24, 0, 24 } },
+        { "b",
+          16,
+          16,
+          0.3e-3,
+          150e-6,
+          15e-6,
+          { 0, 16, 32, 0, 16, 32, 0, 16, 32 },
+          { 0, 16, 32, 8, 24, 0, 16, 32 } },
+        { "c",
+          12,
+          12,
+          0.3e-3,
+          200e-6,
+          20e-6,
+          { 0, 12, 24, 36, 0, 12, 24, 36 },
+          { 0, 12, 24, 36, 0, 12, 24, 36 } },
+        { "d",
+          12,
+          8,
+          0.3e-3,
+          300e-6,
+          30e-6,
+          { 0, 12, 24, 36, 0, 12, 24, 36 },
+          { 4, 16, 28, 36, 0, 12, 24, 36 } },
+        { "e",
+          8,
+          8,
+          0.3e-3,
+          350e-6,
+          50e-6,
+          { 0, 8, 16, 24, 32, 40, 20 },
+          { 0, 8, 16, 24, 32, 40, 4, 20 } },
 } };
 
 const std::array<std::string, 3> domains{ "d0", "d1", "d2" };
@@ -208,10 +245,10 @@
 
     void setUp()
     {
-        const std::vector<wanted_endpoint> wanted = fakeEndpoints();
+        const std::vector<wanted_endpoint> wanted = fakeEndpoints(m_options.where);
         for (int i = 0; i < static_cast<int>(wanted.size()); ++i) {
             engine one;
-            one.kind = &kinds[i % kinds.size()];
+            one.kind = &kinds[wanted[i].id[0] - 'a'];
             one.id = wanted[i].id;
             one.domain = wanted[i].failureDomain[1] - '0';
             one.begin = wanted[i].layers.begin / segmentLayers;
@@ -829,26 +866,27 @@
 
 } // namespace
 
-std::vector<wanted_endpoint> fakeEndpoints()
+std::vector<wanted_endpoint> fakeEndpoints(placement where)
 {
     std::vector<wanted_endpoint> endpoints;
-    for (int i = 0; i < static_cast<int>(kinds.size() * kinds[0].begins.size()); ++i) {
-        const accelerator_kind &kind = kinds[i % kinds.size()];
-        const int copy = i / static_cast<int>(kinds.size());
-        const int begin = kind.begins[copy];
+    for (const accelerator_kind &kind : kinds) {
+        const std::vector<int> &begins = where == placement::Planned ? kind.planned : kind.uneven;
         const double batch
                 = kind.overhead + kind.layers * (kind.layer + kind.item * kind.largestBatch);
-        const std::string id = std::string(kind.name) + std::to_string(copy);
-        // The copies of a range lie in different domains.
-        const int domain = (i + i / 10) % static_cast<int>(domains.size());
-        endpoints.push_back({ id,
-                              "h" + std::to_string(i),
-                              domains[domain],
-                              kind.name,
-                              model,
-                              "v1",
-                              { begin, begin + kind.layers },
-                              kind.largestBatch / batch });
+        std::map<int, int> copies; // of a range; they lie in different domains
+        for (std::size_t i = 0; i < begins.size(); ++i) {
+            const std::string id = kind.name + std::to_string(i);
+            const int offset = static_cast<int>(&kind - kinds.data()) + begins[i] / kind.layers;
+            const int domain = (offset + copies[begins[i]]++) % static_cast<int>(domains.size());
+            endpoints.push_back({ id,
+                                  "h-" + id,
+                                  domains[domain],
+                                  kind.name,
+                                  model,
+                                  "v1",
+                                  { begins[i], begins[i] + kind.layers },
+                                  kind.largestBatch / batch });
+        }
     }
     return endpoints;
 }
--- a/bench/fake_fleet.h
+++ b/bench/fake_fleet.h
@@ -37,6 +37,13 @@
     int target; // engine, or failure domain
 };
 
+// Planned: every layer has the same capacity when no range is cut. Uneven: the first and last
+// layers have less, so that ranges must be cut to reach the bound.
+enum class placement {
+    Planned,
+    Uneven,
+};
+
 // Mean lengths in tokens of the requests of one user.
 struct request_size
 {
@@ -49,6 +56,7 @@
     std::uint64_t seed = 1;
     route_policy policy = chooseRoute;
     request_size size{ 200, 80 };
+    placement where = placement::Planned;
     // Closed loop: this many streams are kept in flight, without queue and limits. 0: open loop.
     int streams = 0;
     // Open loop: offered work over the bound, per workspace; they add up to the offered load.
@@ -81,7 +89,7 @@
 };
 
 // The 40 endpoints of the fake fleet.
-std::vector<wanted_endpoint> fakeEndpoints();
+std::vector<wanted_endpoint> fakeEndpoints(placement where);
 double fakeLinkSeconds(const std::string &from, const std::string &to);
 
 fake_outcome runFake(const fake_options &options);
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -61,13 +61,15 @@
 }
 
 // As many streams as the bound serves with the target time between tokens.
-fake_options closedLoop(std::uint64_t seed, const user &who, bool skewed)
+fake_options closedLoop(std::uint64_t seed, const user &who, bool skewed,
+                        placement where = placement::Planned)
 {
     fake_options options;
     options.seed = seed;
     options.size = who.size;
     options.weights.fill(1);
-    const std::vector<wanted_endpoint> endpoints = fakeEndpoints();
+    const std::vector<wanted_endpoint> endpoints = fakeEndpoints(where);
+    options.where = where;
     fleet_state fleet;
     fleet.setWanted(endpoints, {});
     for (const wanted_endpoint &one : endpoints)
@@ -81,33 +83,40 @@
     return options;
 }
 
+void measurePolicies(const fake_options &options, const std::string &suffix)
+{
+    const std::vector<std::pair<std::string, route_policy>> baselines{
+        { "random", randomPolicy() },
+        { "round_robin", roundRobinPolicy() },
+        { "fewest_in_flight", fewestInFlightPolicy() },
+    };
+    double best = 0;
+    for (const auto &[name, policy] : baselines) {
+        fake_options with = options;
+        with.policy = policy;
+        const fake_outcome outcome = runFake(with);
+        const double ratio = outcome.throughput / outcome.bound;
+        best = std::max(best, ratio);
+        print("throughput." + name + suffix, ratio, "-", "of_bound");
+    }
+    const fake_outcome ours = runFake(options);
+    const double ratio = ours.throughput / ours.bound;
+    printAtLeast("throughput.ours" + suffix, ratio, 0.95, "of_bound");
+    printAtLeast("throughput.ours_over_best_baseline" + suffix, ratio / best, 1, "ratio");
+    print("retries" + suffix, ours.retries, "-", "attempts");
+    print("step_95" + suffix, ours.step95, "-", "s");
+    print("stages_per_token" + suffix, ours.stagesPerToken, "-", "stages");
+    print("bound" + suffix, ours.bound, "-", "work_units/s");
+}
+
 void measureThroughput(std::uint64_t seed)
 {
     for (const user &who : users) {
-        for (const bool skewed : { false, true }) {
-            const std::vector<std::pair<std::string, route_policy>> baselines{
-                { "random", randomPolicy() },
-                { "round_robin", roundRobinPolicy() },
-                { "fewest_in_flight", fewestInFlightPolicy() },
-            };
-            const std::string suffix = std::string(".") + who.name + (skewed ? ".skewed" : ".even");
-            double best = 0;
-            for (const auto &[name, policy] : baselines) {
-                fake_options options = closedLoop(seed, who, skewed);
-                options.policy = policy;
-                const fake_outcome outcome = runFake(options);
-                const double ratio = outcome.throughput / outcome.bound;
-                best = std::max(best, ratio);
-                print("throughput." + name + suffix, ratio, "-", "of_bound");
-            }
-            const fake_outcome ours = runFake(closedLoop(seed, who, skewed));
-            const double ratio = ours.throughput / ours.bound;
-            printAtLeast("throughput.ours" + suffix, ratio, std::max(0.95, best), "of_bound");
-            print("retries" + suffix, ours.retries, "-", "attempts");
-            print("step_95" + suffix, ours.step95, "-", "s");
-            print("stages_per_token" + suffix, ours.stagesPerToken, "-", "stages");
-            print("bound" + suffix, ours.bound, "-", "work_units/s");
-        }
+        const std::string name = std::string(".") + who.name;
+        measurePolicies(closedLoop(seed, who, false), name + ".even");
+        measurePolicies(closedLoop(seed, who, true), name + ".skewed");
+        measurePolicies(closedLoop(seed, who, false, placement::Uneven),
+                        name + ".uneven_placement");
     }
 }
 
--- a/src/fescuedeck/fleet/endpoint_state.cpp
+++ b/src/fescuedeck/fleet/endpoint_state.cpp
@@ -213,26 +213,12 @@
 {
     m_ownInFlight += fractionOf(layers);
     m_sentSinceReport += fractionOf(layers);
-    for (range_load &one : m_ownRanges) {
-        if (one.layers == layers) {
-            ++one.streams;
-            return;
-        }
-    }
-    m_ownRanges.push_back({ layers, 1 });
 }
 
 void endpoint_state::release(const layer_range &layers)
 {
     m_ownInFlight = std::max(0.0, m_ownInFlight - fractionOf(layers));
     m_sentSinceReport = std::max(0.0, m_sentSinceReport - fractionOf(layers));
-    for (range_load &one : m_ownRanges) {
-        if (one.layers == layers)
-            --one.streams;
-    }
-    m_ownRanges.erase(std::remove_if(m_ownRanges.begin(), m_ownRanges.end(),
-                                     [](const range_load &one) { return one.streams <= 0; }),
-                      m_ownRanges.end());
 }
 
 void endpoint_state::peerInFlight(const std::string &peer, double inFlight, time_point now)
--- a/src/fescuedeck/fleet/endpoint_state.h
+++ b/src/fescuedeck/fleet/endpoint_state.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "fescuedeck/base/layer_range.h"
 #include "fescuedeck/base/name_table.h"
@@ -91,13 +90,6 @@
     duration peerExpiry = std::chrono::seconds(3);
 };
 
-// Streams of this router that run one range on an endpoint.
-struct range_load
-{
-    layer_range layers;
-    int streams;
-};
-
 class endpoint_state
 {
 public:
@@ -135,7 +127,6 @@
     void peerInFlight(const std::string &peer, double inFlight, time_point now);
     double ownInFlight() const { return m_ownInFlight; }
     double inFlight(time_point now) const;
-    const std::vector<range_load> &ownRanges() const { return m_ownRanges; }
     // Reserved for a single request; see route_request::alone.
     void setExclusive(bool exclusive) { m_exclusive = exclusive; }
     bool isExclusive() const { return m_exclusive; }
@@ -179,7 +170,6 @@
     service_time m_prefill{ 0.1 };
     service_time m_iteration{ 0.2 };
     double m_ownInFlight = 0;
-    std::vector<range_load> m_ownRanges; // few: ranges without streams are removed
     double m_sentSinceReport = 0;
     double m_reported = 0;
     bool m_exclusive = false;
--- a/src/fescuedeck/fleet/fleet_state.cpp
+++ b/src/fescuedeck/fleet/fleet_state.cpp
@@ -124,7 +124,6 @@
     if (slot < 0)
         return;
     m_endpoints[slot].assign(layers);
-    m_view.endpoints[slot].ownRanges = m_endpoints[slot].ownRanges();
     updateView(slot, now);
 }
 
@@ -134,7 +133,6 @@
     if (slot < 0)
         return;
     m_endpoints[slot].release(layers);
-    m_view.endpoints[slot].ownRanges = m_endpoints[slot].ownRanges();
     updateView(slot, now);
 }
 
--- a/src/fescuedeck/fleet/fleet_state.h
+++ b/src/fescuedeck/fleet/fleet_state.h
@@ -43,7 +43,6 @@
     double weight = 1;
     double inFlight = 0; // streams over the whole range: own, peers' and reported
     double ownInFlight = 0;
-    std::vector<range_load> ownRanges;
     double limit = 0;       // in-flight limit, same unit; 0 for none
     double hopSeconds = 0;  // learned time of one step, with its wait; 0 if unknown
     double waitSeconds = 0; // part of hopSeconds that exceeds the reported iteration
--- a/src/fescuedeck/routing/layer_graph.cpp
+++ b/src/fescuedeck/routing/layer_graph.cpp
@@ -68,9 +68,6 @@
     graph.bound = split.tokensPerSecond;
     for (std::size_t i = 0; i < graph.endpoints.size(); ++i)
         graph.endpoints[i].share = split.shares[i];
-    for (const edge_flow &edge : split.edges)
-        graph.endpoints[edge.endpoint].planned.push_back(
-                { edge.first, edge.last, edge.tokensPerSecond / graph.bound });
     return graph;
 }
 
--- a/src/fescuedeck/routing/layer_graph.h
+++ b/src/fescuedeck/routing/layer_graph.h
@@ -17,14 +17,6 @@
 
 namespace fescuedeck {
 
-// Sub-range that the split gives to an endpoint.
-struct planned_edge
-{
-    int first; // boundary indices
-    int last;
-    double share; // part of the model's tokens that run it there
-};
-
 struct graph_endpoint
 {
     int slot = 0; // in fleet_view::endpoints
@@ -37,7 +29,6 @@
     // Part of the model's token rate that it should carry, in units of its whole range; see
     // flow_split.
     double share = 0;
-    std::vector<planned_edge> planned;
 };
 
 // One-way latency in seconds from one failure domain to another.
--- a/src/fescuedeck/routing/maximum_flow.cpp
+++ b/src/fescuedeck/routing/maximum_flow.cpp
@@ -33,13 +33,6 @@
         return static_cast<int>(m_arcs[from].size()) - 1;
     }
 
-    // Starts from a known flow on one arc; the caller keeps the flow conserved.
-    void preset(int from, int arc, double flow)
-    {
-        m_arcs[from][arc].flow += flow;
-        m_arcs[m_arcs[from][arc].to][m_arcs[from][arc].reverse].flow -= flow;
-    }
-
     double maximize(int source, int sink, double tolerance)
     {
         double total = 0;
@@ -116,7 +109,6 @@
     int last;
     double capacity; // layer-tokens/s
     std::vector<int> members;
-    double wholeRate;                // tokens/s that run the whole range in the flow without cuts
     std::vector<double> segmentFlow; // layer-tokens/s, from segment `first` on
 };
 
@@ -142,24 +134,6 @@
     return list;
 }
 
-// Maximum flow of routes that cut no range, up to the rate. The split starts from it and cuts only
-// where the bound needs it: cuts add hops and leave batches of mixed ranges.
-void fillWholeRates(const std::vector<int> &boundaries, std::vector<range_class> &classes,
-                    double rate)
-{
-    const int vertices = static_cast<int>(boundaries.size());
-    flow_network network(vertices + 1);
-    std::vector<int> arcs;
-    for (const range_class &group : classes) {
-        const int layers = boundaries[group.last] - boundaries[group.first];
-        arcs.push_back(network.add(group.first, group.last, group.capacity / layers));
-    }
-    network.add(vertices, 0, rate);
-    network.maximize(vertices, vertices - 1, rate * relativeTolerance);
-    for (std::size_t c = 0; c < classes.size(); ++c)
-        classes[c].wholeRate = std::max(0.0, network.flow(classes[c].first, arcs[c]));
-}
-
 // Routes rate tokens/s through the network. Returns rate if that is feasible, otherwise the rate
 // that the violated cut allows.
 double tryRate(const std::vector<int> &boundaries, std::vector<range_class> &classes, double rate)
@@ -176,22 +150,9 @@
             arcs[c].push_back(network.add(c, classCount + s, infinity));
     }
     const double demand = rate * boundaries.back();
-    std::vector<int> sinkArcs;
     for (int s = 0; s < segments; ++s)
-        sinkArcs.push_back(
-                network.add(classCount + s, sink, rate * (boundaries[s + 1] - boundaries[s])));
-    fillWholeRates(boundaries, classes, rate);
-    double flow = 0;
-    for (int c = 0; c < classCount; ++c) {
-        for (int s = classes[c].first; s < classes[c].last; ++s) {
-            const double part = classes[c].wholeRate * (boundaries[s + 1] - boundaries[s]);
-            network.preset(source, c, part);
-            network.preset(c, arcs[c][s - classes[c].first], part);
-            network.preset(classCount + s, sinkArcs[s], part);
-            flow += part;
-        }
-    }
-    flow += network.maximize(source, sink, demand * relativeTolerance);
+        network.add(classCount + s, sink, rate * (boundaries[s + 1] - boundaries[s]));
+    const double flow = network.maximize(source, sink, demand * relativeTolerance);
     for (int c = 0; c < classCount; ++c) {
         classes[c].segmentFlow.clear();
         for (const int arc : arcs[c])
@@ -213,12 +174,12 @@
     return layers > 0 ? std::min(capacity / layers, rate) : rate;
 }
 
-// Cuts the per-segment rates of a class into edges, the longest first. A rate that continues past a
-// boundary stays one edge.
-std::vector<edge_flow> cutEdges(const range_class &group, const std::vector<double> &tokenRates,
-                                double tolerance)
+// Cuts the per-segment rates of one endpoint into edges. A rate that continues past a boundary
+// stays one edge.
+void appendEdges(const layer_graph &graph, int endpoint, const std::vector<double> &tokenRates,
+                 double tolerance, std::vector<edge_flow> &edges)
 {
-    std::vector<edge_flow> edges;
+    const int first = graph.endpoints[endpoint].first;
     std::vector<std::pair<int, double>> open; // boundary at which it began, rate
     double running = 0;
     for (int s = 0; s <= static_cast<int>(tokenRates.size()); ++s) {
@@ -226,7 +187,7 @@
         while (running > rate + tolerance) {
             auto &[begin, openRate] = open.back();
             const double closed = std::min(openRate, running - rate);
-            edges.push_back({ -1, begin, group.first + s, closed });
+            edges.push_back({ endpoint, begin, first + s, closed });
             running -= closed;
             openRate -= closed;
             if (openRate <= tolerance)
@@ -235,42 +196,10 @@
                 running = 0;
         }
         if (rate > running + tolerance) {
-            open.emplace_back(group.first + s, rate - running);
+            open.emplace_back(first + s, rate - running);
             running = rate;
         }
     }
-    std::stable_sort(edges.begin(), edges.end(), [](const edge_flow &a, const edge_flow &b) {
-        return a.last - a.first > b.last - b.first;
-    });
-    return edges;
-}
-
-// Gives the edges of a class to its endpoints one after the other, so that most endpoints run one
-// sub-range only: a batch in which few items pass some of the layers costs nearly as much as a full
-// one.
-void allot(const layer_graph &graph, const range_class &group, const std::vector<edge_flow> &edges,
-           double tolerance, flow_split &split)
-{
-    std::size_t member = 0;
-    double room = capacityOf(graph.endpoints[group.members[0]]);
-    for (edge_flow edge : edges) {
-        const int layers = graph.boundaries[edge.last] - graph.boundaries[edge.first];
-        double rest = edge.tokensPerSecond;
-        while (rest > tolerance) {
-            const bool isLast = member + 1 == group.members.size();
-            const double rate = isLast ? rest : std::min(rest, room / layers);
-            const int endpoint = group.members[member];
-            if (rate > tolerance) {
-                split.edges.push_back({ endpoint, edge.first, edge.last, rate });
-                split.shares[endpoint] += rate * layers / graph.endpoints[endpoint].layers.size()
-                                          / split.tokensPerSecond;
-            }
-            rest -= rate;
-            room -= rate * layers;
-            if (rest > tolerance && !isLast)
-                room = capacityOf(graph.endpoints[group.members[++member]]);
-        }
-    }
 }
 
 } // namespace
@@ -295,14 +224,20 @@
     split.tokensPerSecond = rate;
     if (rate <= 0)
         return split;
-    const double tolerance = rate * 1e-7;
     for (const range_class &group : classes) {
-        std::vector<double> tokenRates;
-        for (int s = group.first; s < group.last; ++s) {
-            const int layers = graph.boundaries[s + 1] - graph.boundaries[s];
-            tokenRates.push_back(group.segmentFlow[s - group.first] / layers);
+        for (const int member : group.members) {
+            const graph_endpoint &endpoint = graph.endpoints[member];
+            const double part = group.capacity > 0 ? capacityOf(endpoint) / group.capacity : 0;
+            std::vector<double> tokenRates;
+            double layerTokens = 0;
+            for (int s = group.first; s < group.last; ++s) {
+                const double flow = group.segmentFlow[s - group.first] * part;
+                tokenRates.push_back(flow / (graph.boundaries[s + 1] - graph.boundaries[s]));
+                layerTokens += flow;
+            }
+            split.shares[member] = layerTokens / endpoint.layers.size() / rate;
+            appendEdges(graph, member, tokenRates, rate * 1e-7, split.edges);
         }
-        allot(graph, group, cutEdges(group, tokenRates, tolerance), tolerance, split);
     }
     return split;
 }
--- a/src/fescuedeck/routing/route_planner.cpp
+++ b/src/fescuedeck/routing/route_planner.cpp
@@ -22,13 +22,6 @@
 // Growth of the queue cost with the load relative to that. The queue cost of a layer is the same
 // for all accelerators: under load, a slow endpoint with room is worth as much as a fast one.
 constexpr double loadExponent = 6;
-// The learned wait at an endpoint is charged by layer, although a hop over few layers waits as
-// long: a route that takes layers off a crowded endpoint relieves it.
-constexpr double waitGain = 1;
-// Cost of a stage that the split does not plan, in seconds.
-constexpr double unplannedSeconds = 0.01;
-// Cost of a planned stage that is used twice as much as planned, in seconds.
-constexpr double mixtureSeconds = 0.01;
 // Prompt positions are processed together and cost this part of an output token.
 constexpr double prefillPart = 0.1;
 
@@ -59,8 +52,7 @@
 double neutralLoad(const layer_graph &graph, const graph_endpoint &endpoint,
                    const endpoint_view &view)
 {
-    const double rate = std::max(endpoint.share * graph.bound, 0.25 * endpoint.tokensPerSecond);
-    return std::max(rate * roundSeconds * view.weight, 0.5);
+    return std::max(endpoint.share * graph.bound * roundSeconds * view.weight, 0.5);
 }
 
 // Load of the whole model over its neutral load, at least 1. Above 1 only the differences between
@@ -87,6 +79,8 @@
     return std::clamp(static_cast<double>(found->second) / request.promptTokens, 0.0, 1.0);
 }
 
+// The learned wait at an endpoint is charged by layer, although a hop over few layers waits as
+// long: a route that takes layers off a crowded endpoint relieves it.
 stage_cost costOf(const graph_endpoint &endpoint, const endpoint_view &view,
                   const route_request &request, const layer_graph &graph, double overall,
                   const random_fn &random)
@@ -105,7 +99,7 @@
         const double prompt = request.promptTokens * (1 - cachedPart(request, endpoint.id));
         work += prefillPart * prompt / std::max(1, request.outputTokens);
     }
-    const double wait = waitGain * view.waitSeconds / endpoint.layers.size();
+    const double wait = view.waitSeconds / endpoint.layers.size();
     cost.perLayer = (layerSeconds + queue + wait) * work;
     if (request.alone)
         cost.perLayer += view.inFlight;
@@ -143,19 +137,15 @@
 class path_search
 {
 public:
-    path_search(const layer_graph &graph, const fleet_view &view, const route_request &request,
+    path_search(const layer_graph &graph, const route_request &request,
                 const std::vector<stage_cost> &costs)
         : m_graph(graph)
-        , m_view(view)
         , m_request(request)
         , m_costs(costs)
         , m_domains(static_cast<int>(graph.failureDomains.size()))
         , m_router(graph.domainIndex(request.failureDomain))
         , m_steps(graph.boundaries.size() * m_domains)
     {
-        for (const graph_endpoint &endpoint : graph.endpoints)
-            m_ownStreams += view.endpoints[endpoint.slot].ownInFlight * endpoint.layers.size();
-        m_ownStreams /= std::max(1, graph.layers);
     }
 
     int run()
@@ -196,31 +186,6 @@
     }
 
 private:
-    // Cost for using a sub-range more than the split says, or one that it does not have. Without
-    // it, an endpoint with several sub-ranges gets the right load in the wrong mixture: some layers
-    // of its batches stay empty while work for others waits.
-    double mixtureCost(const graph_endpoint &endpoint, int first, int last) const
-    {
-        for (const planned_edge &edge : endpoint.planned) {
-            if (edge.first != first || edge.last != last)
-                continue;
-            const double load
-                    = (streamsOn(endpoint, first, last) + 1.0) / (m_ownStreams * edge.share + 1.0);
-            return load <= 1 ? 0 : std::min(mixtureSeconds * (load - 1), unplannedSeconds);
-        }
-        return unplannedSeconds;
-    }
-
-    int streamsOn(const graph_endpoint &endpoint, int first, int last) const
-    {
-        const layer_range layers{ m_graph.boundaries[first], m_graph.boundaries[last] };
-        for (const range_load &one : m_view.endpoints[endpoint.slot].ownRanges) {
-            if (one.layers == layers)
-                return one.streams;
-        }
-        return 0;
-    }
-
     step_to &at(int boundary, int domain) { return m_steps[boundary * m_domains + domain]; }
 
     void relax(int boundary, int index)
@@ -242,8 +207,7 @@
         base += m_costs[index].fixed;
         for (int to = boundary + 1; to <= endpoint.last; ++to) {
             const int layers = m_graph.boundaries[to] - m_graph.boundaries[boundary];
-            const double mixture = mixtureCost(endpoint, boundary, to);
-            const double cost = base + m_costs[index].perLayer * layers + mixture;
+            const double cost = base + m_costs[index].perLayer * layers;
             step_to &step = at(to, endpoint.domain);
             if (cost < step.cost)
                 step = { cost, index, boundary, domain };
@@ -251,10 +215,8 @@
     }
 
     const layer_graph &m_graph;
-    const fleet_view &m_view;
     const route_request &m_request;
     const std::vector<stage_cost> &m_costs;
-    double m_ownStreams = 0; // of this router, on the whole model
     int m_domains;
     int m_router;
     std::vector<step_to> m_steps;
@@ -271,7 +233,7 @@
     for (const graph_endpoint &endpoint : graph.endpoints)
         costs.push_back(
                 costOf(endpoint, view.endpoints[endpoint.slot], request, graph, overall, random));
-    path_search search(graph, view, request, costs);
+    path_search search(graph, request, costs);
     const int domain = search.run();
     if (domain < 0)
         return makeFailure(errc::NoRoute, firstGap(graph, costs));
