--- a/src/fescuedeck/fleet/fleet_state.cpp
+++ b/src/fescuedeck/fleet/fleet_state.cpp
@@ -155,6 +155,15 @@
     settle(slot, now);
 }
 
+void fleet_state::callTimedOut(const std::string &id, const hop_timing &timing, time_point now)
+{
+    const int slot = slotOf(id);
+    if (slot < 0)
+        return;
+    m_endpoints[slot].timeOut(timing, now);
+    settle(slot, now);
+}
+
 void fleet_state::callRefusedLeaving(const std::string &id, const std::string &incarnation,
                                      time_point now)
 {
@@ -291,9 +300,12 @@
     view.weight = endpoint.weight(now);
     view.inFlight = endpoint.inFlight(now);
     view.ownInFlight = endpoint.ownInFlight();
-    view.stepPerLayer = endpoint.stepTime().mean();
+    view.hopSeconds = endpoint.usualStepTime() * wanted.layers.size();
+    const double iteration = endpoint.iterationTime();
+    view.waitSeconds = iteration > 0 ? std::max(0.0, view.hopSeconds - iteration) : 0;
+    const double step = endpoint.stepTime().mean();
     const double kin = m_kinStepTimes[slot];
-    const double forKin = kin > 0 && view.stepPerLayer > 0 ? view.stepPerLayer / kin : 1;
+    const double forKin = kin > 0 && step > 0 ? step / kin : 1;
     const double slowdown = std::clamp(std::min(endpoint.slowdown(), forKin), 1.0, largestSlowdown);
     view.tokensPerSecond = wanted.tokensPerSecond * view.weight / slowdown;
 }
--- a/src/fescuedeck/fleet/fleet_state.h
+++ b/src/fescuedeck/fleet/fleet_state.h
@@ -43,8 +43,9 @@
     double weight = 1;
     double inFlight = 0; // streams over the whole range: own, peers' and reported
     double ownInFlight = 0;
-    double limit = 0;        // in-flight limit, same unit; 0 for none
-    double stepPerLayer = 0; // learned, seconds; 0 if unknown
+    double limit = 0;       // in-flight limit, same unit; 0 for none
+    double hopSeconds = 0;  // learned time of one step, with its wait; 0 if unknown
+    double waitSeconds = 0; // part of hopSeconds that exceeds the reported iteration
 };
 
 struct fleet_view
@@ -78,6 +79,7 @@
     void callSucceeded(const std::string &id, const std::string &incarnation,
                        const hop_timing &timing, time_point now);
     void callFailed(const std::string &id, time_point now);
+    void callTimedOut(const std::string &id, const hop_timing &timing, time_point now);
     void callRefusedLeaving(const std::string &id, const std::string &incarnation, time_point now);
     void setExclusive(const std::string &id, bool exclusive, time_point now);
     void setLimit(const std::string &id, double limit);
