--- a/tests/process/fleet_fixture.cpp
+++ b/tests/process/fleet_fixture.cpp
@@ -242,19 +242,33 @@
         throw std::runtime_error("the platform did not store a control record");
 }
 
-bool fleet_fixture::waitUntilReady()
+bool fleet_fixture::waitForRouters(const std::function<bool(const router_member &)> &condition)
 {
-    return eventually([this] {
+    return eventually([&] {
         for (const router_member &router : routers) {
-            const bool isReady = !router.process->isRunning()
-                                 || client.call("GET", router.operators, "/readyz").status == 200;
-            if (!isReady)
+            if (router.process->isRunning() && !condition(router))
                 return false;
         }
         return true;
     });
 }
 
+bool fleet_fixture::waitUntilReady()
+{
+    return waitForRouters([this](const router_member &router) {
+        return client.call("GET", router.operators, "/readyz").status == 200;
+    });
+}
+
+bool fleet_fixture::waitUntilInForce(std::int64_t version)
+{
+    return waitForRouters([&](const router_member &router) {
+        const auto status = client.get(router.operators, "/status");
+        return status.is_object() && status["bundle"].is_object()
+               && status["bundle"].value("version", std::int64_t{ 0 }) >= version;
+    });
+}
+
 http_request fleet_fixture::draftRequest(const std::string &prompt, int maxTokens, bool stream,
                                          const std::string &workspace) const
 {
--- a/tests/process/fleet_fixture.h
+++ b/tests/process/fleet_fixture.h
@@ -77,6 +77,8 @@
     void publish(const bundle &content);
     // Whether all running routers become ready.
     bool waitUntilReady();
+    // Whether all running routers put this bundle version, or a later one, in force.
+    bool waitUntilInForce(std::int64_t version);
 
     // Starts a member again on its old address, after it has ended.
     void restartEngine(std::size_t index);
@@ -102,6 +104,7 @@
     void startRouter(std::size_t index);
     std::string routerYaml(std::size_t index) const;
     bundle firstBundle() const;
+    bool waitForRouters(const std::function<bool(const router_member &)> &condition);
     void appendControl(const std::string &body);
 
     fleet_options m_options;
--- a/tests/standins/standin_engine_main.cpp
+++ b/tests/standins/standin_engine_main.cpp
@@ -27,6 +27,9 @@
 DEFINE_int32(cache_blocks, 4096, "prefix cache size in blocks of 16 tokens");
 DEFINE_int32(cache_event_delay_ms, 0, "time until a cache event is published");
 DEFINE_int32(cache_event_gap, 0, "every n-th cache event is never published; 0 for none");
+DEFINE_string(expect, "",
+              "print the text that the first load's model gives for this prompt and exit");
+DEFINE_int32(max_tokens, 64, "length of the text that --expect prints, in tokens");
 DEFINE_string(platform, "", "ip:port of the weight store that ordered loads are read from");
 
 namespace fescuedeck::standins {
@@ -244,6 +247,12 @@
     std::map<std::string, int> m_refusals;
 };
 
+void printExpectedText(const model_load &load)
+{
+    const model_identity model{ load.model, load.version, "", load.layers };
+    std::printf("%s\n", expectedText(model, FLAGS_expect, FLAGS_max_tokens).c_str());
+}
+
 } // namespace
 } // namespace fescuedeck::standins
 
@@ -255,6 +264,10 @@
         std::fprintf(stderr, "%s\n", loads.error().message().c_str());
         return 1;
     }
+    if (!FLAGS_expect.empty()) {
+        fescuedeck::standins::printExpectedText(loads.value().front());
+        return 0;
+    }
     return fescuedeck::standins::engine_program(
                    fescuedeck::standins::optionsFromFlags(loads.value()))
             .run();
