--- a/src/fescuedeck/base/guarded.h
+++ b/src/fescuedeck/base/guarded.h
@@ -15,7 +15,8 @@
 public:
     template <class... Arguments>
     explicit guarded(lock_rank rank, Arguments &&...arguments)
-        : m_mutex(rank), m_value(std::forward<Arguments>(arguments)...)
+        : m_mutex(rank)
+        , m_value(std::forward<Arguments>(arguments)...)
     {
     }
 
--- a/src/fescuedeck/router/keyed_calls.cpp
+++ b/src/fescuedeck/router/keyed_calls.cpp
@@ -14,6 +14,10 @@
 // Outcomes kept for peers that ask; older ones are in the log.
 constexpr std::size_t maxOutcomes = 20000;
 
+// The wait for an answer has no limit of its own, because the call's deadline ends it. A timer
+// cannot hold time_point::max(), so the wait is made of slices.
+constexpr duration waitSlice = std::chrono::hours(1);
+
 call_time callNow()
 {
     return { steadyNow(), wallNow() };
@@ -290,7 +294,8 @@
         call->run(yield);
         --m_openCalls;
     });
-    answered.waitUntil(time_point::max(), exchange.yield());
+    while (!answered.waitUntil(steadyNow() + waitSlice, exchange.yield())) {
+    }
     return call->answer();
 }
 
--- a/src/fescuedeck/router/suspect_exchange.h
+++ b/src/fescuedeck/router/suspect_exchange.h
@@ -71,8 +71,8 @@
 
     struct tables
     {
-        explicit tables(crash_suspects_settings settings)
-            : suspects(std::move(settings))
+        explicit tables(const crash_suspects_settings &settings)
+            : suspects(settings)
         {
         }
         crash_suspects suspects;
