Make the order planner fast enough for the planned size

Cause: each plan looked up all endpoints of the bundle for every engine of the model and for every removal.

Capacities are now kept per plan and model, over the endpoints that hold or want layers of it. A doubtful order also counts until a report from after its end, because an earlier report does not show its effect. A drain waits 2 s instead of 5 s for the log before it goes to the routers.

--- a/src/fescuedeck/ctl/host_commands.cpp
+++ b/src/fescuedeck/ctl/host_commands.cpp
@@ -12,7 +12,7 @@
 
 constexpr duration routerTimeout = std::chrono::seconds(3);
 // A drain is urgent: the routers are told directly if the log takes longer.
-constexpr duration longestLogWait = std::chrono::seconds(5);
+constexpr duration longestLogWait = std::chrono::seconds(2);
 
 struct host_view
 {
--- a/src/fescuedeck/orders/order_planner.cpp
+++ b/src/fescuedeck/orders/order_planner.cpp
@@ -2,14 +2,9 @@
 
 #include <algorithm>
 
-#include "fescuedeck/orders/chain_capacity.h"
-
 namespace fescuedeck {
 namespace {
 
-// Capacities are sums of doubles in different orders.
-constexpr double relativeTolerance = 1e-6;
-
 bool contains(const std::vector<engine_load> &loads, const engine_load &load)
 {
     return std::find(loads.begin(), loads.end(), load) != loads.end();
@@ -22,66 +17,8 @@
            });
 }
 
-engine_load loadOf(const bundle &content, const endpoint_spec &endpoint)
-{
-    const model_spec *model = findModel(content, endpoint.model);
-    return { endpoint.model, endpoint.version, endpoint.layers,
-             model == nullptr ? std::vector<std::string>() : model->adapters };
-}
-
-// The load of the model that the endpoint would use: its wanted one first, or last.
-const engine_load *chooseLoad(const std::vector<engine_load> &loads, const std::string &model,
-                              const engine_load &wanted, bool wantedFirst)
-{
-    const engine_load *chosen = nullptr;
-    for (const engine_load &load : loads) {
-        if (load.model != model)
-            continue;
-        if (chosen == nullptr || (load == wanted) == wantedFirst)
-            chosen = &load;
-    }
-    return chosen;
-}
-
-// The endpoint's rate holds for its wanted range; a shorter range is faster in proportion.
-double rateOf(const endpoint_spec &endpoint, const engine_load &load)
-{
-    return endpoint.tokensPerSecond * endpoint.layers.size() / std::max(1, load.layers.size());
-}
-
 } // namespace
 
-namespace detail {
-
-double servingCapacity(const bundle &content, const std::string &model,
-                       const std::map<std::string, std::vector<engine_load>> &held)
-{
-    const model_spec *spec = findModel(content, model);
-    if (spec == nullptr)
-        return 0;
-    double best = 0;
-    for (const bool wantedFirst : { true, false }) {
-        std::map<std::string, range_capacities> byVersion;
-        for (const endpoint_spec &endpoint : content.endpoints) {
-            const auto found = held.find(endpoint.id);
-            if (found == held.end())
-                continue;
-            const engine_load *load
-                    = chooseLoad(found->second, model, loadOf(content, endpoint), wantedFirst);
-            if (load != nullptr)
-                byVersion[load->version][{ load->layers.begin, load->layers.end }]
-                        += rateOf(endpoint, *load);
-        }
-        double total = 0;
-        for (const auto &[version, ranges] : byVersion)
-            total += chainCapacity(ranges, spec->layers);
-        best = std::max(best, total);
-    }
-    return best;
-}
-
-} // namespace detail
-
 order_planner::order_planner(planner_policy policy, std::string model)
     : m_policy(policy)
     , m_model(std::move(model))
@@ -93,7 +30,10 @@
 {
     m_bundle = std::move(content);
     std::map<std::string, engine> remaining;
+    m_endpoints.clear();
     for (const endpoint_spec &endpoint : m_bundle->endpoints) {
+        if (endpoint.model == m_model)
+            m_endpoints.push_back(&endpoint);
         const auto found = m_engines.find(endpoint.id);
         if (found != m_engines.end())
             remaining.insert(*found);
@@ -117,6 +57,7 @@
     if (!accepted || !state.ordered)
         return;
     state.isAccepted = true;
+    state.acceptedAt = now;
     if (!state.isFenced)
         state.fencedAt = now;
     state.isFenced = true;
@@ -146,8 +87,9 @@
 }
 
 // Drops the doubtful orders that can no longer take effect: an engine that checks the fencing
-// number has accepted a higher one, or any other engine has had the time to act on them.
-void order_planner::settleDoubts(time_point now)
+// number has accepted a higher one, or any other engine has had the time to act on them, and a
+// report from after that shows their effect.
+void order_planner::settleDoubts()
 {
     for (const endpoint_spec &endpoint : m_bundle->endpoints) {
         const auto found = m_engines.find(endpoint.id);
@@ -155,9 +97,11 @@
             continue;
         engine &state = found->second;
         const auto isSettled = [&](const sent_order &order) {
-            if (endpoint.checksFencing)
-                return state.isAccepted && state.ordered->fencing > order.fencing;
-            return now >= order.at + m_policy.longestDelivery + m_policy.reportLag;
+            const bool isShutOut = state.isAccepted && state.ordered->fencing > order.fencing;
+            const time_point end = endpoint.checksFencing ? state.acceptedAt
+                                                          : order.at + m_policy.longestDelivery;
+            return (isShutOut || !endpoint.checksFencing)
+                   && state.reportedAt >= end + m_policy.reportLag;
         };
         state.doubtful.erase(
                 std::remove_if(state.doubtful.begin(), state.doubtful.end(), isSettled),
@@ -174,11 +118,13 @@
         for (auto &[id, state] : m_engines)
             forget(state);
     }
-    settleDoubts(now);
-    holdings held = currentHoldings(now);
+    settleDoubts();
+    planning current{
+        now, authority, { *m_bundle, currentHoldings(now) }, isModelSettled(now, authority)
+    };
     std::vector<engine_order> orders;
-    for (const endpoint_spec *endpoint : byScarcity(held)) {
-        if (auto order = planEngine(*endpoint, held, now, authority))
+    for (const endpoint_spec *endpoint : byScarcity(current.capacity)) {
+        if (auto order = planEngine(*endpoint, current))
             orders.push_back(std::move(*order));
     }
     return orders;
@@ -186,22 +132,14 @@
 
 bool order_planner::hasConverged(time_point now) const
 {
-    if (!m_bundle)
-        return false;
-    for (const endpoint_spec &endpoint : m_bundle->endpoints) {
-        if (endpoint.model != m_model)
-            continue;
-        const auto found = m_engines.find(endpoint.id);
-        if (found == m_engines.end() || !isFresh(found->second, now)
-            || !sameLoads(found->second.report->loads, { wantedLoad(endpoint) }))
-            return false;
-    }
-    return true;
-}
-
-engine_load order_planner::wantedLoad(const endpoint_spec &endpoint) const
-{
-    return loadOf(*m_bundle, endpoint);
+    return m_bundle
+           && std::all_of(m_endpoints.begin(), m_endpoints.end(),
+                          [&](const endpoint_spec *endpoint) {
+                              const auto found = m_engines.find(endpoint->id);
+                              return found != m_engines.end() && isFresh(found->second, now)
+                                     && sameLoads(found->second.report->loads,
+                                                  { detail::wantedLoad(*m_bundle, *endpoint) });
+                          });
 }
 
 bool order_planner::isFresh(const engine &state, time_point now) const
@@ -210,18 +148,32 @@
            && now <= state.reportedAt + m_policy.reportExpiry;
 }
 
-// What each engine holds and will keep holding: reported, and not dropped by an order that the
-// report may not show yet.
-order_planner::holdings order_planner::currentHoldings(time_point now) const
+// Models whose layers this model's engines hold or are to hold.
+std::set<std::string> order_planner::modelsInUse(time_point now) const
+{
+    std::set<std::string> models = { m_model };
+    for (const endpoint_spec *endpoint : m_endpoints) {
+        const auto found = m_engines.find(endpoint->id);
+        if (found == m_engines.end() || !isFresh(found->second, now))
+            continue;
+        for (const engine_load &load : found->second.report->loads)
+            models.insert(load.model);
+    }
+    return models;
+}
+
+// What each engine holds of these models and will keep holding: reported, and not dropped by an
+// order that the report may not show yet.
+detail::engine_holdings order_planner::currentHoldings(time_point now) const
 {
-    holdings held;
+    const std::set<std::string> models = modelsInUse(now);
+    detail::engine_holdings held;
     for (const auto &[id, state] : m_engines) {
         if (!isFresh(state, now))
             continue;
-        std::vector<engine_load> &loads = held[id];
         for (const engine_load &load : state.report->loads) {
-            if (isCertain(state, load))
-                loads.push_back(load);
+            if (models.count(load.model) != 0 && isCertain(state, load))
+                held[id].push_back(load);
         }
     }
     return held;
@@ -237,58 +189,57 @@
 
 // The model's engines, those first whose wanted range the fewest engines hold, so that paced loads
 // go where they are needed most.
-std::vector<const endpoint_spec *> order_planner::byScarcity(const holdings &held) const
+std::vector<const endpoint_spec *>
+order_planner::byScarcity(const detail::serving_capacity &capacity) const
 {
-    std::vector<std::pair<double, const endpoint_spec *>> ranked;
-    for (const endpoint_spec &endpoint : m_bundle->endpoints) {
-        if (endpoint.model != m_model)
-            continue;
-        const engine_load wanted = wantedLoad(endpoint);
-        const auto holders = std::count_if(held.begin(), held.end(), [&](const auto &entry) {
-            return contains(entry.second, wanted);
-        });
-        ranked.emplace_back(static_cast<double>(holders), &endpoint);
+    const auto rangeOf = [](const endpoint_spec &endpoint) {
+        return std::make_pair(endpoint.layers.begin, endpoint.layers.end);
+    };
+    std::map<std::pair<int, int>, int> holders;
+    for (const endpoint_spec *endpoint : m_endpoints) {
+        if (contains(capacity.loadsOf(endpoint->id), detail::wantedLoad(*m_bundle, *endpoint)))
+            ++holders[rangeOf(*endpoint)];
     }
-    std::stable_sort(ranked.begin(), ranked.end(),
-                     [](const auto &a, const auto &b) { return a.first < b.first; });
-    std::vector<const endpoint_spec *> endpoints;
-    for (const auto &[holders, endpoint] : ranked)
-        endpoints.push_back(endpoint);
+    std::vector<const endpoint_spec *> endpoints = m_endpoints;
+    std::stable_sort(endpoints.begin(), endpoints.end(),
+                     [&](const endpoint_spec *a, const endpoint_spec *b) {
+                         return holders[rangeOf(*a)] < holders[rangeOf(*b)];
+                     });
     return endpoints;
 }
 
-std::optional<engine_order> order_planner::planEngine(const endpoint_spec &endpoint, holdings &held,
-                                                      time_point now,
-                                                      const order_authority &authority)
+std::optional<engine_order> order_planner::planEngine(const endpoint_spec &endpoint,
+                                                      planning &current)
 {
     const auto found = m_engines.find(endpoint.id);
-    if (found == m_engines.end() || !isFresh(found->second, now))
+    if (found == m_engines.end() || !isFresh(found->second, current.now))
         return std::nullopt;
-    const std::vector<engine_load> target = targetOf(endpoint, held, now, authority);
-    if (!needsOrder(endpoint, target, now, authority))
+    const std::vector<engine_load> target = targetOf(endpoint, current);
+    if (!needsOrder(endpoint, target, current))
         return std::nullopt;
     engine &state = found->second;
     doubtOrder(state);
-    state.ordered = sent_order{ authority.fencing, target, now };
+    state.ordered = sent_order{ current.authority.fencing, target, current.now };
     state.isAccepted = false;
-    return engine_order{ endpoint.id, endpoint.address, authority.fencing, target };
+    return engine_order{ endpoint.id, endpoint.address, current.authority.fencing, target };
 }
 
-std::vector<engine_load> order_planner::targetOf(const endpoint_spec &endpoint, holdings &held,
-                                                 time_point now, const order_authority &authority)
+std::vector<engine_load> order_planner::targetOf(const endpoint_spec &endpoint, planning &current)
 {
-    const engine_load wanted = wantedLoad(endpoint);
+    const engine_load wanted = detail::wantedLoad(*m_bundle, endpoint);
+    const std::vector<engine_load> present = current.capacity.loadsOf(endpoint.id);
     std::vector<engine_load> target;
-    if (!contains(held[endpoint.id], wanted)) {
-        target = held[endpoint.id];
-        if (mayLoad(endpoint, wanted, now))
+    if (!contains(present, wanted)) {
+        target = present;
+        if (mayLoad(endpoint, wanted, current.now))
             target.push_back(wanted);
         return target;
     }
-    const bool mayRemove = isModelSettled(held, now, authority);
-    const std::vector<engine_load> present = held[endpoint.id];
     for (const engine_load &load : present) {
-        if (load == wanted || !mayRemove || !remove(endpoint.id, load, held))
+        const bool isRemoved
+                = load != wanted && current.mayRemove
+                  && current.capacity.removeIfSpare(endpoint.id, load, m_policy.neededShare);
+        if (!isRemoved)
             target.push_back(load);
     }
     return target;
@@ -305,29 +256,13 @@
     return m_budget.take(wanted.layers.size(), now);
 }
 
-bool order_planner::isModelSettled(const holdings &held, time_point now,
-                                   const order_authority &authority) const
+bool order_planner::isModelSettled(time_point now, const order_authority &authority) const
 {
-    return std::all_of(m_bundle->endpoints.begin(), m_bundle->endpoints.end(),
-                       [&](const endpoint_spec &endpoint) {
-                           return endpoint.model != m_model || held.count(endpoint.id) == 0
-                                  || isSettled(endpoint, now, authority);
-                       });
-}
-
-// Takes the load out of held if the rest has the needed capacity, or no less than before.
-bool order_planner::remove(const std::string &endpoint, const engine_load &load,
-                           holdings &held) const
-{
-    const double before = servingCapacity(load.model, held);
-    const double floor = std::min(before, neededCapacity(load.model));
-    const std::vector<engine_load> present = held[endpoint];
-    auto &kept = held[endpoint];
-    kept.erase(std::find(kept.begin(), kept.end(), load));
-    if (servingCapacity(load.model, held) >= floor * (1 - relativeTolerance))
-        return true;
-    kept = present;
-    return false;
+    return std::all_of(m_endpoints.begin(), m_endpoints.end(), [&](const endpoint_spec *endpoint) {
+        const auto found = m_engines.find(endpoint->id);
+        return found == m_engines.end() || !isFresh(found->second, now)
+               || isSettled(*endpoint, now, authority);
+    });
 }
 
 // True if no order of a previous holder can change what the engine reports any more. An engine that
@@ -344,9 +279,10 @@
 }
 
 bool order_planner::needsOrder(const endpoint_spec &endpoint,
-                               const std::vector<engine_load> &target, time_point now,
-                               const order_authority &authority) const
+                               const std::vector<engine_load> &target,
+                               const planning &current) const
 {
+    const time_point now = current.now;
     const engine &state = m_engines.at(endpoint.id);
     const bool isOrdered = state.ordered && sameLoads(state.ordered->loads, target);
     const bool isDone = sameLoads(state.report->loads, target);
@@ -354,26 +290,11 @@
         return now >= state.ordered->at + m_policy.resendAfter;
     if (isOrdered) {
         const bool endsDoubt = endpoint.checksFencing && !state.doubtful.empty()
-                               && authority.fencing > state.ordered->fencing;
+                               && current.authority.fencing > state.ordered->fencing;
         return endsDoubt || (!isDone && now >= state.ordered->at + m_policy.loadTimeout);
     }
     const bool mustFence = endpoint.checksFencing && !state.isFenced;
     return mustFence || !isDone;
 }
 
-double order_planner::servingCapacity(const std::string &model, const holdings &held) const
-{
-    return detail::servingCapacity(*m_bundle, model, held);
-}
-
-double order_planner::neededCapacity(const std::string &model) const
-{
-    holdings wanted;
-    for (const endpoint_spec &endpoint : m_bundle->endpoints) {
-        if (endpoint.model == model)
-            wanted[endpoint.id] = { wantedLoad(endpoint) };
-    }
-    return m_policy.neededShare * servingCapacity(model, wanted);
-}
-
 } // namespace fescuedeck
--- a/src/fescuedeck/orders/order_planner.h
+++ b/src/fescuedeck/orders/order_planner.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 #include "fescuedeck/orders/engine_order.h"
 #include "fescuedeck/orders/lease_keeper.h"
 #include "fescuedeck/orders/load_budget.h"
+#include "fescuedeck/orders/serving_capacity.h"
 
 namespace fescuedeck {
 
@@ -72,53 +74,47 @@
         // Newest order of the current authority to this incarnation.
         std::optional<sent_order> ordered;
         bool isAccepted = false;
+        time_point acceptedAt{};
         // Earlier orders without an answer, which may still take effect.
         std::vector<sent_order> doubtful;
         bool isFenced = false; // accepted an order of the current authority
         time_point fencedAt{};
     };
-    using holdings = std::map<std::string, std::vector<engine_load>>; // by endpoint
+    // One call of plan.
+    struct planning
+    {
+        time_point now;
+        order_authority authority;
+        detail::serving_capacity capacity;
+        bool mayRemove = false;
+    };
 
-    engine_load wantedLoad(const endpoint_spec &endpoint) const;
     bool isFresh(const engine &state, time_point now) const;
-    holdings currentHoldings(time_point now) const;
-    std::vector<const endpoint_spec *> byScarcity(const holdings &held) const;
-    std::optional<engine_order> planEngine(const endpoint_spec &endpoint, holdings &held,
-                                           time_point now, const order_authority &authority);
-    std::vector<engine_load> targetOf(const endpoint_spec &endpoint, holdings &held, time_point now,
-                                      const order_authority &authority);
+    std::set<std::string> modelsInUse(time_point now) const;
+    detail::engine_holdings currentHoldings(time_point now) const;
+    std::vector<const endpoint_spec *> byScarcity(const detail::serving_capacity &capacity) const;
+    std::optional<engine_order> planEngine(const endpoint_spec &endpoint, planning &current);
+    std::vector<engine_load> targetOf(const endpoint_spec &endpoint, planning &current);
     bool mayLoad(const endpoint_spec &endpoint, const engine_load &wanted, time_point now);
-    bool remove(const std::string &endpoint, const engine_load &load, holdings &held) const;
-    bool isModelSettled(const holdings &held, time_point now,
-                        const order_authority &authority) const;
+    bool isModelSettled(time_point now, const order_authority &authority) const;
     bool isSettled(const endpoint_spec &endpoint, time_point now,
                    const order_authority &authority) const;
     bool needsOrder(const endpoint_spec &endpoint, const std::vector<engine_load> &target,
-                    time_point now, const order_authority &authority) const;
+                    const planning &current) const;
     static bool isCertain(const engine &state, const engine_load &load);
     static void forget(engine &state);
     static void doubtOrder(engine &state);
-    void settleDoubts(time_point now);
-    double servingCapacity(const std::string &model, const holdings &held) const;
-    double neededCapacity(const std::string &model) const;
+    void settleDoubts();
 
     planner_policy m_policy;
     std::string m_model;
     std::shared_ptr<const bundle> m_bundle;
     detail::load_budget m_budget;
-    std::map<std::string, engine> m_engines; // by endpoint id
-    std::int64_t m_since = -1;               // authority that the orders in m_engines belong to
+    std::vector<const endpoint_spec *> m_endpoints; // of the model, in m_bundle
+    std::map<std::string, engine> m_engines;        // by endpoint id
+    std::int64_t m_since = -1; // authority that the orders in m_engines belong to
 };
 
-namespace detail {
-
-// Tokens per second that the endpoints can serve with these loads of a model, where each endpoint
-// uses one of its loads: the bundle's if it has it, or else another. A lower bound of the capacity
-// during a change, in which endpoints hold old and new ranges.
-double servingCapacity(const bundle &content, const std::string &model,
-                       const std::map<std::string, std::vector<engine_load>> &held);
-
-} // namespace detail
 } // namespace fescuedeck
 
 #endif
--- /dev/null
+++ b/src/fescuedeck/orders/serving_capacity.cpp
@@ -0,0 +1,140 @@
+#include "fescuedeck/orders/serving_capacity.h"
+
+#include <algorithm>
+
+#include "fescuedeck/orders/chain_capacity.h"
+
+namespace fescuedeck::detail {
+namespace {
+
+// Capacities are sums of doubles in different orders.
+constexpr double relativeTolerance = 1e-6;
+
+bool holdsModel(const std::vector<engine_load> &loads, const std::string &model)
+{
+    return std::any_of(loads.begin(), loads.end(),
+                       [&](const engine_load &load) { return load.model == model; });
+}
+
+// The load of the model that an endpoint would use: its wanted one first, or last.
+const engine_load *chooseLoad(const std::vector<engine_load> &loads, const std::string &model,
+                              const engine_load &wanted, bool wantedFirst)
+{
+    const engine_load *chosen = nullptr;
+    for (const engine_load &load : loads) {
+        if (load.model != model)
+            continue;
+        if (chosen == nullptr || (load == wanted) == wantedFirst)
+            chosen = &load;
+    }
+    return chosen;
+}
+
+// The endpoint's rate holds for its wanted range; a shorter range is faster in proportion.
+double rateOf(const endpoint_spec &endpoint, const engine_load &load)
+{
+    return endpoint.tokensPerSecond * endpoint.layers.size() / std::max(1, load.layers.size());
+}
+
+} // namespace
+
+engine_load wantedLoad(const bundle &content, const endpoint_spec &endpoint)
+{
+    const model_spec *model = findModel(content, endpoint.model);
+    return { endpoint.model, endpoint.version, endpoint.layers,
+             model == nullptr ? std::vector<std::string>() : model->adapters };
+}
+
+serving_capacity::serving_capacity(const bundle &content, engine_holdings held)
+    : m_bundle(content)
+    , m_held(std::move(held))
+{
+}
+
+const std::vector<engine_load> &serving_capacity::loadsOf(const std::string &endpoint) const
+{
+    static const std::vector<engine_load> none;
+    const auto found = m_held.find(endpoint);
+    return found == m_held.end() ? none : found->second;
+}
+
+double serving_capacity::of(const std::string &model)
+{
+    const auto known = m_capacity.find(model);
+    if (known != m_capacity.end())
+        return known->second;
+    return m_capacity[model] = evaluate(model, m_held);
+}
+
+double serving_capacity::wanted(const std::string &model)
+{
+    const auto known = m_wanted.find(model);
+    if (known != m_wanted.end())
+        return known->second;
+    engine_holdings held;
+    for (const candidate &each : candidatesOf(model)) {
+        if (each.wanted.model == model)
+            held[each.endpoint->id] = { each.wanted };
+    }
+    return m_wanted[model] = evaluate(model, held);
+}
+
+bool serving_capacity::removeIfSpare(const std::string &endpoint, const engine_load &load,
+                                     double share)
+{
+    const double floor = std::min(of(load.model), share * wanted(load.model));
+    std::vector<engine_load> &loads = m_held[endpoint];
+    const std::vector<engine_load> before = loads;
+    loads.erase(std::remove(loads.begin(), loads.end(), load), loads.end());
+    const double after = evaluate(load.model, m_held);
+    if (after < floor * (1 - relativeTolerance)) {
+        loads = before;
+        return false;
+    }
+    m_capacity[load.model] = after;
+    return true;
+}
+
+// Endpoints that hold a range of the model or are to hold one.
+const std::vector<serving_capacity::candidate> &
+serving_capacity::candidatesOf(const std::string &model)
+{
+    const auto known = m_candidates.find(model);
+    if (known != m_candidates.end())
+        return known->second;
+    std::vector<candidate> &candidates = m_candidates[model];
+    for (const endpoint_spec &endpoint : m_bundle.endpoints) {
+        if (endpoint.model == model || holdsModel(loadsOf(endpoint.id), model))
+            candidates.push_back({ &endpoint, wantedLoad(m_bundle, endpoint) });
+    }
+    return candidates;
+}
+
+double serving_capacity::evaluate(const std::string &model, const engine_holdings &held)
+{
+    return std::max(evaluate(model, held, true), evaluate(model, held, false));
+}
+
+double serving_capacity::evaluate(const std::string &model, const engine_holdings &held,
+                                  bool wantedFirst)
+{
+    const model_spec *spec = findModel(m_bundle, model);
+    if (spec == nullptr)
+        return 0;
+    std::map<std::string, range_capacities> byVersion;
+    for (const candidate &each : candidatesOf(model)) {
+        const auto found = held.find(each.endpoint->id);
+        const engine_load *load
+                = found == held.end() ? nullptr
+                                      : chooseLoad(found->second, model, each.wanted, wantedFirst);
+        if (load != nullptr)
+            byVersion[load->version][{ load->layers.begin, load->layers.end }]
+                    += rateOf(*each.endpoint, *load);
+    }
+    double total = 0;
+    for (const auto &[version, ranges] : byVersion)
+        total += chainCapacity(ranges, spec->layers);
+    return total;
+}
+
+} // namespace fescuedeck::detail
