Try: weigh streams in flight by their expected token rate

Cause: a crowded endpoint slows its streams down, which lowers their expected rate and makes it look less loaded.

--- a/bench/fake_fleet.cpp
+++ b/bench/fake_fleet.cpp
@@ -150,6 +150,7 @@
     int delivered = 0;
     int attempt = 0;
     std::vector<stream_stage> stages;
+    double pace = 1;
     std::size_t position = 0; // stage of the hop under way
     std::vector<std::string> excluded;
     double predicted = 0;
@@ -427,9 +428,11 @@
     {
         stream &one = m_streams[index];
         one.stages.clear();
+        one.pace = chosen.pace;
         for (const route_stage &stage : chosen.stages) {
             one.stages.push_back({ m_slots[stage.endpoint], stage.layers });
-            m_routers[one.router].fleet.assign(stage.endpoint, stage.layers, at(m_now));
+            m_routers[one.router].fleet.assign(stage.endpoint, stage.layers, at(m_now),
+                                               chosen.pace);
         }
         one.isPrefill = true;
         one.position = 0;
@@ -439,8 +442,8 @@
     void release(stream &one)
     {
         for (const stream_stage &stage : one.stages)
-            m_routers[one.router].fleet.release(m_engines[stage.engine].id, stage.layers,
-                                                at(m_now));
+            m_routers[one.router].fleet.release(m_engines[stage.engine].id, stage.layers, at(m_now),
+                                                one.pace);
         one.stages.clear();
     }
 
@@ -695,11 +698,14 @@
                     inject(i, one.kind);
             }
         }
-        fleet_view rest = m_routers[0].fleet.view();
-        for (std::size_t i = 0; i < m_engines.size(); ++i)
-            rest.endpoints[i].usable = !m_engines[i].killed && !m_engines[i].frozen;
+        fleet_state rest;
+        rest.setWanted(fakeEndpoints(m_options.where), {});
+        for (const engine &one : m_engines) {
+            if (!one.killed && !one.frozen)
+                rest.probed(one.id, true, "1", {});
+        }
         m_outcome.boundAfterFaults
-                = buildLayerGraph(rest, { model, "v1", layerCount, fakeLinkSeconds }).bound;
+                = buildLayerGraph(rest.view(), { model, "v1", layerCount, fakeLinkSeconds }).bound;
     }
 
     void inject(int index, fault_kind kind)
--- a/src/fescuedeck/fleet/fleet_state.cpp
+++ b/src/fescuedeck/fleet/fleet_state.cpp
@@ -118,21 +118,23 @@
     settle(slot, now);
 }
 
-void fleet_state::assign(const std::string &id, const layer_range &layers, time_point now)
+void fleet_state::assign(const std::string &id, const layer_range &layers, time_point now,
+                         double pace)
 {
     const int slot = slotOf(id);
     if (slot < 0)
         return;
-    m_endpoints[slot].assign(layers);
+    m_endpoints[slot].assign(layers, pace);
     updateView(slot, now);
 }
 
-void fleet_state::release(const std::string &id, const layer_range &layers, time_point now)
+void fleet_state::release(const std::string &id, const layer_range &layers, time_point now,
+                          double pace)
 {
     const int slot = slotOf(id);
     if (slot < 0)
         return;
-    m_endpoints[slot].release(layers);
+    m_endpoints[slot].release(layers, pace);
     updateView(slot, now);
 }
 
