--- a/bench/fake_fleet.cpp
+++ b/bench/fake_fleet.cpp
@@ -150,7 +150,6 @@
     int delivered = 0;
     int attempt = 0;
     std::vector<stream_stage> stages;
-    double pace = 1;
     std::size_t position = 0; // stage of the hop under way
     std::vector<std::string> excluded;
     double predicted = 0;
@@ -428,11 +427,9 @@
     {
         stream &one = m_streams[index];
         one.stages.clear();
-        one.pace = chosen.pace;
         for (const route_stage &stage : chosen.stages) {
             one.stages.push_back({ m_slots[stage.endpoint], stage.layers });
-            m_routers[one.router].fleet.assign(stage.endpoint, stage.layers, at(m_now),
-                                               chosen.pace);
+            m_routers[one.router].fleet.assign(stage.endpoint, stage.layers, at(m_now));
         }
         one.isPrefill = true;
         one.position = 0;
@@ -442,8 +439,8 @@
     void release(stream &one)
     {
         for (const stream_stage &stage : one.stages)
-            m_routers[one.router].fleet.release(m_engines[stage.engine].id, stage.layers, at(m_now),
-                                                one.pace);
+            m_routers[one.router].fleet.release(m_engines[stage.engine].id, stage.layers,
+                                                at(m_now));
         one.stages.clear();
     }
 
--- a/src/fescuedeck/fleet/endpoint_state.cpp
+++ b/src/fescuedeck/fleet/endpoint_state.cpp
@@ -209,16 +209,16 @@
     return static_cast<double>(layers.size()) / std::max(1, m_wanted.layers.size());
 }
 
-void endpoint_state::assign(const layer_range &layers, double pace)
+void endpoint_state::assign(const layer_range &layers)
 {
-    m_ownInFlight += fractionOf(layers) * pace;
-    m_sentSinceReport += fractionOf(layers) * pace;
+    m_ownInFlight += fractionOf(layers);
+    m_sentSinceReport += fractionOf(layers);
 }
 
-void endpoint_state::release(const layer_range &layers, double pace)
+void endpoint_state::release(const layer_range &layers)
 {
-    m_ownInFlight = std::max(0.0, m_ownInFlight - fractionOf(layers) * pace);
-    m_sentSinceReport = std::max(0.0, m_sentSinceReport - fractionOf(layers) * pace);
+    m_ownInFlight = std::max(0.0, m_ownInFlight - fractionOf(layers));
+    m_sentSinceReport = std::max(0.0, m_sentSinceReport - fractionOf(layers));
 }
 
 void endpoint_state::peerInFlight(const std::string &peer, double inFlight, time_point now)
--- a/src/fescuedeck/fleet/endpoint_state.h
+++ b/src/fescuedeck/fleet/endpoint_state.h
@@ -121,10 +121,9 @@
     void keepInUse();
 
     // In-flight work in units of the whole layer range: a stream that uses half of the range counts
-    // one half. pace weighs a stream by its expected token rate, see route::pace; release with the
-    // same value.
-    void assign(const layer_range &layers, double pace = 1);
-    void release(const layer_range &layers, double pace = 1);
+    // one half.
+    void assign(const layer_range &layers);
+    void release(const layer_range &layers);
     void peerInFlight(const std::string &peer, double inFlight, time_point now);
     double ownInFlight() const { return m_ownInFlight; }
     double inFlight(time_point now) const;
--- a/src/fescuedeck/fleet/fleet_state.cpp
+++ b/src/fescuedeck/fleet/fleet_state.cpp
@@ -118,23 +118,21 @@
     settle(slot, now);
 }
 
-void fleet_state::assign(const std::string &id, const layer_range &layers, time_point now,
-                         double pace)
+void fleet_state::assign(const std::string &id, const layer_range &layers, time_point now)
 {
     const int slot = slotOf(id);
     if (slot < 0)
         return;
-    m_endpoints[slot].assign(layers, pace);
+    m_endpoints[slot].assign(layers);
     updateView(slot, now);
 }
 
-void fleet_state::release(const std::string &id, const layer_range &layers, time_point now,
-                          double pace)
+void fleet_state::release(const std::string &id, const layer_range &layers, time_point now)
 {
     const int slot = slotOf(id);
     if (slot < 0)
         return;
-    m_endpoints[slot].release(layers, pace);
+    m_endpoints[slot].release(layers);
     updateView(slot, now);
 }
 
--- a/src/fescuedeck/fleet/fleet_state.h
+++ b/src/fescuedeck/fleet/fleet_state.h
@@ -74,9 +74,8 @@
     void applyReport(const std::string &id, const endpoint_report &report, time_point now);
 
     // Own work. A stream is assigned to each stage of its route while it lasts; calls are its hops.
-    // pace is that of the route; release with the same value.
-    void assign(const std::string &id, const layer_range &layers, time_point now, double pace = 1);
-    void release(const std::string &id, const layer_range &layers, time_point now, double pace = 1);
+    void assign(const std::string &id, const layer_range &layers, time_point now);
+    void release(const std::string &id, const layer_range &layers, time_point now);
     void callSucceeded(const std::string &id, const std::string &incarnation,
                        const hop_timing &timing, time_point now);
     void callFailed(const std::string &id, time_point now);
--- a/src/fescuedeck/routing/route_planner.cpp
+++ b/src/fescuedeck/routing/route_planner.cpp
@@ -22,11 +22,6 @@
 // Growth of the queue cost with the load relative to that. The queue cost of a layer is the same
 // for all accelerators: under load, a slow endpoint with room is worth as much as a fast one.
 constexpr double loadExponent = 6;
-// Expected time of a hop before any was measured.
-constexpr double firstHopSeconds = 0.01;
-// A pace outside these limits is a measuring error.
-constexpr double lowestPace = 0.1;
-constexpr double highestPace = 10;
 // Prompt positions are processed together and cost this part of an output token.
 constexpr double prefillPart = 0.1;
 
@@ -36,7 +31,6 @@
     bool usable = false;
     bool full = false;
     double fixed = 0;    // seconds for each token that visits it
-    double expected = 0; // seconds that a token takes there, with its wait
     double perLayer = 0; // seconds for each token and layer
 };
 
@@ -113,7 +107,6 @@
         cost.perLayer *= suspectFactor;
     const double tieBreak = 1 + tieBreakSpread * uniformReal(random);
     cost.perLayer *= tieBreak;
-    cost.expected = view.hopSeconds > 0 ? view.hopSeconds : firstHopSeconds;
     cost.fixed = (hopSeconds + view.hopSeconds - view.waitSeconds) * tieBreak
                  + (cost.full ? fullPenalty : 0);
     return cost;
@@ -177,7 +170,6 @@
     route trace(int domain) const
     {
         route found;
-        double seconds = 0;
         int boundary = static_cast<int>(m_graph.boundaries.size()) - 1;
         while (boundary > 0) {
             const step_to &step = m_steps[boundary * m_domains + domain];
@@ -185,13 +177,10 @@
             found.stages.push_back(
                     { endpoint.id,
                       { m_graph.boundaries[step.boundary], m_graph.boundaries[boundary] } });
-            seconds += m_costs[step.endpoint].expected
-                       + linkCost(m_graph, m_request, m_router, step.domain, endpoint.domain);
             found.isFull = found.isFull || m_costs[step.endpoint].full;
             boundary = step.boundary;
             domain = step.domain;
         }
-        found.pace = std::clamp(roundSeconds / seconds, lowestPace, highestPace);
         std::reverse(found.stages.begin(), found.stages.end());
         return found;
     }
--- a/src/fescuedeck/routing/route_planner.h
+++ b/src/fescuedeck/routing/route_planner.h
@@ -29,9 +29,6 @@
 struct route
 {
     std::vector<route_stage> stages;
-    // Expected token rate relative to one token in 35 ms. A stream on a short route loads its
-    // endpoints more than one that is mostly elsewhere. Pass it to fleet_state::assign and release.
-    double pace = 1;
     // A stage is at its in-flight limit: a new request should wait in the queue instead.
     bool isFull = false;
 };
