Benchmark: stage limits near what a stage serves in 32 ms

Cause: limits started at 8 for all stages and followed levels seen with noise; a stage at its limit costs a penalty in route selection, so the load moved to small endpoints without one (124 streams on an endpoint whose share was 41).

--- a/bench/fake_fleet.cpp
+++ b/bench/fake_fleet.cpp
@@ -21,6 +21,8 @@
 constexpr double refreshInterval = 0.1;
 constexpr double scanInterval = 0.005; // of step deadlines and queues
 constexpr double rampUp = 8;           // over which the streams of a closed loop start
+// Streams that a stage serves in this time are its first limit; the learned one stays within 20 %.
+constexpr double limitSeconds = 0.032;
 constexpr double heatRamp = 2.0;
 constexpr double heatFactor = 12.0;
 constexpr int segmentLayers = 4;
@@ -263,7 +265,11 @@
             one.fleet.setWanted(wanted, at(0));
             for (const engine &each : m_engines)
                 one.fleet.probed(each.id, true, "1", at(0));
-            one.limiters.resize(m_engines.size());
+            for (const wanted_endpoint &each : wanted) {
+                const double served = each.tokensPerSecond * limitSeconds;
+                one.limiters.push_back(stage_limiter({ served, served * 0.8, served * 1.2, 0.97 }));
+                one.fleet.setLimit(each.id, m_options.streams > 0 ? 0 : served);
+            }
             one.table = std::make_unique<route_table>(
                     graph_request{ model, "v1", layerCount, fakeLinkSeconds });
             one.table->rebuildIfChanged(one.fleet.view());
