--- a/src/fescuedeck/admission/work_predictor.h
+++ b/src/fescuedeck/admission/work_predictor.h
@@ -1,7 +1,7 @@
 // Predicted output length of a request, learned for each workspace and model.
 //
 // Use it to charge a request in the fair queue before it runs. Not thread-safe. Memory grows with
-// the number of (workspace, model) pairs that were used, 40 bytes each.
+// the number of (workspace, model) pairs that were used, about 60 bytes each.
 #ifndef FESCUEDECK_ADMISSION_WORK_PREDICTOR_H
 #define FESCUEDECK_ADMISSION_WORK_PREDICTOR_H
 
--- a/src/fescuedeck/routing/route_planner.cpp
+++ b/src/fescuedeck/routing/route_planner.cpp
@@ -18,7 +18,7 @@
 constexpr double tieBreakSpread = 0.02;
 // Time in which a stream that passes all layers gets one token when every endpoint carries its part
 // of the split. The load that is neutral for an endpoint is what it serves in this time.
-constexpr double roundSeconds = 0.035;
+constexpr double roundSeconds = 0.025;
 // Growth of the queue cost with the load relative to that. The queue cost of a layer is the same
 // for all accelerators: under load, a slow endpoint with room is worth as much as a fast one.
 constexpr double loadExponent = 6;
