--- a/tests/process/fleet_fixture.cpp
+++ b/tests/process/fleet_fixture.cpp
@@ -260,6 +260,20 @@
     });
 }
 
+bool fleet_fixture::waitUntilServing()
+{
+    const std::size_t expected = engines.size() + services.size();
+    return waitUntilReady() && waitForRouters([&](const router_member &router) {
+               const auto status = client.get(router.operators, "/status");
+               if (!status.is_object() || !status.contains("endpoints"))
+                   return false;
+               std::size_t serving = 0;
+               for (const auto &endpoint : status["endpoints"])
+                   serving += endpoint["state"] == "serving" ? 1 : 0;
+               return serving == expected;
+           });
+}
+
 bool fleet_fixture::waitUntilInForce(std::int64_t version)
 {
     return waitForRouters([&](const router_member &router) {
--- a/tests/process/fleet_fixture.h
+++ b/tests/process/fleet_fixture.h
@@ -75,6 +75,8 @@
     const bundle &currentBundle() const { return m_bundle; }
     // Signs it and appends proposal and signature to the control stream.
     void publish(const bundle &content);
+    // Whether all running routers become ready and list each endpoint of the bundle as serving.
+    bool waitUntilServing();
     // Whether all running routers become ready.
     bool waitUntilReady();
     // Whether all running routers put this bundle version, or a later one, in force.
--- a/tests/standins/standin_service_main.cpp
+++ b/tests/standins/standin_service_main.cpp
@@ -1,7 +1,11 @@
 // Desk service: POST .../signatures and .../reservations, GET .../signatures/<id>,
-// .../reservations/<id> and .../stock/<lot> below any prefix, GET /standin/counts.
+// .../reservations/<id> and .../stock/<lot> below any prefix, GET /standin/counts. POST
+// /standin/leave makes it leave: calls are then rejected before they have an effect.
+#include <random>
+
 #include <gflags/gflags.h>
 
+#include "fescuedeck/base/ids.h"
 #include "standins/service_model.h"
 #include "standins/standin_server.h"
 
@@ -38,8 +42,14 @@
     {
         m_server.addRoute("GET", "/standin/counts",
                           [this](http_exchange &) { return jsonResponse(200, m_desk.counts()); });
-        m_server.addRoute("GET", "/healthz", [](http_exchange &) {
-            return jsonResponse(200, { { "status", "ok" } });
+        m_server.addRoute("POST", "/standin/leave", [this](http_exchange &) {
+            m_isLeaving = true;
+            return jsonResponse(200, nlohmann::json::object());
+        });
+        m_server.addRoute("GET", "/healthz", [this](http_exchange &) {
+            return jsonResponse(m_isLeaving ? 503 : 200,
+                                { { "incarnation", m_incarnation },
+                                  { "state", m_isLeaving ? "leaving" : "serving" } });
         });
         m_server.addRoute("POST", "/", [this](http_exchange &call) { return write(call); });
         m_server.addRoute("GET", "/", [this](http_exchange &call) { return read(call); });
@@ -57,6 +67,8 @@
     {
         const http_request &request = exchange.request();
         const resource target = resourceOf(pathOf(request.target));
+        if (m_isLeaving)
+            return jsonResponse(503, { { "error", "leaving" } });
         if (target.collection.empty() || target.collection == "stock" || !target.id.empty())
             return jsonResponse(404, { { "error", "no such collection" } });
         takeTime(exchange);
@@ -70,6 +82,8 @@
     http_response read(http_exchange &exchange)
     {
         const resource target = resourceOf(pathOf(exchange.request().target));
+        if (m_isLeaving)
+            return jsonResponse(503, { { "error", "leaving" } });
         if (target.id.empty())
             return jsonResponse(404, { { "error", "no such record" } });
         takeTime(exchange);
@@ -82,6 +96,8 @@
     boost::asio::io_context m_ioContext{ 1 };
     standin_server m_server{ m_ioContext };
     service_model m_desk;
+    const std::string m_incarnation = randomHex(8, seededRandom(std::random_device()()));
+    bool m_isLeaving = false;
 };
 
 } // namespace
