--- a/src/fescuedeck/fleet/endpoint_state.cpp
+++ b/src/fescuedeck/fleet/endpoint_state.cpp
@@ -50,6 +50,7 @@
         m_step.reset();
         m_prefill.reset();
         m_history.reset();
+        m_iteration.reset();
         m_reported = 0;
         m_sentSinceReport = 0;
     }
@@ -62,6 +63,8 @@
     if (!adopt(report.incarnation))
         return;
     m_reported = report.running + report.waiting;
+    if (report.step.count() > 0)
+        m_iteration.add(seconds(report.step));
     m_sentSinceReport = 0;
     if (report.leaving)
         leave(report.incarnation);
@@ -74,7 +77,7 @@
 {
     if (!adopt(incarnation))
         return;
-    const double perLayer = seconds(timing.elapsed) / std::max(1, timing.layers.size());
+    const double perLayer = seconds(timing.elapsed) / std::max(1, m_wanted.layers.size());
     if (timing.tokens <= 1) {
         m_step.add(perLayer);
         m_history.add(perLayer);
@@ -101,6 +104,26 @@
     m_nextProbe = std::max(m_nextProbe, now);
 }
 
+void endpoint_state::timeOut(const hop_timing &timing, time_point now)
+{
+    const double perLayer = seconds(timing.elapsed) / std::max(1, m_wanted.layers.size());
+    if (timing.tokens <= 1)
+        m_step.add(perLayer);
+    else
+        m_prefill.add(perLayer / timing.tokens);
+    fail(now);
+}
+
+duration endpoint_state::deadline(const hop_timing &hop) const
+{
+    const bool isStep = hop.tokens <= 1;
+    const service_time &learned = isStep ? m_step : m_prefill;
+    const double time = learned.quantile() * m_wanted.layers.size() * std::max(1, hop.tokens);
+    const duration floor = isStep ? m_settings.stepDeadlineFloor : m_settings.prefillDeadlineFloor;
+    return std::max(floor,
+                    duration(static_cast<std::int64_t>(time * m_settings.deadlineFactor * 1e6)));
+}
+
 void endpoint_state::leave(const std::string &incarnation)
 {
     if (adopt(incarnation))
--- a/src/fescuedeck/fleet/endpoint_state.h
+++ b/src/fescuedeck/fleet/endpoint_state.h
@@ -80,6 +80,12 @@
     // Serving for this long without an ejection resets the backoff.
     duration stableTime = std::chrono::seconds(60);
     duration probeInterval = std::chrono::milliseconds(500);
+    // Deadline of a hop: a multiple of the learned quantile, with floors for a step and a prefill.
+    double deadlineFactor = 3.0;
+    duration stepDeadlineFloor = std::chrono::milliseconds(50);
+    // A prefill waits behind other prefills, and to start it again costs as much as it did: its
+    // floor is high, and failing steps show a dead endpoint sooner.
+    duration prefillDeadlineFloor = std::chrono::seconds(3);
     // A peer's digest older than this says nothing about its load.
     duration peerExpiry = std::chrono::seconds(3);
 };
@@ -100,6 +106,9 @@
     void report(const endpoint_report &report, time_point now);
     void succeed(const std::string &incarnation, const hop_timing &timing, time_point now);
     void fail(time_point now);
+    // A missed deadline: a failure whose time also counts for the learned quantile. Otherwise only
+    // the fast answers would be learned, and the deadline would stay too short under load.
+    void timeOut(const hop_timing &timing, time_point now);
     void leave(const std::string &incarnation);
     void hint(); // a peer's suspicion: asks for a probe and changes nothing else
     void probed(bool alive, const std::string &incarnation, time_point now);
@@ -124,10 +133,17 @@
 
     // Share of its normal load that it should get now, in (0, 1].
     double weight(time_point now) const;
-    // Seconds per layer of one step, with the queue at the endpoint.
+    // Seconds of one step with the queue at the endpoint, for each layer that the endpoint holds.
+    // An iteration of its batch passes all of them, so a hop over a part of them takes as long.
     const service_time &stepTime() const { return m_step; }
-    // Seconds per layer and token of a prefill.
+    // Same for each token of a prefill.
     const service_time &prefillTime() const { return m_prefill; }
+    // Time after which a hop counts as failed; the elapsed field is not used.
+    duration deadline(const hop_timing &hop) const;
+    // Long-term mean of stepTime().
+    double usualStepTime() const { return m_history.mean(); }
+    // Reported duration of one iteration, moving mean in seconds; 0 if unknown.
+    double iterationTime() const { return m_iteration.mean(); }
     // Step time over its own long-term level; 1 where either is unknown.
     double slowdown() const;
 
@@ -152,6 +168,7 @@
     service_time m_step{ 0.1 };
     service_time m_history{ 0.002 };
     service_time m_prefill{ 0.1 };
+    service_time m_iteration{ 0.2 };
     double m_ownInFlight = 0;
     double m_sentSinceReport = 0;
     double m_reported = 0;
