Peers: carry lone runs and crash evidence, fractional in-flight amounts, and the router's link

Purpose: routers exchange digests, states, outcomes of calls and reservations of suspects. In-flight amounts are fractions of an endpoint's layer range, which whole numbers would round away. The host of a drain that is not in the log yet is stated only by the router that was told, and counts while its digest does: a router that repeated what it heard could keep a host drained after an undrain.

--- a/src/fescuedeck/peer/peer_directory.cpp
+++ b/src/fescuedeck/peer/peer_directory.cpp
@@ -1,19 +1,9 @@
 #include "fescuedeck/peer/peer_directory.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 namespace fescuedeck {
-namespace {
-
-int addClamped(int a, int b)
-{
-    return b > std::numeric_limits<int>::max() - a ? std::numeric_limits<int>::max() : a + b;
-}
-
-} // namespace
-
 peer_directory::peer_directory(duration digestLifetime)
     : m_digestLifetime(digestLifetime)
 {
@@ -43,7 +33,7 @@
             continue;
         const peer_digest &digest = entry.digest;
         for (const auto &[endpoint, count] : digest.inFlight)
-            view.inFlight[endpoint] = addClamped(view.inFlight[endpoint], count);
+            view.inFlight[endpoint] += count;
         view.suspects.insert(digest.suspects.begin(), digest.suspects.end());
         view.leaving.insert(digest.leaving.begin(), digest.leaving.end());
         view.drained.insert(digest.drained.begin(), digest.drained.end());
@@ -52,13 +42,13 @@
     return view;
 }
 
-int peer_directory::inFlight(const std::string &endpoint, time_point now) const
+double peer_directory::inFlight(const std::string &endpoint, time_point now) const
 {
-    int total = 0;
+    double total = 0;
     for (const auto &[router, entry] : m_entries) {
         const auto found = entry.digest.inFlight.find(endpoint);
         if (entry.expires > now && found != entry.digest.inFlight.end())
-            total = addClamped(total, found->second);
+            total += found->second;
     }
     return total;
 }
--- a/src/fescuedeck/peer/peer_directory.h
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -18,7 +18,7 @@
 // Union of the digests in force.
 struct peer_view
 {
-    std::map<std::string, int> inFlight; // sum over the peers, by endpoint
+    std::map<std::string, double> inFlight; // sum over the peers, by endpoint
     std::set<std::string> suspects;
     std::set<std::string> leaving;
     std::set<std::string> drained;
@@ -49,7 +49,7 @@
 
     peer_view merged(time_point now) const;
     // Calls that peers have in flight on one endpoint.
-    int inFlight(const std::string &endpoint, time_point now) const;
+    double inFlight(const std::string &endpoint, time_point now) const;
     // The peer with the greatest version above this one; among equals the one that has read the
     // control stream furthest, then the first by id.
     std::optional<newer_bundle> newerBundle(std::int64_t version, time_point now) const;
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +14,9 @@
 // Deeper frames are refused before the recursive decoder of the JSON library sees them.
 constexpr int maxDepth = 8;
 constexpr std::size_t maxIdBytes = 512;
+// A router has fewer streams than this on one endpoint.
+constexpr double maxAmount = 1e6;
+constexpr std::size_t maxListItems = 10000;
 
 // Accepts a frame whose nesting and stated lengths are within limits.
 class frame_limiter : public nlohmann::json_sax<json>
@@ -120,23 +124,50 @@
         return values;
     }
 
-    std::map<std::string, int> counts(const char *name)
+    std::map<std::string, double> amounts(const char *name)
     {
-        std::map<std::string, int> values;
+        std::map<std::string, double> values;
         const json *object = find(name);
         if (!object || !object->is_object()) {
             reject(name);
             return values;
         }
         for (const auto &[key, value] : object->items()) {
-            const std::int64_t count = toInteger(value, name, 0, std::numeric_limits<int>::max());
-            values[key] = static_cast<int>(count);
-            if (key.size() > maxIdBytes)
+            const double amount = value.is_number() ? value.get<double>() : -1;
+            values[key] = amount;
+            if (key.size() > maxIdBytes || !(amount >= 0 && amount <= maxAmount))
                 reject(name);
         }
         return values;
     }
 
+    bool flag(const char *name)
+    {
+        const json *value = find(name);
+        if (value && value->is_boolean())
+            return value->get<bool>();
+        reject(name);
+        return false;
+    }
+
+    // Calls read with the fields of each element of a list of objects.
+    template <class Function>
+    void forEach(const char *name, Function read)
+    {
+        const json *list = find(name);
+        if (!list || !list->is_array() || list->size() > maxListItems) {
+            reject(name);
+            return;
+        }
+        for (const json &item : *list) {
+            field_reader fields(item);
+            if (item.is_object())
+                read(fields);
+            if (!item.is_object() || !fields.invalidField().empty())
+                reject(name);
+        }
+    }
+
     // Null if the object has no such field.
     const json *optional(const char *name) const
     {
@@ -171,6 +202,7 @@
     std::string m_invalidField;
 };
 
+constexpr std::int64_t maxPosition = std::numeric_limits<int>::max();
 constexpr std::int64_t maxInteger = std::numeric_limits<std::int64_t>::max();
 
 json encode(const peer_hello &message)
@@ -229,6 +261,57 @@
     return object;
 }
 
+json encode(const std::vector<crash_evidence> &evidence)
+{
+    json list = json::array();
+    for (const crash_evidence &each : evidence) {
+        list.push_back({ { "fingerprint", each.fingerprint },
+                         { "endpoint", each.endpoint },
+                         { "incarnation", each.incarnation },
+                         { "started_ms", each.startedAt.count() },
+                         { "crashed_ms", each.crashedAt.count() },
+                         { "position", each.position },
+                         { "ran_alone", each.ranAlone },
+                         { "passed", each.isPassed },
+                         { "cleared", each.isCleared } });
+    }
+    return list;
+}
+
+json encode(const announce_evidence &message)
+{
+    return { { "type", "crash_evidence" }, { "evidence", encode(message.evidence) } };
+}
+
+json encode(const ask_lone_run &message)
+{
+    return { { "type", "lone_run_request" },
+             { "fingerprint", message.fingerprint },
+             { "endpoint", message.endpoint },
+             { "ticket", message.ticket } };
+}
+
+json encode(const lone_run_reply &message)
+{
+    return { { "type", "lone_run_reply" },
+             { "ticket", message.ticket },
+             { "granted", message.isGranted },
+             { "evidence", encode(message.evidence) } };
+}
+
+json encode(const announce_lone_run &message)
+{
+    return { { "type", "lone_run_started" },
+             { "ticket", message.ticket },
+             { "started_ms", message.startedAt.count() },
+             { "position", message.position } };
+}
+
+json encode(const release_lone_run &message)
+{
+    return { { "type", "lone_run_released" }, { "ticket", message.ticket } };
+}
+
 peer_message parseHello(field_reader &fields)
 {
     peer_hello message;
@@ -251,7 +334,7 @@
     message.version = fields.integer("version", 0, maxInteger);
     message.hash = fields.text("hash");
     message.offset = fields.integer("offset", 0, maxInteger);
-    message.inFlight = fields.counts("in_flight");
+    message.inFlight = fields.amounts("in_flight");
     message.suspects = fields.textSet("suspects");
     message.leaving = fields.textSet("leaving");
     message.drained = fields.textSet("drained");
@@ -296,6 +379,67 @@
     return message;
 }
 
+std::vector<crash_evidence> parseEvidenceList(field_reader &fields)
+{
+    std::vector<crash_evidence> evidence;
+    fields.forEach("evidence", [&](field_reader &item) {
+        crash_evidence each;
+        each.fingerprint = item.identifier("fingerprint");
+        each.endpoint = item.identifier("endpoint");
+        each.incarnation = item.text("incarnation");
+        each.startedAt = unix_millis(item.integer("started_ms", 0, maxInteger));
+        each.crashedAt = unix_millis(item.integer("crashed_ms", 0, maxInteger));
+        each.position = static_cast<int>(item.integer("position", 0, maxPosition));
+        each.ranAlone = item.flag("ran_alone");
+        each.isPassed = item.flag("passed");
+        each.isCleared = item.flag("cleared");
+        evidence.push_back(std::move(each));
+    });
+    return evidence;
+}
+
+std::uint64_t parseTicket(field_reader &fields)
+{
+    return static_cast<std::uint64_t>(fields.integer("ticket", 0, maxInteger));
+}
+
+peer_message parseEvidence(field_reader &fields)
+{
+    return announce_evidence{ parseEvidenceList(fields) };
+}
+
+peer_message parseLoneRunRequest(field_reader &fields)
+{
+    ask_lone_run message;
+    message.fingerprint = fields.identifier("fingerprint");
+    message.endpoint = fields.identifier("endpoint");
+    message.ticket = parseTicket(fields);
+    return message;
+}
+
+peer_message parseLoneRunReply(field_reader &fields)
+{
+    lone_run_reply message;
+    message.ticket = parseTicket(fields);
+    message.isGranted = fields.flag("granted");
+    message.evidence = parseEvidenceList(fields);
+    return message;
+}
+
+peer_message parseLoneRunStarted(field_reader &fields)
+{
+    announce_lone_run message;
+    message.ticket = parseTicket(fields);
+    message.startedAt = unix_millis(fields.integer("started_ms", 0, maxInteger));
+    message.position = static_cast<int>(fields.integer("position", 0, maxPosition));
+    return message;
+}
+
+peer_message parseLoneRunReleased(field_reader &fields)
+{
+    return release_lone_run{ parseTicket(fields) };
+}
+
 struct message_parser
 {
     std::string_view type;
@@ -310,6 +454,11 @@
     { "bundle_state", parseBundleState },
     { "outcome_request", parseOutcomeRequest },
     { "outcome", parseOutcome },
+    { "crash_evidence", parseEvidence },
+    { "lone_run_request", parseLoneRunRequest },
+    { "lone_run_reply", parseLoneRunReply },
+    { "lone_run_started", parseLoneRunStarted },
+    { "lone_run_released", parseLoneRunReleased },
 };
 
 failure invalid(const std::string &what)
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -14,6 +14,7 @@
 
 #include "fescuedeck/base/error.h"
 #include "fescuedeck/base/name_table.h"
+#include "fescuedeck/stream/crash_suspects.h"
 
 namespace fescuedeck {
 
@@ -37,12 +38,13 @@
 {
     std::int64_t version = 0; // of the bundle in force, with its hash
     std::string hash;
-    std::int64_t offset = 0;             // next offset of the control stream
-    std::map<std::string, int> inFlight; // calls by endpoint
-    std::set<std::string> suspects;      // endpoints
-    std::set<std::string> leaving;       // endpoints
-    std::set<std::string> drained;       // hosts
-    std::set<std::string> quarantined;   // fingerprints
+    std::int64_t offset = 0; // next offset of the control stream
+    std::map<std::string, double>
+            inFlight;                  // streams by endpoint, in units of its whole layer range
+    std::set<std::string> suspects;    // endpoints
+    std::set<std::string> leaving;     // endpoint@incarnation
+    std::set<std::string> drained;     // hosts whose drain is not in the log yet
+    std::set<std::string> quarantined; // fingerprints
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
@@ -88,8 +90,11 @@
     std::optional<outcome_answer> answer;
 };
 
+// The messages about requests that crash endpoints are defined with their rules in
+// stream/crash_suspects.h. The peer of a lone_run_reply is the receiver and is not sent.
 using peer_message = std::variant<peer_hello, peer_proof, peer_digest, bundle_request, bundle_state,
-                                  outcome_request, outcome_reply>;
+                                  outcome_request, outcome_reply, announce_evidence, ask_lone_run,
+                                  lone_run_reply, announce_lone_run, release_lone_run>;
 
 // A bundle of the planned size (2,000 endpoints, 4,300 workspaces) is below 2 MiB.
 constexpr std::size_t maxPeerFrameBytes = 4 * 1024 * 1024;
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -22,6 +22,19 @@
     return digest;
 }
 
+crash_evidence sampleEvidence()
+{
+    crash_evidence evidence;
+    evidence.fingerprint = "f1";
+    evidence.endpoint = "e1";
+    evidence.incarnation = "i1";
+    evidence.startedAt = unix_millis(3);
+    evidence.crashedAt = unix_millis(4);
+    evidence.position = 12;
+    evidence.ranAlone = true;
+    return evidence;
+}
+
 std::string cborOf(const nlohmann::json &object)
 {
     std::string frame;
@@ -42,7 +55,12 @@
                                       bundle_state{ "{}" },
                                       outcome_request{ "key" },
                                       reply,
-                                      outcome_reply{ "key", outcome_status::InProgress, {} } };
+                                      outcome_reply{ "key", outcome_status::InProgress, {} },
+                                      announce_evidence{ { sampleEvidence() } },
+                                      ask_lone_run{ "f1", "e1", 7 },
+                                      lone_run_reply{ "", 7, true, { sampleEvidence() } },
+                                      announce_lone_run{ 7, unix_millis(5), 12 },
+                                      release_lone_run{ 7 } };
     for (const peer_message &message : messages) {
         const std::string frame = toCbor(message);
         const auto parsed = parsePeerMessage(frame);
--- a/src/fescuedeck/router/control_follower.cpp
+++ b/src/fescuedeck/router/control_follower.cpp
@@ -1,6 +1,7 @@
 #include "fescuedeck/router/control_follower.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "fescuedeck/base/ids.h"
 #include "fescuedeck/router/wait_event.h"
@@ -100,6 +101,7 @@
         for (const std::string &host : drained)
             tables.pendingDrains.erase(host);
         drained.insert(tables.pendingDrains.begin(), tables.pendingDrains.end());
+        drained.insert(tables.peerDrains.begin(), tables.peerDrains.end());
         return control_snapshot{ tables.state.acceptedBundle(), tables.state.acceptedVersion(),
                                  std::move(drained), tables.state.quarantined() };
     });
@@ -142,6 +144,15 @@
     install();
 }
 
+void control_follower::setPeerDrains(const std::set<std::string> &hosts)
+{
+    const bool isChanged = m_context.control.with([&](control_tables &tables) {
+        return std::exchange(tables.peerDrains, hosts) != hosts;
+    });
+    if (isChanged)
+        install();
+}
+
 void control_follower::append(const std::string &body)
 {
     const log_append record{ makeUuidV7(wallNow(), m_context.randomFn()), body };
--- a/src/fescuedeck/router/control_follower.h
+++ b/src/fescuedeck/router/control_follower.h
@@ -3,6 +3,7 @@
 #ifndef FESCUEDECK_ROUTER_CONTROL_FOLLOWER_H
 #define FESCUEDECK_ROUTER_CONTROL_FOLLOWER_H
 
+#include <set>
 #include <string>
 
 #include "fescuedeck/control/checkpoint_scheduler.h"
@@ -23,6 +24,8 @@
     void adopt(const std::string &checkpoint);
     // Makes a host leave at once, before its record has been read from the log. Thread-safe.
     void drainLocally(const std::string &host);
+    // Replaces the hosts that leave because peers say so. Thread-safe.
+    void setPeerDrains(const std::set<std::string> &hosts);
     // Appends a record of this router's own; repeats it during an outage. Thread-safe.
     void append(const std::string &body);
 
--- /dev/null
+++ b/src/fescuedeck/router/peer_link.cpp
@@ -0,0 +1,347 @@
+#include "fescuedeck/router/peer_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fescuedeck/control/control_record.h"
+#include "fescuedeck/telemetry/log_setup.h"
+
+namespace fescuedeck {
+namespace {
+
+// How long a router waits for a claimant's answer before it reports the outcome as unknown.
+constexpr duration outcomeTimeout = std::chrono::milliseconds(500);
+constexpr duration refreshInterval = std::chrono::milliseconds(250);
+// A whole control state is asked of one peer at most this often.
+constexpr duration stateRequestInterval = std::chrono::seconds(1);
+// Without contact to the log for this long, a peer that has read further is asked for its state.
+constexpr duration logSilence = std::chrono::seconds(2);
+
+// Name of a peer that differs between its incarnations, as in claims.
+std::string nameOfPeer(const std::string &router, const std::string &incarnation)
+{
+    return router + "/" + incarnation;
+}
+
+std::string routerOf(const std::string &name)
+{
+    return name.substr(0, name.rfind('/'));
+}
+
+peer_network_settings networkSettings(const router_context &context)
+{
+    peer_network_settings settings;
+    settings.identity.deployment = context.settings.deployment;
+    settings.identity.cell = std::to_string(context.settings.cell);
+    settings.identity.router = context.settings.routerId;
+    settings.identity.incarnation = context.incarnation;
+    settings.secret = context.settings.peers.secret;
+    settings.digestInterval = context.settings.peers.digestInterval;
+    settings.silenceLimit = context.settings.peers.digestExpiry;
+    return settings;
+}
+
+outcome_reply toReply(const std::string &key, const std::optional<peer_outcome> &outcome)
+{
+    outcome_reply reply;
+    reply.key = key;
+    if (!outcome || outcome->status == peer_call_status::Unknown)
+        return reply;
+    if (outcome->status == peer_call_status::InProgress) {
+        reply.status = outcome_status::InProgress;
+        return reply;
+    }
+    reply.status = outcome_status::Completed;
+    if (outcome->answer)
+        reply.answer = outcome_answer{ outcome->answer->status, outcome->answer->contentType,
+                                       outcome->answer->body.value_or("") };
+    return reply;
+}
+
+std::optional<peer_outcome> fromReply(const outcome_reply &reply)
+{
+    if (reply.status == outcome_status::InProgress)
+        return peer_outcome{ peer_call_status::InProgress, std::nullopt };
+    if (reply.status != outcome_status::Completed || !reply.answer)
+        return std::nullopt;
+    const stored_answer answer{ reply.answer->status, reply.answer->contentType,
+                                reply.answer->body };
+    return peer_outcome{ peer_call_status::Completed, answer };
+}
+
+} // namespace
+
+peer_link::peer_link(router_context &context, control_follower &control, keyed_calls &calls)
+    : m_context(context)
+    , m_control(control)
+    , m_calls(calls)
+    , m_tables(lock_rank::Peers, context.settings.peers.digestExpiry)
+    , m_network(context.io, networkSettings(context),
+                { [this] { return currentDigest(); },
+                  [this](const peer_hello &peer) { peerUp(peer); },
+                  [this](const peer_hello &peer) { peerDown(peer); },
+                  [this](const peer_hello &peer, const peer_message &message) {
+                      receive(peer, message);
+                  },
+                  [this](const failure &) {
+                      m_context.counters.counterOf("fescuedeck_peer_refusals_total").add();
+                  } },
+                context.randomFn())
+{
+    setSuspectHooks();
+    calls.setAskClaimant(
+            [this](const std::string &claimant, const std::string &key,
+                   boost::asio::yield_context yield) { return askClaimant(claimant, key, yield); });
+}
+
+std::error_code peer_link::start()
+{
+    m_network.setPeers(m_context.settings.peers.addresses);
+    const std::error_code error = m_network.start(m_context.settings.peers.address);
+    if (!error)
+        boost::asio::spawn(m_context.io,
+                           [this](boost::asio::yield_context yield) { refresh(yield); });
+    return error;
+}
+
+peer_digest peer_link::currentDigest() const
+{
+    peer_digest digest;
+    m_context.control.with([&](const control_tables &tables) {
+        digest.version = tables.state.acceptedVersion();
+        digest.hash = tables.state.acceptedHash();
+        digest.offset = tables.state.nextOffset();
+        digest.drained = tables.pendingDrains;
+    });
+    m_context.fleet.with([&](const fleet_tables &tables) {
+        digest.inFlight = tables.state.ownInFlight();
+        for (const endpoint_phase phase : { endpoint_phase::Suspect, endpoint_phase::Ejected }) {
+            for (const std::string &id : tables.state.withPhase(phase))
+                digest.suspects.insert(id);
+        }
+        for (const std::string &id : tables.state.withPhase(endpoint_phase::Leaving))
+            digest.leaving.insert(id + "@" + tables.state.find(id)->incarnation());
+    });
+    for (const quarantine_entry &entry : m_context.suspects.quarantined())
+        digest.quarantined.insert(entry.fingerprint);
+    return digest;
+}
+
+void peer_link::peerUp(const peer_hello &peer)
+{
+    logInfo("peers", "router " + peer.router + " is connected");
+    m_context.lastPeerContact = steadyNow();
+    m_tables.with([&](tables &all) { all.incarnations[peer.router] = peer.incarnation; });
+    const auto evidence = m_context.suspects.evidence();
+    if (!evidence.empty())
+        m_network.send(peer.router, announce_evidence{ evidence });
+}
+
+void peer_link::peerDown(const peer_hello &peer)
+{
+    logInfo("peers", "router " + peer.router + " is disconnected");
+    m_tables.with([&](tables &all) {
+        const auto entry = all.incarnations.find(peer.router);
+        if (entry != all.incarnations.end() && entry->second == peer.incarnation)
+            all.incarnations.erase(entry);
+    });
+}
+
+void peer_link::receive(const peer_hello &peer, const peer_message &message)
+{
+    m_context.lastPeerContact = steadyNow();
+    const std::string name = nameOfPeer(peer.router, peer.incarnation);
+    suspect_exchange &suspects = m_context.suspects;
+    if (const auto *digest = std::get_if<peer_digest>(&message))
+        receiveDigest(peer.router, *digest);
+    else if (std::holds_alternative<bundle_request>(message))
+        sendState(peer.router);
+    else if (const auto *state = std::get_if<bundle_state>(&message))
+        m_control.adopt(state->checkpoint);
+    else if (const auto *request = std::get_if<outcome_request>(&message))
+        sendOutcome(peer.router, request->key);
+    else if (const auto *reply = std::get_if<outcome_reply>(&message))
+        receiveOutcome(*reply);
+    else if (const auto *evidence = std::get_if<announce_evidence>(&message))
+        suspects.receivedEvidence(evidence->evidence);
+    else if (const auto *ask = std::get_if<ask_lone_run>(&message))
+        suspects.receivedAsk(name, *ask);
+    else if (const auto *answer = std::get_if<lone_run_reply>(&message))
+        suspects.receivedReply(name, *answer);
+    else if (const auto *started = std::get_if<announce_lone_run>(&message))
+        suspects.receivedStart(name, *started);
+    else if (const auto *release = std::get_if<release_lone_run>(&message))
+        suspects.receivedRelease(name, *release);
+}
+
+void peer_link::receiveDigest(const std::string &router, const peer_digest &digest)
+{
+    const time_point now = steadyNow();
+    m_tables.with([&](tables &all) { all.directory.onDigest(router, digest, now); });
+    m_context.fleet.with([&](fleet_tables &tables) {
+        tables.state.peerInFlight(router, digest.inFlight, now);
+        for (const std::string &id : digest.suspects)
+            tables.state.peerSuspects(id, now);
+        for (const std::string &entry : digest.leaving) {
+            const std::size_t at = entry.rfind('@');
+            if (at != std::string::npos && at + 1 < entry.size())
+                tables.state.peerSawLeaving(entry.substr(0, at), entry.substr(at + 1), now);
+        }
+    });
+    for (const std::string &fingerprint : digest.quarantined) {
+        if (!m_context.suspects.isQuarantined(fingerprint))
+            m_context.suspects.learnedQuarantine({ fingerprint, wallNow() });
+    }
+    if (!digest.drained.empty())
+        refreshOnce();
+    requestStateIfBehind(router, digest);
+}
+
+void peer_link::requestStateIfBehind(const std::string &router, const peer_digest &digest)
+{
+    const time_point now = steadyNow();
+    const bool isBehind = m_context.control.with([&](const control_tables &tables) {
+        const bool isLogSilent = now - tables.lastLogContact > logSilence;
+        return digest.version > tables.state.acceptedVersion()
+               || (isLogSilent && digest.offset > tables.state.nextOffset());
+    });
+    if (!isBehind)
+        return;
+    const bool mayAsk = m_tables.with([&](tables &all) {
+        time_point &last = all.stateRequests[router];
+        if (now - last < stateRequestInterval)
+            return false;
+        last = now;
+        return true;
+    });
+    if (mayAsk)
+        m_network.send(router, bundle_request{ digest.version });
+}
+
+void peer_link::sendState(const std::string &router)
+{
+    const std::string checkpoint = m_context.control.with([](const control_tables &tables) {
+        return tables.index ? tables.state.checkpoint() : std::string();
+    });
+    if (!checkpoint.empty())
+        m_network.send(router, bundle_state{ checkpoint });
+}
+
+void peer_link::sendOutcome(const std::string &router, const std::string &key)
+{
+    m_network.send(router, toReply(key, m_calls.outcomeOf(key)));
+}
+
+void peer_link::receiveOutcome(const outcome_reply &reply)
+{
+    m_tables.with([&](tables &all) {
+        for (const outcome_waiter &waiter : all.waiters) {
+            if (waiter.key != reply.key)
+                continue;
+            all.replies[reply.key] = reply;
+            waiter.event.set();
+        }
+    });
+}
+
+std::optional<peer_outcome> peer_link::askClaimant(const std::string &claimant,
+                                                   const std::string &key,
+                                                   boost::asio::yield_context yield)
+{
+    const std::string router = routerOf(claimant);
+    const wait_event replied(yield);
+    const bool isUp = m_tables.with([&](tables &all) {
+        const auto entry = all.incarnations.find(router);
+        // A restarted claimant has forgotten its calls; only the log can still know them.
+        if (entry == all.incarnations.end() || nameOfPeer(router, entry->second) != claimant)
+            return false;
+        all.waiters.push_back({ key, replied });
+        return true;
+    });
+    if (!isUp)
+        return std::nullopt;
+    m_network.send(router, outcome_request{ key });
+    const bool hasReply = replied.waitUntil(steadyNow() + outcomeTimeout, yield);
+    return m_tables.with([&](tables &all) -> std::optional<peer_outcome> {
+        auto &waiters = all.waiters;
+        const auto own = std::find_if(waiters.begin(), waiters.end(),
+                                      [&](const outcome_waiter &each) { return each.key == key; });
+        if (own != waiters.end())
+            waiters.erase(own);
+        const auto reply = all.replies.find(key);
+        if (!hasReply || reply == all.replies.end())
+            return std::nullopt;
+        const auto outcome = fromReply(reply->second);
+        const bool isAwaited
+                = std::any_of(waiters.begin(), waiters.end(),
+                              [&](const outcome_waiter &each) { return each.key == key; });
+        if (!isAwaited)
+            all.replies.erase(reply);
+        return outcome;
+    });
+}
+
+void peer_link::setSuspectHooks()
+{
+    suspect_hooks hooks;
+    hooks.announce = [this](const announce_evidence &message) { m_network.broadcast(message); };
+    hooks.ask = [this](const ask_lone_run &message) { m_network.broadcast(message); };
+    hooks.reply = [this](const lone_run_reply &message) {
+        m_network.send(routerOf(message.peer), message);
+    };
+    hooks.started = [this](const announce_lone_run &message) { m_network.broadcast(message); };
+    hooks.release = [this](const release_lone_run &message) { m_network.broadcast(message); };
+    hooks.quarantine = [this](const publish_quarantine &message) {
+        logWarning("peers", "request " + message.fingerprint + " is quarantined after "
+                                    + std::to_string(message.crashes) + " crashes");
+        m_control.append(recordBody(request_quarantined{ message.fingerprint, message.crashes }));
+        m_network.digestChanged();
+    };
+    m_context.suspects.setHooks(std::move(hooks));
+}
+
+std::vector<std::string> peer_link::livePeers() const
+{
+    return m_tables.with([](const tables &all) { return all.directory.livePeers(steadyNow()); });
+}
+
+void peer_link::refresh(boost::asio::yield_context yield)
+{
+    for (;;) {
+        refreshOnce();
+        sleepFor(refreshInterval, yield);
+    }
+}
+
+void peer_link::refreshOnce()
+{
+    struct peer_changes
+    {
+        std::set<std::string> names, drained, lost;
+    };
+    const time_point now = steadyNow();
+    const peer_changes changes = m_tables.with([&](tables &all) {
+        peer_changes found;
+        all.directory.expire(now);
+        found.drained = all.directory.merged(now).drained;
+        std::set<std::string> live;
+        for (const std::string &router : all.directory.livePeers(now)) {
+            live.insert(router);
+            const auto incarnation = all.incarnations.find(router);
+            if (incarnation != all.incarnations.end())
+                found.names.insert(nameOfPeer(router, incarnation->second));
+        }
+        std::set_difference(all.live.begin(), all.live.end(), live.begin(), live.end(),
+                            std::inserter(found.lost, found.lost.end()));
+        all.live = std::move(live);
+        return found;
+    });
+    m_context.fleet.with([&](fleet_tables &tables) {
+        for (const std::string &router : changes.lost)
+            tables.state.peerLost(router, now);
+    });
+    m_context.suspects.peersChanged(changes.names);
+    m_control.setPeerDrains(changes.drained);
+}
+
+} // namespace fescuedeck
--- a/src/fescuedeck/router/router.cpp
+++ b/src/fescuedeck/router/router.cpp
@@ -20,6 +20,7 @@
 #include "fescuedeck/router/fleet_monitor.h"
 #include "fescuedeck/router/keyed_calls.h"
 #include "fescuedeck/router/operators_handler.h"
+#include "fescuedeck/router/peer_link.h"
 #include "fescuedeck/router/router_context.h"
 #include "fescuedeck/router/service_handler.h"
 #include "fescuedeck/router/wait_event.h"
@@ -60,6 +61,7 @@
 
 private:
     bool listen();
+    bool listenForPeers();
     void shutDown(boost::asio::yield_context yield);
     void logHandlerException(const std::string &what);
     void drainHost(const std::string &host);
@@ -73,6 +75,7 @@
     control_follower m_control;
     fleet_monitor m_fleet;
     keyed_calls m_keyedCalls;
+    peer_link m_peers;
     completions_handler m_completions;
     service_handler m_services;
     caller_server m_callers;
@@ -90,11 +93,13 @@
     , m_control(m_context, m_admission, m_log)
     , m_fleet(m_context)
     , m_keyedCalls(m_context, m_log, m_appender)
+    , m_peers(m_context, m_control, m_keyedCalls)
     , m_completions(m_context, m_admission)
     , m_services(m_context, m_keyedCalls)
     , m_callers(m_context, m_completions, m_services)
     , m_operators(m_context, m_admission,
-                  { [this](const std::string &host) { drainHost(host); }, {} })
+                  { [this](const std::string &host) { drainHost(host); },
+                    [this] { return m_peers.livePeers(); } })
     , m_callersServer(m_io, callerLimits(settings),
                       [this](http_exchange &exchange) { m_callers.handle(exchange); })
     , m_operatorsServer(m_io, http_server_limits{},
@@ -115,6 +120,7 @@
 {
     m_control.drainLocally(host);
     m_control.append(recordBody(host_drained{ host }));
+    m_peers.digestChanged();
 }
 
 bool router::listen()
@@ -131,10 +137,26 @@
         std::fflush(stdout);
         return true;
     };
+    if (!m_context.settings.peers.address.empty() && !listenForPeers())
+        return false;
     return open(m_callersServer, "callers", m_context.settings.callersAddress)
            && open(m_operatorsServer, "operators", m_context.settings.operatorsAddress);
 }
 
+bool router::listenForPeers()
+{
+    const std::string &address = m_context.settings.peers.address;
+    const std::error_code error = m_peers.start();
+    if (error) {
+        logError("router", "peers cannot listen on " + address + ": " + error.message());
+        return false;
+    }
+    std::printf("peers %s:%u\n", address.substr(0, address.rfind(':')).c_str(),
+                static_cast<unsigned>(m_peers.port()));
+    std::fflush(stdout);
+    return true;
+}
+
 void router::shutDown(boost::asio::yield_context yield)
 {
     logInfo("router", "shutting down");
@@ -142,12 +164,16 @@
     sleepFor(m_context.settings.timing.shutdownNotice, yield);
     m_callersServer.stopAccepting();
     const time_point deadline = steadyNow() + m_context.settings.timing.shutdownTimeout;
-    while (m_callersServer.openExchanges() > 0 && steadyNow() < deadline)
+    const auto isBusy = [this] {
+        return m_callersServer.openExchanges() > 0 || m_keyedCalls.openCalls() > 0;
+    };
+    while (isBusy() && steadyNow() < deadline)
         sleepFor(shutdownPollInterval, yield);
     const int open = m_callersServer.openExchanges();
     if (open > 0)
         logWarning("router", std::to_string(open) + " requests were cut at the shutdown timeout");
     m_operatorsServer.stopAccepting();
+    m_peers.stop();
     m_io.stop();
 }
 
@@ -175,7 +201,9 @@
 
 int runRouter(const router_settings &settings)
 {
-    return router(settings).run();
+    // Not destroyed: coroutines that a shutdown cuts refer to parts that would be destroyed before
+    // the io_context unwinds them. The process ends here.
+    return (new router(settings))->run();
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/router/router_context.h
+++ b/src/fescuedeck/router/router_context.h
@@ -41,8 +41,10 @@
     std::shared_ptr<const bundle_index> index; // of the bundle in force; null before the first
     time_point lastLogContact{};
     bool isCaughtUp = false; // the last read reached the end of the stream
-    // Hosts that an operator or a peer drained and whose record has not been read from the log yet.
+    // Hosts that an operator drained here and whose record has not been read from the log yet.
     std::set<std::string> pendingDrains;
+    // The same as the peers state it now.
+    std::set<std::string> peerDrains;
 };
 
 struct fleet_tables
