Vary the order of events after a pause and the connection times in schedules

Purpose: a trial with mechanisms switched off showed that the call schedules did not cover a connection that becomes ready after the call was given up. Connections may now take up to 4 s, and the events of a pause are handled in any order after it. The crash schedules end a request that has no endpoint left, so that they also end without quarantine.

The deadline check before the send and the memory of released attempts are caught by the unit tests, not by the schedules: the claim alone already prevents a second execution.

--- a/src/fescuedeck/claims/idempotent_call_schedule_test.cpp
+++ b/src/fescuedeck/claims/idempotent_call_schedule_test.cpp
@@ -99,6 +99,8 @@
     call_time now(int index) const { return { m_schedule.now(), wall(index) }; }
     bool isDown(time_point until) const { return m_schedule.now() < until; }
     duration hop() { return m_schedule.between(milliseconds(1), milliseconds(4)); }
+    // The events of a pause are handled in any order after it.
+    duration jitter() { return duration(m_schedule.below(3000)); }
     bool fault() { return m_schedule.chance(m_faultRate); }
 
     // Runs the event when the router is not paused, unless it has been killed.
@@ -109,7 +111,7 @@
             if (m_routers[index].incarnation != incarnation)
                 return;
             if (isDown(m_routers[index].pausedUntil))
-                atRouter(index, m_routers[index].pausedUntil - m_schedule.now(), event);
+                atRouter(index, m_routers[index].pausedUntil - m_schedule.now() + jitter(), event);
             else
                 event();
         });
@@ -305,7 +307,8 @@
     {
         const int index = sent->router;
         const bool isReady = !fault();
-        atRouter(index, hop(), [this, sent, index, isReady] {
+        const duration time = fault() ? milliseconds(m_schedule.below(4000)) : hop();
+        atRouter(index, time, [this, sent, index, isReady] {
             perform(sent, isReady ? sent->call->connectionReady(now(index))
                                   : sent->call->connectionFailed(now(index)));
         });
--- a/src/fescuedeck/stream/crash_suspects_schedule_test.cpp
+++ b/src/fescuedeck/stream/crash_suspects_schedule_test.cpp
@@ -221,6 +221,10 @@
             return;
         }
         const auto excluded = suspects.crashedEndpoints(fingerprint);
+        if (excluded.size() == endpointCount) {
+            started->isEnded = true;
+            return;
+        }
         do
             started->endpoint = m_schedule.below(endpointCount);
         while (excluded.count(endpointName(started->endpoint)) > 0);
