--- a/src/fescuedeck/router/keyed_calls.cpp
+++ b/src/fescuedeck/router/keyed_calls.cpp
@@ -262,8 +262,22 @@
     : m_context(context)
     , m_appender(appender)
     , m_partitions(context, log)
+    , m_pauses(callNow())
     , m_outcomes(lock_rank::Claims)
 {
+    context.counters.setGauge("fescuedeck_process_pauses", {},
+                              [this] { return static_cast<double>(m_pauses.pauses()); });
+}
+
+void keyed_calls::start()
+{
+    m_partitions.start();
+    boost::asio::spawn(m_context.io, [this](boost::asio::yield_context yield) {
+        for (;;) {
+            m_pauses.tick(callNow());
+            sleepFor(pause_detector::tickInterval, yield);
+        }
+    });
 }
 
 std::string keyed_calls::claimantName() const
@@ -281,7 +295,7 @@
     spec.workspace = workspace;
     spec.key = *findHeader(request.headers, "Idempotency-Key");
     spec.fingerprint = sha256Hex(request.method + '\n' + request.target + '\n' + request.body);
-    spec.accepted = callNow();
+    spec.accepted = m_pauses.arrivalBound(callNow());
     spec.deadline
             = { spec.accepted.steady + service.deadline,
                 spec.accepted.wall + std::chrono::duration_cast<unix_millis>(service.deadline) };
--- a/src/fescuedeck/router/keyed_calls.h
+++ b/src/fescuedeck/router/keyed_calls.h
@@ -16,6 +16,7 @@
 #include "fescuedeck/net/http_server.h"
 #include "fescuedeck/platform/log_appender.h"
 #include "fescuedeck/router/claim_partitions.h"
+#include "fescuedeck/router/pause_detector.h"
 #include "fescuedeck/router/router_context.h"
 
 namespace fescuedeck {
@@ -32,7 +33,7 @@
 
     // Call before any request is served.
     void setAskClaimant(ask_claimant_fn ask) { m_askClaimant = std::move(ask); }
-    void start() { m_partitions.start(); }
+    void start();
 
     // Waits for the answer. The rest of the call (records of its end) goes on in the background.
     http_response run(http_exchange &exchange, const service_spec &service,
@@ -60,6 +61,7 @@
     router_context &m_context;
     log_appender &m_appender;
     claim_partitions m_partitions;
+    pause_detector m_pauses;
     ask_claimant_fn m_askClaimant;
     guarded<outcomes> m_outcomes;
     std::atomic<int> m_openCalls{ 0 };
--- /dev/null
+++ b/src/fescuedeck/router/pause_detector_test.cpp
@@ -0,0 +1,57 @@
+#include "fescuedeck/router/pause_detector.h"
+
+#include <catch2/catch.hpp>
+
+namespace fescuedeck {
+namespace {
+
+call_time at(int millis)
+{
+    return { time_point(std::chrono::milliseconds(millis)), unix_millis(1000000 + millis) };
+}
+
+} // namespace
+
+TEST_CASE("a request read after a pause is dated before it", "[router]")
+{
+    // Guards against a copy of a call that waited in a frozen router's socket, is read minutes
+    // later, and runs after another router told the caller "not-run".
+    pause_detector detector(at(0));
+    detector.tick(at(50));
+    CHECK(detector.arrivalBound(at(60)).steady == at(60).steady);
+    SECTION("the request is read before the first tick")
+    {
+        CHECK(detector.arrivalBound(at(60000)).steady == at(60).steady);
+    }
+    SECTION("the first tick comes before the request")
+    {
+        detector.tick(at(60000));
+        CHECK(detector.arrivalBound(at(60010)).wall == at(60).wall);
+    }
+    SECTION("a second pause during the recovery keeps the older bound")
+    {
+        detector.tick(at(60000));
+        CHECK(detector.arrivalBound(at(61000)).steady == at(60).steady);
+    }
+}
+
+TEST_CASE("requests are dated now again after the recovery time", "[router]")
+{
+    pause_detector detector(at(0));
+    detector.tick(at(10000));
+    for (int millis = 10050; millis <= 12050; millis += 50)
+        detector.tick(at(millis));
+    CHECK(detector.arrivalBound(at(12060)).steady == at(12060).steady);
+    CHECK(detector.pauses() == 1);
+}
+
+TEST_CASE("a jump of the wall clock alone counts as a pause", "[router]")
+{
+    // Guards against a suspended virtual machine, whose steady clock stops.
+    pause_detector detector(at(0));
+    call_time resumed = at(50);
+    resumed.wall += std::chrono::minutes(10);
+    CHECK(detector.arrivalBound(resumed).wall == at(0).wall);
+}
+
+} // namespace fescuedeck
