--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -164,6 +164,7 @@
                 const std::string suffix
                         = "." + name + "." + std::to_string(count) + "." + who.name;
                 print("interrupted" + suffix, outcome.interrupted, "-", "streams");
+                print("retries" + suffix, outcome.retries, "-", "attempts");
                 print("recovery_floor" + suffix, outcome.recoveryFloor, "-", "s");
                 printAtMost("recovery" + suffix, outcome.recovery / outcome.recoveryFloor, 1.5,
                             "of_floor");
