--- a/src/fescuedeck/router/claim_partitions.cpp
+++ b/src/fescuedeck/router/claim_partitions.cpp
@@ -91,6 +91,15 @@
     return sum;
 }
 
+bool claim_partitions::isCaughtUp() const
+{
+    for (const auto &each : m_partitions) {
+        if (!each->with([](const partition_state &state) { return state.isCaughtUp; }))
+            return false;
+    }
+    return true;
+}
+
 void claim_partitions::applyPage(partition_state &state, const log_page &page)
 {
     if (!state.table)
--- a/src/fescuedeck/router/claim_partitions.h
+++ b/src/fescuedeck/router/claim_partitions.h
@@ -34,6 +34,8 @@
     bool waitForOffset(const std::string &scopedKey, std::int64_t offset, time_point deadline,
                        boost::asio::yield_context yield);
     std::size_t keys() const;
+    // Every partition has been read to its end once.
+    bool isCaughtUp() const;
 
 private:
     struct waiter
--- a/src/fescuedeck/router/draft_runner.cpp
+++ b/src/fescuedeck/router/draft_runner.cpp
@@ -65,7 +65,7 @@
     void cancel(const cancel_work &work);
     void drop(const drop_answer &dropped, const hop_identity &hop);
     void answered(const run_hop &hop, hop_answer answer, duration elapsed);
-    void failed(const run_hop &hop, const hop_error &error);
+    void failed(const run_hop &hop, const hop_error &error, duration elapsed);
     bool checkCrash(const std::string &endpoint);
     void adoptRoute(const draft_route &route);
     void releaseRoute();
@@ -186,7 +186,7 @@
     if (auto *answer = std::get_if<hop_answer>(&outcome.value))
         answered(hop, std::move(*answer), outcome.elapsed);
     else
-        failed(hop, std::get<hop_error>(outcome.value));
+        failed(hop, std::get<hop_error>(outcome.value), outcome.elapsed);
 }
 
 void draft_run::recordSpan(const run_hop &hop, const trace_context &span, std::int64_t start,
@@ -219,16 +219,24 @@
     enqueue(m_stream.hopAnswered(steadyNow(), std::move(answer)));
 }
 
-void draft_run::failed(const run_hop &hop, const hop_error &error)
+void draft_run::failed(const run_hop &hop, const hop_error &error, duration elapsed)
 {
     const std::string kind(nameOf(hopFailureNames, error.kind));
     m_context.counters.counterOf("fescuedeck_hop_failures_total", { { "kind", kind } }).add();
     const bool isLeaving = error.kind == hop_failure::Refused && error.reason == "leaving";
     m_context.fleet.with([&](fleet_tables &tables) {
-        if (isLeaving)
+        if (isLeaving) {
             tables.state.callRefusedLeaving(hop.endpoint, "", steadyNow());
-        else
+        } else if (error.kind == hop_failure::DeadlineMissed) {
+            const hop_timing timing{ hop.identity.layers, hop.inputTokens(), elapsed };
+            tables.state.callTimedOut(hop.endpoint, timing, steadyNow());
+            // The next deadline grows, so that an engine that is only slow is not given up on again
+            // and again.
+            if (hop.inputTokens() == 1)
+                tables.stepTimes[hop.endpoint].add(elapsed);
+        } else {
             tables.state.callFailed(hop.endpoint, steadyNow());
+        }
     });
     const bool hasCrashed = error.kind == hop_failure::ConnectionClosed && checkCrash(hop.endpoint);
     m_context.suspects.leaveHop(m_job.fingerprint, hop.endpoint);
--- a/src/fescuedeck/router/keyed_calls.h
+++ b/src/fescuedeck/router/keyed_calls.h
@@ -44,6 +44,8 @@
     std::string claimantName() const;
     // Calls whose records have not all been written yet; a graceful shutdown waits for them.
     int openCalls() const { return m_openCalls; }
+    // Calls with a key can be served.
+    bool isReady() const { return m_partitions.isCaughtUp(); }
 
 private:
     friend class keyed_call_run;
--- a/src/fescuedeck/router/readiness.cpp
+++ b/src/fescuedeck/router/readiness.cpp
@@ -20,6 +20,8 @@
     const bool isAlone = context.otherLiveRouters.load() == 0;
     if (!hasLog && !hasPeer && !isAlone)
         return { false, false, "neither the log nor a peer has been reached lately" };
+    if (!context.isWarm)
+        return { true, false, "endpoints and claims are being read" };
     if (context.isShuttingDown)
         return { true, false, "shutting down" };
     return { true, true, "" };
--- a/src/fescuedeck/router/router.cpp
+++ b/src/fescuedeck/router/router.cpp
@@ -1,5 +1,6 @@
 #include "fescuedeck/router/router.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <functional>
@@ -33,6 +34,8 @@
 constexpr int exitFailed = 1;
 // How often a shutdown looks whether the requests in flight have ended.
 constexpr duration shutdownPollInterval = std::chrono::milliseconds(20);
+constexpr duration warmUpPollInterval = std::chrono::milliseconds(10);
+constexpr duration warmUpLimit = std::chrono::seconds(2);
 
 http_server_limits callerLimits(const router_settings &settings)
 {
@@ -63,6 +66,8 @@
     bool listen();
     bool listenForPeers();
     void shutDown(boost::asio::yield_context yield);
+    void warmUp(boost::asio::yield_context yield);
+    bool hasPolledEndpoints();
     void logHandlerException(const std::string &what);
     void drainHost(const std::string &host);
 
@@ -157,6 +162,29 @@
     return true;
 }
 
+bool router::hasPolledEndpoints()
+{
+    return m_context.fleet.with([](fleet_tables &tables) {
+        const auto &endpoints = tables.state.view().endpoints;
+        return std::all_of(endpoints.begin(), endpoints.end(), [](const endpoint_view &endpoint) {
+            return endpoint.phase != endpoint_phase::Joining;
+        });
+    });
+}
+
+// A router that answers /readyz before it knows its endpoints would refuse its first requests. The
+// wait is limited, because an endpoint that is down must not keep the router out of service.
+void router::warmUp(boost::asio::yield_context yield)
+{
+    while (!m_context.bundleInForce())
+        sleepFor(warmUpPollInterval, yield);
+    const time_point limit = steadyNow() + warmUpLimit;
+    while (steadyNow() < limit && !(hasPolledEndpoints() && m_keyedCalls.isReady()))
+        sleepFor(warmUpPollInterval, yield);
+    m_context.isWarm = true;
+    logInfo("router", "ready");
+}
+
 void router::shutDown(boost::asio::yield_context yield)
 {
     logInfo("router", "shutting down");
@@ -189,6 +217,7 @@
     m_control.start();
     m_fleet.start();
     m_keyedCalls.start();
+    boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { warmUp(yield); });
     std::vector<std::thread> workers;
     for (std::int64_t i = 0; i < m_context.settings.workers; ++i)
         workers.emplace_back([this] { m_io.run(); });
--- a/src/fescuedeck/router/router_context.h
+++ b/src/fescuedeck/router/router_context.h
@@ -75,6 +75,9 @@
     guarded<admission_tables> admission;
     suspect_exchange suspects;
     std::atomic<bool> isShuttingDown{ false };
+    // Every endpoint has been polled once and the claims have been read, or the time for it is
+    // over.
+    std::atomic<bool> isWarm{ false };
     std::atomic<time_point> lastPeerContact{ time_point{} };
     // Live routers in the last host list, without this one; -1 before the first list.
     std::atomic<int> otherLiveRouters{ -1 };
