--- a/bench/router_cost_bench.cpp
+++ b/bench/router_cost_bench.cpp
@@ -32,7 +32,8 @@
 constexpr int drafts = 40;
 constexpr int tokensPerDraft = 20;
 constexpr int writes = 200;
-constexpr std::chrono::seconds idleTime(4);
+constexpr std::chrono::seconds idleTime(8); // processor time is counted in steps of 10 ms
+constexpr int idleStages = 40;
 const std::string prompt = "A rider summary for twelve riders from the Erg camp to the well.";
 
 void print(const std::string &name, double value, const char *unit)
@@ -155,16 +156,40 @@
     print("router.cpu_per_keyed_write", cpu / writes * 1e6, "us");
 }
 
-void measureIdle(fleet_fixture &fleet)
+// Share of a core that a router uses without any request.
+double idleShare(const fleet_fixture &fleet)
 {
     const pid_t pid = fleet.routers.front().process->pid();
     const double before = cpuSeconds(pid);
     std::this_thread::sleep_for(idleTime);
-    const double share = (cpuSeconds(pid) - before) / static_cast<double>(idleTime.count());
-    const auto endpoints = static_cast<double>(fleet.engines.size() + fleet.services.size());
-    print("router.idle_cpu", share * 100, "%_of_a_core");
-    print("router.idle_endpoints", endpoints, "endpoints");
-    print("router.resident", residentMebibytes(pid), "MiB");
+    return (cpuSeconds(pid) - before) / static_cast<double>(idleTime.count());
+}
+
+double endpointsOf(const fleet_fixture &fleet)
+{
+    return static_cast<double>(fleet.engines.size() + fleet.services.size());
+}
+
+// The slope by endpoints, from a small and a large fleet with the same number of routers.
+void measureIdle(const fleet_fixture &small)
+{
+    fleet_options options;
+    const auto stages = options.stages;
+    while (options.stages.size() < idleStages)
+        options.stages.push_back(stages[options.stages.size() % stages.size()]);
+    fleet_fixture large(options);
+    if (!large.waitUntilServing())
+        return;
+    const double smallShare = idleShare(small);
+    const double largeShare = idleShare(large);
+    const double slope = (largeShare - smallShare) / (endpointsOf(large) - endpointsOf(small));
+    print("router.idle_cpu." + std::to_string(static_cast<int>(endpointsOf(small))) + "_endpoints",
+          smallShare * 100, "%_of_a_core");
+    print("router.idle_cpu." + std::to_string(static_cast<int>(endpointsOf(large))) + "_endpoints",
+          largeShare * 100, "%_of_a_core");
+    print("router.idle_cpu_per_endpoint", slope * 100, "%_of_a_core");
+    print("router.resident", residentMebibytes(small.routers.front().process->pid()), "MiB");
+    print("router.resident_large", residentMebibytes(large.routers.front().process->pid()), "MiB");
 }
 
 peer_digest digestOf(int endpoints)
