--- a/src/fescuedeck/router/claim_partitions.cpp
+++ b/src/fescuedeck/router/claim_partitions.cpp
@@ -117,11 +117,19 @@
     const std::string stream = "claims-" + std::to_string(number);
     duration backoff = shortestBackoff;
     for (;;) {
-        const std::int64_t from = mine.with([](const partition_state &state) {
-            return state.table ? state.table->nextOffset() : 0;
+        struct position
+        {
+            std::int64_t from;
+            duration wait;
+        };
+        // Calls with a key are rejected until the stream has been read to its end once, so this
+        // does not wait for new records.
+        const position next = mine.with([](const partition_state &state) {
+            return position{ state.table ? state.table->nextOffset() : 0,
+                             state.isCaughtUp ? longPoll : duration::zero() };
         });
-        const auto page = m_log.read(stream, from, pageSize, longPoll,
-                                     m_context.settings.timing.logTimeout + longPoll, yield);
+        const auto page = m_log.read(stream, next.from, pageSize, next.wait,
+                                     m_context.settings.timing.logTimeout + next.wait, yield);
         if (!page) {
             m_context.counters.counterOf("fescuedeck_log_failures_total", { { "call", "read" } })
                     .add();
