--- a/src/fescuedeck/router/router.cpp
+++ b/src/fescuedeck/router/router.cpp
@@ -1,5 +1,6 @@
 #include "fescuedeck/router/router.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <functional>
@@ -142,9 +143,13 @@
     sleepFor(m_context.settings.timing.shutdownNotice, yield);
     m_callersServer.stopAccepting();
     const time_point deadline = steadyNow() + m_context.settings.timing.shutdownTimeout;
-    while (m_callersServer.openExchanges() > 0 && steadyNow() < deadline)
+    // A keyed call is open until its answer is in the log, which may be after the caller has it.
+    const auto openRequests = [this] {
+        return std::max(m_callersServer.openExchanges(), m_keyedCalls.openCalls());
+    };
+    while (openRequests() > 0 && steadyNow() < deadline)
         sleepFor(shutdownPollInterval, yield);
-    const int open = m_callersServer.openExchanges();
+    const int open = openRequests();
     if (open > 0)
         logWarning("router", std::to_string(open) + " requests were cut at the shutdown timeout");
     m_operatorsServer.stopAccepting();
