--- a/src/fescuedeck/router/router.cpp
+++ b/src/fescuedeck/router/router.cpp
@@ -192,12 +192,13 @@
     sleepFor(m_context.settings.timing.shutdownNotice, yield);
     m_callersServer.stopAccepting();
     const time_point deadline = steadyNow() + m_context.settings.timing.shutdownTimeout;
-    const auto isBusy = [this] {
-        return m_callersServer.openExchanges() > 0 || m_keyedCalls.openCalls() > 0;
+    // A keyed call is open until its answer is in the log, which may be after the caller has it.
+    const auto openRequests = [this] {
+        return std::max(m_callersServer.openExchanges(), m_keyedCalls.openCalls());
     };
-    while (isBusy() && steadyNow() < deadline)
+    while (openRequests() > 0 && steadyNow() < deadline)
         sleepFor(shutdownPollInterval, yield);
-    const int open = m_callersServer.openExchanges();
+    const int open = openRequests();
     if (open > 0)
         logWarning("router", std::to_string(open) + " requests were cut at the shutdown timeout");
     m_operatorsServer.stopAccepting();
