Let a new bundle change the planner's load rate

Purpose: the weight store's rate is shared by all models of the bundle, so a bundle with other models or ranges changes the rate of each planner.

Weighed: a new planner for each bundle would forget orders whose fate is unknown; a fixed rate could exceed the store's. The rate is set in place.

Conclusion: order_planner::setLoadRate replaces the policy's rate and burst.

--- a/src/fescuedeck/orders/load_budget.h
+++ b/src/fescuedeck/orders/load_budget.h
@@ -20,6 +20,13 @@
     {
     }
 
+    void setRate(double layersPerSecond, double burst)
+    {
+        m_rate = layersPerSecond;
+        m_burst = burst;
+        m_available = std::min(m_available, burst);
+    }
+
     // A load starts while the budget is positive and may overdraw it, so that one that is larger
     // than the burst is possible.
     bool take(int layers, time_point now)
--- a/src/fescuedeck/orders/order_planner.h
+++ b/src/fescuedeck/orders/order_planner.h
@@ -42,6 +42,12 @@
     duration loadTimeout = std::chrono::minutes(10);
 };
 
+struct load_rate
+{
+    double layersPerSecond = 0;
+    double burstLayers = 0;
+};
+
 // Not thread-safe.
 class order_planner
 {
@@ -49,6 +55,12 @@
     order_planner(planner_policy policy, std::string model);
 
     void setBundle(std::shared_ptr<const bundle> content);
+    // Replaces the policy's rate, for example when a new bundle divides the weight store's rate
+    // differently.
+    void setLoadRate(const load_rate &rate)
+    {
+        m_budget.setRate(rate.layersPerSecond, rate.burstLayers);
+    }
     // Reports of all engines, also of other models: an engine may still hold this model's layers.
     void report(const std::string &endpoint, const load_report &report, time_point now);
     // The engine's answer to the newest order; accepted is false for an old fencing number.
--- a/src/fescuedeck/orders/order_planner_test.cpp
+++ b/src/fescuedeck/orders/order_planner_test.cpp
@@ -391,6 +391,27 @@
     CHECK(ordered >= 4);
 }
 
+// Guards against a bundle with more models after which the old rate overloads the weight store.
+TEST_CASE("a new load rate replaces the policy's", "[orders]")
+{
+    const std::vector<bool> ignoreFencing(2 * chains, false);
+    const auto wanted = makeBundle("2", false, ignoreFencing);
+    order_planner planner({}, "waiver");
+    planner.setBundle(wanted);
+    planner.setLoadRate({ 4, 16 });
+    const auto ordersAt = [&](time_point now) {
+        for (const endpoint_spec &endpoint : wanted->endpoints)
+            planner.report(endpoint.id, { "i1", false, {} }, now);
+        const auto orders = planner.plan(now, authorityFrom(1));
+        for (const engine_order &order : orders)
+            planner.answered(order.endpoint, true, now);
+        return orders.size();
+    };
+    CHECK(ordersAt({}) == 1);
+    CHECK(ordersAt({}) == 0);
+    CHECK(ordersAt(time_point(std::chrono::seconds(4))) == 1);
+}
+
 TEST_CASE("an engine that restarts gets its order again", "[orders]")
 {
     const std::vector<bool> checkFencing(2 * chains, true);
