Add the setting platform.weight_loads_per_second

Purpose: routers pace the loads that they order from engines at the rate of the weight store, which a host must know before it reaches the platform.

Weighed: a field of the bundle would let it change without a restart, but the rate is a property of the platform and not of a bundle. Whole numbers from 1 on suffice; 0 is refused because no engine would ever load.

Conclusion: the default is 2 loads per second for all routers together.

--- a/src/fescuedeck/settings/router_settings.cpp
+++ b/src/fescuedeck/settings/router_settings.cpp
@@ -66,6 +66,7 @@
     fields.time("retention", platform.retention, 1s, 24h * 365);
     fields.time("retention_margin", platform.retentionMargin, 0s, 24h * 30);
     fields.integer("claim_partitions", platform.claimPartitions, 1, 1024);
+    fields.integer("weight_loads_per_second", platform.weightLoadsPerSecond, 1, 10000);
     if (platform.retentionMargin * 2 > platform.retention)
         fields.problem("retention_margin", "must be at most half of retention");
 }
--- a/src/fescuedeck/settings/router_settings.h
+++ b/src/fescuedeck/settings/router_settings.h
@@ -56,6 +56,7 @@
     duration retention = std::chrono::hours(24);         // how long the log keeps records
     duration retentionMargin = std::chrono::minutes(10); // keys expire this much earlier
     std::int64_t claimPartitions = 4;
+    std::int64_t weightLoadsPerSecond = 2; // limit of the weight store, for all routers together
 };
 
 struct router_settings
--- a/src/fescuedeck/settings/router_settings_test.cpp
+++ b/src/fescuedeck/settings/router_settings_test.cpp
@@ -34,6 +34,22 @@
     REQUIRE(settings);
     CHECK(settings.value().routerId == "router-1");
     CHECK(settings.value().platform.retention == std::chrono::hours(2));
+    CHECK(settings.value().platform.weightLoadsPerSecond == 2);
+}
+
+// Guards against a rate of zero, with which no engine would ever load.
+TEST_CASE("the weight store's rate is checked", "[settings]")
+{
+    const auto withRate = [](const std::string &rate) {
+        std::string yaml = valid;
+        const std::string retention = "retention: 2h";
+        return yaml.replace(yaml.find(retention), retention.size(),
+                            "weight_loads_per_second: " + rate);
+    };
+    const auto settings = parseRouterSettings(withRate("5"), "router.yaml", "");
+    REQUIRE(settings);
+    CHECK(settings.value().platform.weightLoadsPerSecond == 5);
+    CHECK(contains(detailOf(withRate("0")), "platform.weight_loads_per_second: must be a whole"));
 }
 
 TEST_CASE("each problem names file, line, field and remedy", "[settings]")
