Send orders to engines from the router that holds a model's lease

Purpose: connect the lease keeper and the order planner to the running router.

Weighed: reports from the fleet monitor's polls would save calls, but only the holder needs the layer ranges, so the controller polls them itself through the same client and the existing decoder parseLoadReport.

--- a/src/fescuedeck/router/engine_client.cpp
+++ b/src/fescuedeck/router/engine_client.cpp
@@ -23,6 +23,18 @@
     return client.send(address, request, options, yield).response;
 }
 
+result<std::string> fetchReportBody(http_client &client, const std::string &address,
+                                    duration timeout, boost::asio::yield_context yield)
+{
+    const auto response = get(client, address, "/v1/report", timeout, yield);
+    if (!response)
+        return response.error();
+    if (response.value().status != statusOk)
+        return makeFailure(errc::EndpointRefused,
+                           "report: status " + std::to_string(response.value().status));
+    return response.value().body;
+}
+
 std::string textField(const json &body, const char *name)
 {
     const auto field = body.find(name);
@@ -55,13 +67,19 @@
 result<endpoint_report> fetchReport(http_client &client, const std::string &address,
                                     duration timeout, boost::asio::yield_context yield)
 {
-    const auto response = get(client, address, "/v1/report", timeout, yield);
-    if (!response)
-        return response.error();
-    if (response.value().status != statusOk)
-        return makeFailure(errc::EndpointRefused,
-                           "report: status " + std::to_string(response.value().status));
-    return detail::decodeReport(response.value().body);
+    const auto body = fetchReportBody(client, address, timeout, yield);
+    if (!body)
+        return body.error();
+    return detail::decodeReport(body.value());
+}
+
+result<load_report> fetchLoadReport(http_client &client, const std::string &address,
+                                    duration timeout, boost::asio::yield_context yield)
+{
+    const auto body = fetchReportBody(client, address, timeout, yield);
+    if (!body)
+        return body.error();
+    return parseLoadReport(body.value());
 }
 
 result<endpoint_report> fetchHealth(http_client &client, const std::string &address,
--- a/src/fescuedeck/router/engine_client.h
+++ b/src/fescuedeck/router/engine_client.h
@@ -10,6 +10,7 @@
 #include "fescuedeck/base/error.h"
 #include "fescuedeck/fleet/endpoint_state.h"
 #include "fescuedeck/net/http_client.h"
+#include "fescuedeck/orders/engine_order.h"
 
 namespace fescuedeck {
 
@@ -17,6 +18,9 @@
 // InvalidMessage for a malformed body.
 result<endpoint_report> fetchReport(http_client &client, const std::string &address,
                                     duration timeout, boost::asio::yield_context yield);
+// The same call for the layer ranges that the engine holds.
+result<load_report> fetchLoadReport(http_client &client, const std::string &address,
+                                    duration timeout, boost::asio::yield_context yield);
 // GET /healthz of a plain service: 200 while it serves, 503 with "leaving" while it drains. The
 // incarnation is taken from the body if it states one.
 result<endpoint_report> fetchHealth(http_client &client, const std::string &address,
--- a/src/fescuedeck/router/router.cpp
+++ b/src/fescuedeck/router/router.cpp
@@ -20,6 +20,7 @@
 #include "fescuedeck/router/fleet_monitor.h"
 #include "fescuedeck/router/keyed_calls.h"
 #include "fescuedeck/router/operators_handler.h"
+#include "fescuedeck/router/order_controller.h"
 #include "fescuedeck/router/router_context.h"
 #include "fescuedeck/router/service_handler.h"
 #include "fescuedeck/router/wait_event.h"
@@ -72,6 +73,7 @@
     draft_admission m_admission;
     control_follower m_control;
     fleet_monitor m_fleet;
+    order_controller m_orders;
     keyed_calls m_keyedCalls;
     completions_handler m_completions;
     service_handler m_services;
@@ -89,6 +91,7 @@
     , m_admission(static_cast<int>(settings.limits.draftsInFlight))
     , m_control(m_context, m_admission, m_log)
     , m_fleet(m_context)
+    , m_orders(m_context, m_control)
     , m_keyedCalls(m_context, m_log, m_appender)
     , m_completions(m_context, m_admission)
     , m_services(m_context, m_keyedCalls)
@@ -162,6 +165,7 @@
         return exitFailed;
     m_control.start();
     m_fleet.start();
+    m_orders.start();
     m_keyedCalls.start();
     std::vector<std::thread> workers;
     for (std::int64_t i = 0; i < m_context.settings.workers; ++i)
