--- a/tests/process/fleet_fixture.cpp
+++ b/tests/process/fleet_fixture.cpp
@@ -118,6 +118,8 @@
         load += "/" + joined(m_options.adapters, "+");
     std::vector<std::string> flags
             = { "--address=" + address, "--loads=" + load, "--platform=" + platform.address };
+    if (!stage.checksFencing)
+        flags.emplace_back("--nochecks_fencing");
     flags.insert(flags.end(), stage.flags.begin(), stage.flags.end());
     engines[index].process = std::make_unique<child_process>("standin_engine", flags,
                                                              m_folder.path(), engineId(index));
@@ -206,7 +208,7 @@
         spec.version = model.version;
         spec.layers = m_options.stages[i].layers;
         spec.tokensPerSecond = 1000;
-        spec.checksFencing = true;
+        spec.checksFencing = m_options.stages[i].checksFencing;
         content.endpoints.push_back(spec);
     }
     if (!services.empty())
--- a/tests/process/fleet_fixture.h
+++ b/tests/process/fleet_fixture.h
@@ -23,7 +23,8 @@
     layer_range layers;
     std::string accelerator;
     std::string failureDomain;
-    std::vector<std::string> flags; // further flags of standin_engine
+    std::vector<std::string> flags; // further flags of standin_engine; they override the fixture's
+    bool checksFencing = true;      // as the bundle states it; the engine follows it
 };
 
 // Two replicas of a 24-layer model in three stages each. The second one's ranges overlap each other
