--- a/src/fescuedeck/router/router.cpp
+++ b/src/fescuedeck/router/router.cpp
@@ -21,6 +21,7 @@
 #include "fescuedeck/router/fleet_monitor.h"
 #include "fescuedeck/router/keyed_calls.h"
 #include "fescuedeck/router/operators_handler.h"
+#include "fescuedeck/router/order_controller.h"
 #include "fescuedeck/router/peer_link.h"
 #include "fescuedeck/router/router_context.h"
 #include "fescuedeck/router/service_handler.h"
@@ -79,6 +80,7 @@
     draft_admission m_admission;
     control_follower m_control;
     fleet_monitor m_fleet;
+    order_controller m_orders;
     keyed_calls m_keyedCalls;
     peer_link m_peers;
     completions_handler m_completions;
@@ -97,6 +99,7 @@
     , m_admission(static_cast<int>(settings.limits.draftsInFlight))
     , m_control(m_context, m_admission, m_log)
     , m_fleet(m_context)
+    , m_orders(m_context, m_control)
     , m_keyedCalls(m_context, m_log, m_appender)
     , m_peers(m_context, m_control, m_keyedCalls)
     , m_completions(m_context, m_admission)
@@ -217,6 +220,7 @@
         return exitFailed;
     m_control.start();
     m_fleet.start();
+    m_orders.start();
     m_keyedCalls.start();
     boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { warmUp(yield); });
     std::vector<std::thread> workers;
