Release a lease only after its last order has ended

Cause: a release shortens the term to 1 ms, so the next holder may remove layers about 2 s later, while an order of the previous holder may be up to 1 s on its way. An engine that does not check fencing could take it after its report.

Weighed: longer waits at the next holder slow every takeover down. Holding the release back costs at most one repeat of the keeper (1 s) within the shutdown notice; with a shorter notice the lease lapses.

Run: fescuedeck_tests (176) and fescuedeck_process_tests (11) pass; lint of the files is clean. No test places a release during an order.

Conclusion: authority ends at once, the release record follows the last order.

--- a/src/fescuedeck/router/order_controller.cpp
+++ b/src/fescuedeck/router/order_controller.cpp
@@ -118,6 +118,13 @@
     });
 }
 
+bool order_controller::isSending(const order_tables &tables, const std::string &model)
+{
+    return std::any_of(tables.engines.begin(), tables.engines.end(), [&](const auto &entry) {
+        return entry.second.isSending && entry.second.sendingModel == model;
+    });
+}
+
 order_controller::lease_step
 order_controller::pollLeases(const std::map<std::string, lease> &leases, bool isCandidate)
 {
@@ -129,7 +136,10 @@
                     = found == leases.end() ? std::nullopt : std::optional<lease>(found->second);
             const time_point now = steadyNow();
             const bool isWanted = isCandidate && state.isInBundle;
-            if (const auto record = state.keeper.poll(now, wallNow(), current, isWanted))
+            const auto record = state.keeper.poll(now, wallNow(), current, isWanted);
+            // A release ends the term at once, so an order on its way could take effect in the next
+            // holder's tenure. The keeper asks for the release again, by when that order has ended.
+            if (record && (isWanted || !isSending(tables, name)))
                 step.records.push_back(*record);
             const auto authority = state.keeper.authority(now);
             if (authority.has_value() == state.isHeld)
@@ -227,11 +237,14 @@
         next.swap(queue.next);
         const auto authority
                 = next ? tables.models.at(next->model).keeper.authority(steadyNow()) : std::nullopt;
-        if (authority && next->order.fencing >= authority->since)
+        if (authority && next->order.fencing >= authority->since) {
+            queue.sendingModel = next->model;
             return next;
+        }
         if (next)
             withheldModel = next->model;
         queue.isSending = false;
+        queue.sendingModel.clear();
         return std::nullopt;
     });
     if (!withheldModel.empty())
--- a/src/fescuedeck/router/order_controller.h
+++ b/src/fescuedeck/router/order_controller.h
@@ -50,6 +50,7 @@
     struct engine_queue
     {
         bool isSending = false;
+        std::string sendingModel; // of the order on its way; empty if there is none
         std::optional<queued_order> next;
     };
     struct order_tables
@@ -66,6 +67,7 @@
 
     void keepLeases(boost::asio::yield_context yield);
     void setBundle(const std::shared_ptr<const bundle_index> &index);
+    static bool isSending(const order_tables &tables, const std::string &model);
     lease_step pollLeases(const std::map<std::string, lease> &leases, bool isCandidate);
     model_orders makeOrders(const std::string &model) const;
     std::map<std::string, lease> currentLeases() const;
