Detect a frozen stage early, and answer not-ready keyed calls with unknown

Cause 1: an engine with fewer than 16 step times had a deadline of 1 s for each hop, so a frozen or silent stage of a young stream cost a second (process test: 1,012 to 1,018 ms to the next token). Ruled out: the cancellation, which is immediate. Such an engine is now judged by the model's other engines with a factor of 4 for slower kinds; after: 262 and 274 ms with the floor of 250 ms.

Cause 2: a router that had not polled its endpoints yet answered drafts with no_route; it is not ready until then. Cause 3: a router that is not ready, or has not read the claims, answered not-run to a repeated key that may have run elsewhere; it now answers unknown. 40 process tests pass in one run.

--- a/src/fescuedeck/router/caller_server.cpp
+++ b/src/fescuedeck/router/caller_server.cpp
@@ -45,11 +45,14 @@
 void caller_server::route(http_exchange &exchange, const trace_context &trace)
 {
     const readiness state = evaluateReadiness(m_context, steadyNow());
-    if (!state.mayServe)
-        return exchange.respond(
-                callerError(makeFailure(errc::NotReady, state.reason), outcomeNotRun));
-    const auto index = m_context.bundleInForce();
     const http_request &request = exchange.request();
+    if (!state.mayServe) {
+        // Another router may have run an earlier copy of a call with a key.
+        const bool hasKey = findHeader(request.headers, "Idempotency-Key") != nullptr;
+        const failure error = makeFailure(errc::NotReady, state.reason);
+        return exchange.respond(callerError(error, hasKey ? outcomeUnknown : outcomeNotRun));
+    }
+    const auto index = m_context.bundleInForce();
     if (pathOf(request.target) == completionsPath && request.method == "POST")
         return m_completions.handle(exchange, index, trace);
     if (const service_spec *service = findService(index->content(), request.target))
--- a/src/fescuedeck/router/draft_runner.cpp
+++ b/src/fescuedeck/router/draft_runner.cpp
@@ -21,6 +21,9 @@
 // Deadline of the probe that tells a crashed engine from a lost connection.
 constexpr duration crashProbeTimeout = std::chrono::milliseconds(500);
 
+// Room for an engine that is slower than the model's others, as accelerators are of mixed kinds.
+constexpr double unknownEngineFactor = 4;
+
 constexpr name_table<hop_failure, 6> hopFailureNames = { {
         { hop_failure::NotSent, "not_sent" },
         { hop_failure::Refused, "refused" },
@@ -143,10 +146,18 @@
 
 duration draft_run::hopTimeout(const run_hop &hop)
 {
-    const auto steps = m_context.fleet.with(
-            [&](fleet_tables &tables) { return tables.stepTimes[hop.endpoint].steps(); });
     step_deadline_settings settings;
     settings.floor = m_context.settings.timing.stepTimeoutFloor;
+    const auto enough = static_cast<std::size_t>(settings.minimumSamples);
+    const auto steps = m_context.fleet.with([&](fleet_tables &tables) {
+        const auto &own = tables.stepTimes[hop.endpoint].steps();
+        if (own.size() >= enough)
+            return own;
+        // An engine that has served little yet is judged by the model's other engines, with room
+        // for a slower kind of accelerator.
+        settings.factor *= unknownEngineFactor;
+        return tables.modelStepTimes[m_job.spec.model].steps();
+    });
     const duration timeout = stepDeadline(steps, std::max(1, hop.inputTokens()), settings);
     const duration left
             = std::chrono::duration_cast<duration>(m_stream.nextDeadline() - steadyNow());
@@ -213,8 +224,10 @@
     const hop_timing timing{ hop.identity.layers, hop.inputTokens(), elapsed };
     m_context.fleet.with([&](fleet_tables &tables) {
         tables.state.callSucceeded(hop.endpoint, answer.incarnation, timing, steadyNow());
-        if (hop.inputTokens() == 1)
+        if (hop.inputTokens() == 1) {
             tables.stepTimes[hop.endpoint].add(elapsed);
+            tables.modelStepTimes[m_job.spec.model].add(elapsed);
+        }
     });
     enqueue(m_stream.hopAnswered(steadyNow(), std::move(answer)));
 }
--- a/src/fescuedeck/router/keyed_calls.cpp
+++ b/src/fescuedeck/router/keyed_calls.cpp
@@ -144,7 +144,7 @@
         const failure error
                 = makeFailure(errc::LogUnavailable, "the claims have not been read yet");
         return answerCaller(
-                { statusOf(error), call_outcome::NotRun, std::nullopt, error, std::nullopt });
+                { statusOf(error), call_outcome::Unknown, std::nullopt, error, std::nullopt });
     }
     while (!m_actions.empty()) {
         const call_action action = std::move(m_actions.front());
--- a/src/fescuedeck/router/readiness.cpp
+++ b/src/fescuedeck/router/readiness.cpp
@@ -21,7 +21,7 @@
     if (!hasLog && !hasPeer && !isAlone)
         return { false, false, "neither the log nor a peer has been reached lately" };
     if (!context.isWarm)
-        return { true, false, "endpoints and claims are being read" };
+        return { false, false, "endpoints and claims are being read" };
     if (context.isShuttingDown)
         return { true, false, "shutting down" };
     return { true, true, "" };
--- a/src/fescuedeck/router/router_context.h
+++ b/src/fescuedeck/router/router_context.h
@@ -52,6 +52,7 @@
     fleet_state state;
     std::map<std::string, std::shared_ptr<route_table>> routes; // by model
     std::map<std::string, step_history> stepTimes;              // by endpoint
+    std::map<std::string, step_history> modelStepTimes;         // of all its endpoints, by model
 };
 
 struct admission_tables
