Use one record type of the log in all modules

Cause: control, claims and platform each had the same four fields under another name, with loops that copied one into the other in three places. log_record is now in base. Builds without a change of behaviour.

--- a/src/fescuedeck/control/log_record.h
+++ b/src/fescuedeck/base/log_record.h
@@ -1,6 +1,6 @@
 // One record of a stream of the platform's log.
-#ifndef FESCUEDECK_CONTROL_LOG_RECORD_H
-#define FESCUEDECK_CONTROL_LOG_RECORD_H
+#ifndef FESCUEDECK_BASE_LOG_RECORD_H
+#define FESCUEDECK_BASE_LOG_RECORD_H
 
 #include <cstdint>
 #include <string>
--- a/src/fescuedeck/claims/claim_record.h
+++ b/src/fescuedeck/claims/claim_record.h
@@ -1,6 +1,6 @@
 // Records of a claims partition and their JSON form (section 5 of the design page).
 //
-// Use the make functions for appends and parseClaimRecord in the fold.
+// Use toJson for appends and parseClaimRecord in the fold.
 #ifndef FESCUEDECK_CLAIMS_CLAIM_RECORD_H
 #define FESCUEDECK_CLAIMS_CLAIM_RECORD_H
 
@@ -12,19 +12,11 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "fescuedeck/base/error.h"
+#include "fescuedeck/base/log_record.h"
 #include "fescuedeck/base/time.h"
 
 namespace fescuedeck {
 
-// A record as read from the log.
-struct claim_record
-{
-    std::int64_t offset = 0;
-    std::string id;        // chosen by the appender; a retried append repeats it
-    unix_millis time{ 0 }; // set by the log
-    std::string body;      // JSON, from any writer, so not trusted
-};
-
 // Answers with larger bodies are stored without the body.
 constexpr std::size_t maxStoredBody = 2048;
 
--- a/src/fescuedeck/claims/claim_table.cpp
+++ b/src/fescuedeck/claims/claim_table.cpp
@@ -53,7 +53,7 @@
 {
 }
 
-void claim_table::apply(const claim_record &record)
+void claim_table::apply(const log_record &record)
 {
     if (record.offset < m_nextOffset)
         return;
@@ -101,7 +101,7 @@
     return { m_nextOffset, state.dump(-1, ' ', false, json::error_handler_t::replace) };
 }
 
-void claim_table::handle(const claim_record &record, const claim_made &claim)
+void claim_table::handle(const log_record &record, const claim_made &claim)
 {
     entry *const known = entryFor(claim.key);
     if (!known) {
@@ -125,7 +125,7 @@
     view = { claim_status::Claimed, claim.attempt, claim.router, claim.fingerprint, {}, {} };
 }
 
-void claim_table::handle(const claim_record &record, const claim_released &released)
+void claim_table::handle(const log_record &record, const claim_released &released)
 {
     entry *const known = entryFor(released.key);
     if (!known) {
@@ -140,7 +140,7 @@
     view.releasedAt = record.time;
 }
 
-void claim_table::handle(const claim_record &record, const claim_completed &completed)
+void claim_table::handle(const log_record &record, const claim_completed &completed)
 {
     entry *const known = entryFor(completed.key);
     if (!known) {
@@ -156,7 +156,7 @@
     }
 }
 
-void claim_table::handle(const claim_record & /*record*/, const claim_checkpoint &checkpoint)
+void claim_table::handle(const log_record & /*record*/, const claim_checkpoint &checkpoint)
 {
     // Once keys have been dropped, their records are no longer pending.
     const bool isUsable = m_isPartial && m_horizon == m_startHorizon;
@@ -165,14 +165,14 @@
         m_pending.clear();
         return;
     }
-    for (const claim_record &record : std::exchange(m_pending, {})) {
+    for (const log_record &record : std::exchange(m_pending, {})) {
         const auto event = parseClaimRecord(record.body);
         if (record.offset >= checkpoint.covers && event)
             std::visit([&](const auto &one) { handle(record, one); }, event.value());
     }
 }
 
-void claim_table::keepForCheckpoint(const claim_record &record)
+void claim_table::keepForCheckpoint(const log_record &record)
 {
     if (!m_isPartial)
         return;
--- a/src/fescuedeck/claims/claim_table.h
+++ b/src/fescuedeck/claims/claim_table.h
@@ -54,7 +54,7 @@
     claim_table(const claim_table_settings &settings, std::int64_t firstOffset);
 
     // Ignores records that it has seen and counts those that it cannot parse.
-    void apply(const claim_record &record);
+    void apply(const log_record &record);
     claim_view find(const std::string &key) const;
     // The table may lack records of the key. A call with it must not be sent.
     bool isTooOld(const std::string &key) const;
@@ -73,12 +73,12 @@
         std::set<std::string> releasedAttempts;
     };
 
-    void handle(const claim_record &record, const claim_made &claim);
-    void handle(const claim_record &record, const claim_released &released);
-    void handle(const claim_record &record, const claim_completed &completed);
-    void handle(const claim_record &record, const claim_checkpoint &checkpoint);
+    void handle(const log_record &record, const claim_made &claim);
+    void handle(const log_record &record, const claim_released &released);
+    void handle(const log_record &record, const claim_completed &completed);
+    void handle(const log_record &record, const claim_checkpoint &checkpoint);
     entry *entryFor(const std::string &key);
-    void keepForCheckpoint(const claim_record &record);
+    void keepForCheckpoint(const log_record &record);
     void dropThrough(unix_millis horizon);
     bool adopt(const std::string &state);
 
@@ -93,7 +93,7 @@
     std::unordered_map<std::string, entry> m_entries;
     std::multimap<unix_millis, std::string> m_keysByTime;
     // Records of keys up to the horizon, for the first checkpoint that this table meets.
-    std::vector<claim_record> m_pending;
+    std::vector<log_record> m_pending;
     int m_invalidRecords = 0;
 };
 
--- a/src/fescuedeck/claims/claim_table_test.cpp
+++ b/src/fescuedeck/claims/claim_table_test.cpp
@@ -36,7 +36,7 @@
     }
 
     claim_table table;
-    std::vector<claim_record> records;
+    std::vector<log_record> records;
 };
 
 } // namespace
--- a/src/fescuedeck/claims/idempotent_call_schedule_test.cpp
+++ b/src/fescuedeck/claims/idempotent_call_schedule_test.cpp
@@ -415,7 +415,7 @@
     call_tally &m_tally;
     double m_faultRate = 0;
     std::array<router, routerCount> m_routers;
-    std::vector<claim_record> m_log;
+    std::vector<log_record> m_log;
     std::map<std::string, std::int64_t> m_offsets;
     time_point m_logDownUntil;
     std::vector<std::shared_ptr<sent_call>> m_sends;
--- a/src/fescuedeck/control/control_state.h
+++ b/src/fescuedeck/control/control_state.h
@@ -14,10 +14,10 @@
 #include <vector>
 
 #include "fescuedeck/base/error.h"
+#include "fescuedeck/base/log_record.h"
 #include "fescuedeck/control/aged_set.h"
 #include "fescuedeck/control/bundle_ledger.h"
 #include "fescuedeck/control/lease_table.h"
-#include "fescuedeck/control/log_record.h"
 
 namespace fescuedeck {
 
--- a/src/fescuedeck/ctl/ctl_hooks.h
+++ b/src/fescuedeck/ctl/ctl_hooks.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "fescuedeck/base/error.h"
+#include "fescuedeck/base/log_record.h"
 #include "fescuedeck/base/random.h"
 #include "fescuedeck/base/time.h"
-#include "fescuedeck/control/log_record.h"
 #include "fescuedeck/net/http_message.h"
 
 namespace fescuedeck {
--- a/src/fescuedeck/ctl/network_hooks.cpp
+++ b/src/fescuedeck/ctl/network_hooks.cpp
@@ -24,11 +24,7 @@
 
 control_page toControlPage(const log_page &page)
 {
-    control_page converted;
-    converted.first = page.first;
-    for (const log_entry &entry : page.records)
-        converted.records.push_back({ entry.offset, entry.id, entry.time, entry.body });
-    return converted;
+    return { page.records, page.first };
 }
 
 } // namespace
--- a/src/fescuedeck/platform/log_client.cpp
+++ b/src/fescuedeck/platform/log_client.cpp
@@ -54,7 +54,7 @@
     return found->get<std::int64_t>();
 }
 
-std::optional<log_entry> parseEntry(const json &object)
+std::optional<log_record> parseEntry(const json &object)
 {
     if (!object.is_object())
         return std::nullopt;
@@ -66,7 +66,7 @@
         return std::nullopt;
     // A writer may have sent the JSON body as text.
     std::string text = body->is_string() ? body->get<std::string>() : body->dump();
-    return log_entry{ *offset, id->get<std::string>(), unix_millis(*time), std::move(text) };
+    return log_record{ *offset, id->get<std::string>(), unix_millis(*time), std::move(text) };
 }
 
 result<log_page> parsePage(const json &answer)
--- a/src/fescuedeck/platform/log_client.h
+++ b/src/fescuedeck/platform/log_client.h
@@ -10,6 +10,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "fescuedeck/base/error.h"
+#include "fescuedeck/base/log_record.h"
 #include "fescuedeck/base/time.h"
 #include "fescuedeck/net/http_client.h"
 
@@ -21,17 +22,9 @@
     std::string body; // JSON
 };
 
-struct log_entry
-{
-    std::int64_t offset = 0;
-    std::string id;
-    unix_millis time{};
-    std::string body; // JSON
-};
-
 struct log_page
 {
-    std::vector<log_entry> records;
+    std::vector<log_record> records;
     std::int64_t next = 0;  // offset to read from after this page
     std::int64_t first = 0; // oldest offset that the log still has
 };
--- a/src/fescuedeck/platform/log_follower.cpp
+++ b/src/fescuedeck/platform/log_follower.cpp
@@ -103,7 +103,7 @@
 void log_follower_core::apply(const log_page &page)
 {
     skipTo(page.first);
-    for (const log_entry &entry : page.records) {
+    for (const log_record &entry : page.records) {
         if (m_isStopped)
             return;
         if (entry.offset < position)
--- a/src/fescuedeck/platform/log_follower.h
+++ b/src/fescuedeck/platform/log_follower.h
@@ -41,7 +41,7 @@
                                    boost::asio::yield_context yield)>
             read;
     // Called once for each offset, in increasing order.
-    std::function<void(const log_entry &)> onRecord;
+    std::function<void(const log_record &)> onRecord;
     // The records [from, to) are lost to this reader, usually because the log no longer keeps them.
     std::function<void(std::int64_t from, std::int64_t to)> onGap;
     // Called when reading fails after a success, and with nullptr when it succeeds again.
--- a/src/fescuedeck/platform/log_follower_test.cpp
+++ b/src/fescuedeck/platform/log_follower_test.cpp
@@ -68,7 +68,7 @@
             const std::size_t read = m_reads++;
             return read < m_script.size() ? m_script[read] : page_result(page({}, from));
         };
-        hooks.onRecord = [this](const log_entry &entry) { note(std::to_string(entry.offset)); };
+        hooks.onRecord = [this](const log_record &entry) { note(std::to_string(entry.offset)); };
         hooks.onGap = [this](std::int64_t from, std::int64_t to) {
             note("gap " + std::to_string(from) + "-" + std::to_string(to));
         };
--- a/src/fescuedeck/router/claim_partitions.cpp
+++ b/src/fescuedeck/router/claim_partitions.cpp
@@ -104,8 +104,8 @@
 {
     if (!state.table)
         state.table = std::make_unique<claim_table>(m_tableSettings, page.first);
-    for (const log_entry &entry : page.records)
-        state.table->apply({ entry.offset, entry.id, entry.time, entry.body });
+    for (const log_record &record : page.records)
+        state.table->apply(record);
     state.table->expire(wallNow());
     if (page.records.size() < static_cast<std::size_t>(pageSize))
         state.isCaughtUp = true;
--- a/src/fescuedeck/router/control_follower.cpp
+++ b/src/fescuedeck/router/control_follower.cpp
@@ -20,15 +20,6 @@
 constexpr duration checkpointMaxDelay = std::chrono::seconds(5);
 constexpr int appendTries = 20;
 
-std::vector<log_record> toLogRecords(const std::vector<log_entry> &entries)
-{
-    std::vector<log_record> records;
-    records.reserve(entries.size());
-    for (const log_entry &entry : entries)
-        records.push_back({ entry.offset, entry.id, entry.time, entry.body });
-    return records;
-}
-
 std::shared_ptr<route_table> makeRouteTable(const model_spec &model)
 {
     graph_request request;
@@ -77,7 +68,7 @@
         }
         backoff = shortestBackoff;
         m_context.control.with([&](control_tables &tables) {
-            applyPage(tables.state, toLogRecords(page.value().records));
+            applyPage(tables.state, page.value().records);
             tables.lastLogContact = steadyNow();
             tables.isCaughtUp = page.value().records.size() < static_cast<std::size_t>(pageSize);
         });
