Test routers that lose the log, their peers or both

Guards against a router that serves with outdated state, and against a log outage that takes every router out of service. The number of other live routers is now a metric, which the test waits for.

--- a/src/fescuedeck/router/fleet_monitor.cpp
+++ b/src/fescuedeck/router/fleet_monitor.cpp
@@ -38,6 +38,9 @@
     , m_hostList(context.client, context.settings.platform.address)
     , m_polling(lock_rank::Peers)
 {
+    context.counters.setGauge("fescuedeck_other_live_routers", {}, [&context] {
+        return static_cast<double>(context.otherLiveRouters.load());
+    });
 }
 
 void fleet_monitor::start()
