--- a/src/fescuedeck/base/random.h
+++ b/src/fescuedeck/base/random.h
@@ -19,6 +19,14 @@
     return [engine] { return (*engine)(); };
 }
 
+// Seeded by the system.
+inline random_fn systemRandom()
+{
+    std::random_device device;
+    const std::uint64_t high = device();
+    return seededRandom((high << 32U) | device());
+}
+
 // Uniform in [0, 1).
 inline double uniformReal(const random_fn &random)
 {
--- /dev/null
+++ b/src/fescuedeck/gateway/chain_finder.cpp
@@ -0,0 +1,101 @@
+#include "fescuedeck/gateway/chain_finder.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fescuedeck {
+namespace {
+
+constexpr double unreachable = std::numeric_limits<double>::infinity();
+
+// Cheapest way to have run all layers before a boundary.
+struct boundary_state
+{
+    double cost = unreachable;
+    int from = -1;                      // previous boundary
+    const chain_stage *stage = nullptr; // that runs [from, this boundary)
+};
+
+// Layers at which some stage begins or ends: a cheapest chain changes engines only there.
+std::vector<int> boundariesOf(const std::vector<chain_stage> &stages, int layers)
+{
+    std::vector<int> boundaries = { 0, layers };
+    for (const chain_stage &stage : stages) {
+        boundaries.push_back(stage.held.begin);
+        boundaries.push_back(stage.held.end);
+    }
+    std::sort(boundaries.begin(), boundaries.end());
+    boundaries.erase(std::unique(boundaries.begin(), boundaries.end()), boundaries.end());
+    return boundaries;
+}
+
+void extend(std::vector<boundary_state> &states, const chain_stage &stage, int from, int to,
+            double partCost)
+{
+    const double cost = states[static_cast<std::size_t>(from)].cost + partCost
+                        + stage.costPerLayer * (to - from);
+    boundary_state &target = states[static_cast<std::size_t>(to)];
+    if (cost < target.cost)
+        target = { cost, from, &stage };
+}
+
+std::vector<chain_part> partsOf(const std::vector<boundary_state> &states, int layers)
+{
+    std::vector<chain_part> parts;
+    for (int at = layers; at > 0;) {
+        const boundary_state &state = states[static_cast<std::size_t>(at)];
+        parts.push_back({ state.stage->endpoint, state.stage->address, { state.from, at } });
+        at = state.from;
+    }
+    std::reverse(parts.begin(), parts.end());
+    return parts;
+}
+
+// An engine that the cheapest way uses twice runs what lies between as well: it holds one range.
+void mergeRepeated(std::vector<chain_part> &parts)
+{
+    for (std::size_t first = 0; first < parts.size(); ++first) {
+        std::size_t last = parts.size() - 1;
+        while (parts[last].endpoint != parts[first].endpoint)
+            --last;
+        if (last == first)
+            continue;
+        parts[first].layers.end = parts[last].layers.end;
+        parts.erase(parts.begin() + static_cast<std::ptrdiff_t>(first) + 1,
+                    parts.begin() + static_cast<std::ptrdiff_t>(last) + 1);
+    }
+}
+
+} // namespace
+
+std::optional<layer_chain> findChain(const std::vector<chain_stage> &stages, int layers,
+                                     double partCost, int maxParts)
+{
+    if (layers <= 0)
+        return std::nullopt;
+    const std::vector<int> boundaries = boundariesOf(stages, layers);
+    std::vector<boundary_state> states(static_cast<std::size_t>(boundaries.back()) + 1);
+    states[0].cost = 0;
+    for (const int from : boundaries) {
+        if (states[static_cast<std::size_t>(from)].cost == unreachable)
+            continue;
+        for (const chain_stage &stage : stages) {
+            if (from < stage.held.begin || from >= stage.held.end)
+                continue;
+            for (const int to : boundaries) {
+                if (to > from && to <= stage.held.end && to <= layers)
+                    extend(states, stage, from, to, partCost);
+            }
+        }
+    }
+    const double cost = states[static_cast<std::size_t>(layers)].cost;
+    if (cost == unreachable)
+        return std::nullopt;
+    layer_chain chain{ partsOf(states, layers), cost };
+    mergeRepeated(chain.parts);
+    if (static_cast<int>(chain.parts.size()) > maxParts)
+        return std::nullopt;
+    return chain;
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/chain_finder.h
@@ -0,0 +1,49 @@
+// Finds the cheapest chain of engines that runs every layer of a model once and in order.
+#ifndef FESCUEDECK_GATEWAY_CHAIN_FINDER_H
+#define FESCUEDECK_GATEWAY_CHAIN_FINDER_H
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fescuedeck/base/layer_range.h"
+
+namespace fescuedeck {
+
+// One engine that may be part of a chain.
+struct chain_stage
+{
+    std::string endpoint; // id
+    std::string address;
+    layer_range held;
+    double costPerLayer = 0; // any unit, the same for all stages
+};
+
+// The layers that one engine runs for a request.
+struct chain_part
+{
+    std::string endpoint; // id
+    std::string address;
+    layer_range layers;
+
+    friend bool operator==(const chain_part &a, const chain_part &b)
+    {
+        return a.endpoint == b.endpoint && a.layers == b.layers;
+    }
+};
+
+struct layer_chain
+{
+    std::vector<chain_part> parts;
+    double cost = 0;
+};
+
+// The chain of least cost over layers [0, layers), where each part costs partCost beside its
+// layers. Each engine appears at most once. Empty if some layer is held by no stage, or if the
+// chain would exceed maxParts.
+std::optional<layer_chain> findChain(const std::vector<chain_stage> &stages, int layers,
+                                     double partCost, int maxParts);
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/gateway/endpoint_choice.cpp
@@ -0,0 +1,117 @@
+#include "fescuedeck/gateway/endpoint_choice.h"
+
+#include <algorithm>
+#include <map>
+
+#include "fescuedeck/gateway/layer_placement.h"
+
+namespace fescuedeck {
+namespace {
+
+// An endpoint of another domain is chosen if the own ones are busier by this share of their slots.
+constexpr double otherDomainPenalty = 0.5;
+// The same for chains, as a multiple of the cost of an idle chain.
+constexpr double otherDomainCostFactor = 1.5;
+// Cost of a further part of a chain, in milliseconds a token: the hop between two engines.
+constexpr double partCostMs = 0.2;
+// An engine's cost grows by this factor until its slots are full.
+constexpr double fullSlotsCostFactor = 3;
+// Requests name at most this many engines.
+constexpr int maxChainParts = 32;
+
+double loadOf(const endpoint_record &endpoint)
+{
+    const double slots = std::max(1, endpoint.entry.slots);
+    return (endpoint.inFlight + 1) * endpoint.slowness / slots;
+}
+
+bool isCandidate(const endpoint_ptr &endpoint, const choice_request &request)
+{
+    return endpoint->isUsable(request.now) && request.excluded.count(endpoint->entry.id) == 0;
+}
+
+double costPerLayer(const engine_spec &spec, const endpoint_record &endpoint)
+{
+    const accelerator_kind *kind = spec.findKind(endpoint.entry.accelerator);
+    const double factor = kind == nullptr ? 1 : kind->stepFactor;
+    const double busy = static_cast<double>(endpoint.inFlight) / std::max(1, spec.slots);
+    const double loadFactor = 1 + (fullSlotsCostFactor - 1) * std::min(1.0, busy);
+    return spec.stepMs * factor * endpoint.slowness * loadFactor / std::max(1, spec.layers);
+}
+
+std::map<std::string, std::vector<chain_stage>>
+stagesByGroup(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints,
+              const choice_request &request)
+{
+    std::vector<placement_engine> engines;
+    for (const endpoint_ptr &endpoint : endpoints) {
+        engines.push_back({ endpoint->entry.id, endpoint->entry.failureDomain,
+                            endpoint->entry.accelerator, endpoint->entry.layers, false });
+    }
+    const auto groups = placementGroups(spec, engines, placement_policy{});
+    std::map<std::string, std::vector<chain_stage>> stages;
+    for (const endpoint_ptr &endpoint : endpoints) {
+        if (!endpoint->entry.layers || !isCandidate(endpoint, request))
+            continue;
+        stages[groups.at(endpoint->entry.failureDomain)].push_back(
+                { endpoint->entry.id, endpoint->entry.address, *endpoint->entry.layers,
+                  costPerLayer(spec, *endpoint) });
+    }
+    return stages;
+}
+
+endpoint_ptr findIn(const std::vector<endpoint_ptr> &endpoints, const std::string &id)
+{
+    const auto found = std::find_if(
+            endpoints.begin(), endpoints.end(),
+            [&](const endpoint_ptr &endpoint) { return endpoint->entry.id == id; });
+    return found == endpoints.end() ? nullptr : *found;
+}
+
+} // namespace
+
+std::optional<destination> chooseEndpoint(const std::vector<endpoint_ptr> &endpoints,
+                                          const choice_request &request)
+{
+    endpoint_ptr best;
+    double bestLoad = 0;
+    for (const endpoint_ptr &endpoint : endpoints) {
+        if (!isCandidate(endpoint, request))
+            continue;
+        const bool isNear = endpoint->entry.failureDomain == request.failureDomain;
+        const double load = loadOf(*endpoint) + (isNear ? 0 : otherDomainPenalty);
+        if (!best || load < bestLoad) {
+            best = endpoint;
+            bestLoad = load;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    return destination{ best, {}, { best } };
+}
+
+std::optional<destination> chooseChain(const engine_spec &spec,
+                                       const std::vector<endpoint_ptr> &endpoints,
+                                       const choice_request &request)
+{
+    std::optional<layer_chain> best;
+    for (const auto &[group, stages] : stagesByGroup(spec, endpoints, request)) {
+        std::optional<layer_chain> chain = findChain(stages, spec.layers, partCostMs, maxChainParts);
+        if (!chain)
+            continue;
+        if (group != request.failureDomain)
+            chain->cost *= otherDomainCostFactor;
+        if (!best || chain->cost < best->cost)
+            best = std::move(chain);
+    }
+    if (!best)
+        return std::nullopt;
+    destination chosen;
+    for (const chain_part &part : best->parts)
+        chosen.stages.push_back(findIn(endpoints, part.endpoint));
+    chosen.first = chosen.stages.front();
+    chosen.chain = std::move(best->parts);
+    return chosen;
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -0,0 +1,118 @@
+#include "fescuedeck/gateway/endpoint_registry.h"
+
+#include <algorithm>
+
+namespace fescuedeck {
+namespace {
+
+// Longest time from an announcement's making until it is read here.
+constexpr duration announcementLag = std::chrono::milliseconds(2500);
+
+} // namespace
+
+endpoint_registry::endpoint_registry(suspicion_policy policy)
+    : m_policy(policy)
+{
+}
+
+void endpoint_registry::announce(const endpoint_entry &entry, std::int64_t offset, time_point now)
+{
+    endpoint_ptr &record = m_endpoints[entry.id];
+    const bool isNew = !record || record->entry.startedAt != entry.startedAt
+                       || record->entry.address != entry.address;
+    if (isNew)
+        record = std::make_shared<endpoint_record>();
+    const std::optional<layer_range> seenLayers = record->entry.layers;
+    const bool mayBeOlder = record->layersSeenAt && now - *record->layersSeenAt < announcementLag;
+    record->entry = entry;
+    if (mayBeOlder)
+        record->entry.layers = seenLayers;
+    record->offset = offset;
+    record->announcedAt = now;
+    ++m_revision;
+}
+
+void endpoint_registry::remove(const std::string &id)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    // Those who still hold the record must not choose it any more.
+    found->second->entry.phase = endpoint_phase_announced::Draining;
+    m_endpoints.erase(found);
+    ++m_revision;
+}
+
+void endpoint_registry::retain(const std::vector<std::string> &ids)
+{
+    std::vector<std::string> gone;
+    for (const auto &[id, record] : m_endpoints) {
+        if (std::find(ids.begin(), ids.end(), id) == ids.end())
+            gone.push_back(id);
+    }
+    for (const std::string &id : gone)
+        remove(id);
+}
+
+void endpoint_registry::suspect(const std::string &id, time_point now)
+{
+    const endpoint_ptr record = find(id);
+    if (!record)
+        return;
+    constexpr int maxDoublings = 8;
+    const int doublings = std::min(record->suspicions, maxDoublings);
+    const duration pause = std::min<duration>(m_policy.first * (1 << doublings), m_policy.last);
+    record->suspectUntil = now + pause;
+    ++record->suspicions;
+    ++m_revision;
+}
+
+void endpoint_registry::confirm(const std::string &id)
+{
+    const endpoint_ptr record = find(id);
+    if (!record || record->suspicions == 0)
+        return;
+    record->suspicions = 0;
+    record->suspectUntil = {};
+    ++m_revision;
+}
+
+void endpoint_registry::observeLayers(const std::string &id,
+                                      const std::optional<layer_range> &layers,
+                                      std::int64_t orders, time_point now)
+{
+    const endpoint_ptr record = find(id);
+    if (!record || orders < record->orders)
+        return;
+    record->entry.layers = layers;
+    record->orders = orders;
+    record->layersSeenAt = now;
+    ++m_revision;
+}
+
+endpoint_ptr endpoint_registry::find(const std::string &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? nullptr : found->second;
+}
+
+endpoint_ptr endpoint_registry::findByAddress(const std::string &address) const
+{
+    for (const auto &[id, record] : m_endpoints) {
+        if (record->entry.address == address)
+            return record;
+    }
+    return nullptr;
+}
+
+std::vector<endpoint_ptr> endpoint_registry::ofService(const std::string &service) const
+{
+    std::vector<endpoint_ptr> found;
+    for (const auto &[id, record] : m_endpoints) {
+        if (record->entry.service == service)
+            found.push_back(record);
+    }
+    return found;
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -0,0 +1,106 @@
+// The endpoints that the gateway knows: what each has announced, and what this gateway has seen of
+// it since.
+//
+// Announcements come from the shared store and lag. What a call shows (a refused connection, a
+// silent engine, a range that is not there) is newer, so that it overrides the announcement until
+// the endpoint announces again or the suspicion expires.
+#ifndef FESCUEDECK_GATEWAY_ENDPOINT_REGISTRY_H
+#define FESCUEDECK_GATEWAY_ENDPOINT_REGISTRY_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fescuedeck/base/layer_range.h"
+#include "fescuedeck/base/time.h"
+
+namespace fescuedeck {
+
+enum class endpoint_phase_announced {
+    Ready,
+    Draining,
+};
+
+// An endpoint's own announcement.
+struct endpoint_entry
+{
+    std::string id; // of the process; a restarted process may keep it
+    std::string service;
+    std::string address; // ip:port
+    std::string failureDomain;
+    int slots = 1;
+    endpoint_phase_announced phase = endpoint_phase_announced::Ready;
+    std::string accelerator;         // kind of accelerator; empty for a plain service
+    std::optional<layer_range> layers; // held now; none if empty
+    std::int64_t startedAt = 0;      // Unix milliseconds; tells incarnations with one id apart
+};
+
+// An endpoint with this gateway's own observations.
+struct endpoint_record
+{
+    endpoint_entry entry;
+    std::int64_t offset = 0; // of the announcement in the store
+    time_point announcedAt{};
+    std::int64_t orders = 0; // accepted by this incarnation, as far as is known
+    std::optional<time_point> layersSeenAt; // when the engine itself stated its layers
+    time_point suspectUntil{}; // not to be used before
+    int suspicions = 0;        // in a row without a good answer
+    int inFlight = 0;          // requests of this gateway
+    double tokensInFlight = 0; // tokens x layers of this gateway's requests
+    double slowness = 1;       // observed time over expected time, smoothed
+
+    bool isUsable(time_point now) const
+    {
+        return entry.phase == endpoint_phase_announced::Ready && suspectUntil <= now;
+    }
+};
+
+using endpoint_ptr = std::shared_ptr<endpoint_record>;
+
+struct suspicion_policy
+{
+    duration first = std::chrono::milliseconds(500); // doubles with each further suspicion
+    duration last = std::chrono::seconds(4);
+};
+
+// Not thread-safe. Records stay valid for their users after the endpoint has gone.
+class endpoint_registry
+{
+public:
+    explicit endpoint_registry(suspicion_policy policy = {});
+
+    // The newest announcement of an endpoint.
+    void announce(const endpoint_entry &entry, std::int64_t offset, time_point now);
+    // The endpoint has left, or its announcement has lapsed.
+    void remove(const std::string &id);
+    // Removes the endpoints whose announcement is older than offset and that are not in ids.
+    void retain(const std::vector<std::string> &ids);
+
+    // A call failed in a way that speaks against the endpoint.
+    void suspect(const std::string &id, time_point now);
+    // A call was answered well.
+    void confirm(const std::string &id);
+    // The endpoint itself has said which layers it holds after so many orders. Announcements that
+    // arrive shortly after may be older and do not replace that.
+    void observeLayers(const std::string &id, const std::optional<layer_range> &layers,
+                       std::int64_t orders, time_point now);
+
+    endpoint_ptr find(const std::string &id) const;
+    endpoint_ptr findByAddress(const std::string &address) const;
+    std::vector<endpoint_ptr> ofService(const std::string &service) const;
+    std::size_t size() const { return m_endpoints.size(); }
+    // Grows with each change of what can be chosen.
+    std::uint64_t revision() const { return m_revision; }
+
+private:
+    suspicion_policy m_policy;
+    std::map<std::string, endpoint_ptr> m_endpoints; // by id
+    std::uint64_t m_revision = 0;
+};
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/gateway/event_splitter.cpp
@@ -0,0 +1,88 @@
+#include "fescuedeck/gateway/event_splitter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace fescuedeck {
+namespace {
+
+constexpr std::string_view idField = "id:";
+
+// Length of the first event with its closing empty line; 0 if it is not whole yet.
+std::size_t firstEventSize(std::string_view text)
+{
+    const std::size_t plain = text.find("\n\n");
+    const std::size_t carriage = text.find("\r\n\r\n");
+    const std::size_t plainEnd = plain == std::string_view::npos ? plain : plain + 2;
+    const std::size_t carriageEnd = carriage == std::string_view::npos ? carriage : carriage + 4;
+    const std::size_t end = std::min(plainEnd, carriageEnd);
+    return end == std::string_view::npos ? 0 : end;
+}
+
+std::optional<std::int64_t> idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t lineEnd = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, lineEnd);
+        event.remove_prefix(std::min(lineEnd + 1, event.size()));
+        if (line.substr(0, idField.size()) != idField)
+            continue;
+        line.remove_prefix(idField.size());
+        while (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        std::int64_t id = 0;
+        const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (parsed.ec != std::errc())
+            return std::nullopt;
+        return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+event_splitter::event_splitter(std::optional<std::int64_t> lastId)
+    : m_lastId(lastId)
+{
+}
+
+void event_splitter::feed(std::string_view part)
+{
+    m_pending += part;
+}
+
+std::string event_splitter::take()
+{
+    std::string taken;
+    std::size_t used = 0;
+    while (!m_isBroken) {
+        const std::string_view rest = std::string_view(m_pending).substr(used);
+        const std::size_t size = firstEventSize(rest);
+        if (size == 0)
+            break;
+        takeEvent(rest.substr(0, size), taken);
+        used += size;
+    }
+    m_pending.erase(0, used);
+    return taken;
+}
+
+void event_splitter::takeEvent(std::string_view event, std::string &taken)
+{
+    const std::optional<std::int64_t> id = idOf(event);
+    if (!id) {
+        m_isBroken = true;
+        return;
+    }
+    if (m_lastId && *id <= *m_lastId)
+        return;
+    // A piece that is missing must not be hidden by what follows it.
+    if (m_lastId && *id != *m_lastId + 1) {
+        m_isBroken = true;
+        return;
+    }
+    m_lastId = id;
+    taken += event;
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -0,0 +1,310 @@
+#include "fescuedeck/gateway/forwarded_call.h"
+
+#include <algorithm>
+
+#include "fescuedeck/telemetry/log_setup.h"
+
+namespace fescuedeck {
+namespace {
+
+constexpr int firstErrorStatus = 500;
+constexpr int statusOk = 200;
+// Sendings beyond those that may run, for endpoints that refuse.
+constexpr int extraSendings = 2;
+// A host that is up accepts a connection much sooner.
+constexpr duration connectTimeout = std::chrono::milliseconds(400);
+// A stream without an event for so long has lost an engine of its chain.
+constexpr duration silenceLimit = std::chrono::milliseconds(900);
+// The caller gets the gateway's answer this long before it stops waiting.
+constexpr duration answerMargin = std::chrono::milliseconds(30);
+// When a caller may return after endpoints were full.
+constexpr duration busyRetryAfter = std::chrono::milliseconds(200);
+// The same when no chain is whole and no load is known to be under way.
+constexpr duration gapRetryAfter = std::chrono::milliseconds(1500);
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+// Counts a request as in flight at the endpoints of its destination.
+class in_flight_guard
+{
+public:
+    in_flight_guard(const destination &to, double tokens)
+        : m_stages(to.stages)
+        , m_tokens(tokens)
+    {
+        for (const endpoint_ptr &stage : m_stages) {
+            ++stage->inFlight;
+            stage->tokensInFlight += m_tokens;
+        }
+    }
+    ~in_flight_guard()
+    {
+        for (const endpoint_ptr &stage : m_stages) {
+            --stage->inFlight;
+            stage->tokensInFlight -= m_tokens;
+        }
+    }
+    in_flight_guard(const in_flight_guard &) = delete;
+    in_flight_guard &operator=(const in_flight_guard &) = delete;
+
+private:
+    std::vector<endpoint_ptr> m_stages;
+    double m_tokens;
+};
+
+} // namespace
+
+// One sending.
+struct forwarded_call::attempt
+{
+    explicit attempt(std::optional<std::int64_t> lastEvent)
+        : events(lastEvent)
+    {
+    }
+
+    call_cancellation cancellation;
+    event_splitter events;
+    http_response head;
+    bool isStream = false; // the head of a stream of events has arrived
+    bool isBroken = false; // the answer cannot be passed on
+};
+
+forwarded_call::forwarded_call(gateway_context &context, http_exchange &exchange,
+                               std::shared_ptr<const config_index> config, const route_rule &route,
+                               const call_info &info)
+    : m_context(context)
+    , m_exchange(exchange)
+    , m_config(std::move(config))
+    , m_route(route)
+    , m_info(info)
+    , m_service(drawService(route, context.random))
+    , m_rule(m_config->findService(m_service))
+    , m_lastEvent(info.resumeAfter)
+{
+}
+
+void forwarded_call::run()
+{
+    attempt_end last = attempt_end::NotRun;
+    do {
+        const std::optional<destination> to = choose();
+        if (!to)
+            break;
+        last = send(*to);
+    } while (isRepeatable(last) && m_context.retries.takeRetry(m_service));
+    if (last == attempt_end::Answered) {
+        m_context.retries.recordSuccess(m_service);
+        return finish("answered");
+    }
+    if (last == attempt_end::CallerLeft)
+        return finish("left");
+    refuseFinally(last);
+}
+
+std::optional<destination> forwarded_call::choose() const
+{
+    const choice_request request{ m_context.settings.failureDomain, m_failed, steadyNow() };
+    const std::vector<endpoint_ptr> endpoints = m_context.endpoints.ofService(m_service);
+    if (m_rule != nullptr && m_rule->engine)
+        return chooseChain(*m_rule->engine, endpoints, request);
+    return chooseEndpoint(endpoints, request);
+}
+
+bool forwarded_call::isRepeatable(attempt_end last) const
+{
+    const bool isIdempotent = m_route.kind == call_kind::Safe || m_route.isResumable;
+    const bool mayRunAgain = last == attempt_end::NotRun
+                             || (last == attempt_end::MayHaveRun && isIdempotent)
+                             || (last == attempt_end::Interrupted && m_route.isResumable);
+    return mayRunAgain && !m_hasLeft && m_runs < m_route.maxAttempts
+           && m_sendings < m_route.maxAttempts + extraSendings && remaining() > answerMargin;
+}
+
+attempt_end forwarded_call::send(const destination &to)
+{
+    attempt current(m_lastEvent);
+    const in_flight_guard inFlight(
+            to, static_cast<double>(m_info.promptTokens + m_info.maxAnswerTokens));
+    forwarding options;
+    options.endpoint = to.first->entry.id;
+    options.workspace = workspace;
+    options.timeLimit = remaining();
+    options.chain = to.chain;
+    options.resumeAfter = m_lastEvent;
+    const http_request request = m_context.wire.forward(m_exchange.request(), options);
+
+    call_options call;
+    call.timeout = remaining();
+    call.connectTimeout = connectTimeout;
+    call.cancellation = current.cancellation;
+    if (m_route.kind == call_kind::Stream) {
+        call.silenceTimeout = silenceLimit;
+        call.collectsBody = false;
+        call.onHead = [&](const http_response &head) { onStreamHead(current, head); };
+        call.onBodyPart = [&](std::string_view part) { onStreamPart(current, part); };
+    }
+    m_exchange.onCallerLeft([this, cancellation = current.cancellation]() mutable {
+        m_hasLeft = true;
+        cancellation.cancel();
+    });
+    ++m_sendings;
+    const call_result result = m_context.client.send(to.first->entry.address, request, call,
+                                                     m_exchange.yield());
+    if (m_hasLeft || m_exchange.callerLeft())
+        return attempt_end::CallerLeft;
+    return judge(to, current, result);
+}
+
+void forwarded_call::onStreamHead(attempt &current, const http_response &head)
+{
+    const answer_info answer = m_context.wire.readAnswer(head);
+    current.head = head;
+    current.isStream = head.status == statusOk && isSealedAnswer(answer, head);
+    current.isBroken = isSuccess(head.status) && !current.isStream;
+    if (current.isBroken)
+        current.cancellation.cancel();
+}
+
+void forwarded_call::onStreamPart(attempt &current, std::string_view part)
+{
+    if (!current.isStream) {
+        current.head.body += part; // of a failure, to be passed on whole
+        return;
+    }
+    current.events.feed(part);
+    const std::string events = current.events.take();
+    if (current.events.isBroken()) {
+        current.isBroken = true;
+        current.cancellation.cancel();
+    }
+    if (events.empty())
+        return;
+    if (!m_streamBegun) {
+        m_streamBegun = true;
+        m_exchange.startStream(m_context.wire.passAnswer(current.head));
+    }
+    m_lastEvent = current.events.lastId();
+    if (!m_exchange.writeChunk(events)) {
+        m_hasLeft = true;
+        current.cancellation.cancel();
+    }
+}
+
+bool forwarded_call::isSealedAnswer(const answer_info &answer, const http_response &response) const
+{
+    return answer.id == m_info.id && !answer.isEncoded
+           && (answer.isSealed || !isSuccess(response.status));
+}
+
+attempt_end forwarded_call::judge(const destination &to, attempt &current,
+                                  const call_result &result)
+{
+    if (!result.response)
+        return judgeFailure(to, current, result);
+    const http_response &response = result.response.value();
+    const answer_info answer = m_context.wire.readAnswer(response);
+    if (answer.didNotRun || answer.isMisdirected) {
+        m_wasBusy = m_wasBusy || !answer.isMisdirected;
+        blame(to, answer.faultAddress);
+        return attempt_end::NotRun;
+    }
+    ++m_runs;
+    if (current.isBroken || !isSealedAnswer(answer, response)) {
+        blame(to, {});
+        return m_streamBegun ? attempt_end::Interrupted : attempt_end::MayHaveRun;
+    }
+    if (current.isStream)
+        return judgeStreamEnd(to, current);
+    if (m_streamBegun)
+        return attempt_end::Interrupted;
+    // A failure of the endpoint itself: another one may do better.
+    if (response.status >= firstErrorStatus && isRepeatable(attempt_end::MayHaveRun)
+        && m_context.retries.available(m_service) >= 1) {
+        m_failed.insert(to.first->entry.id);
+        return attempt_end::MayHaveRun;
+    }
+    return passOn(to, m_route.kind == call_kind::Stream ? current.head : response);
+}
+
+attempt_end forwarded_call::judgeFailure(const destination &to, const attempt &current,
+                                         const call_result &result)
+{
+    const failure &error = result.response.error();
+    m_context.counters.counterOf("fescuedeck_failed_sendings_total").add();
+    logWarning("gateway", "request " + m_info.id + " failed at " + to.first->entry.id + ": "
+                                  + error.detail);
+    if (!result.mayHaveBeenSent) {
+        m_context.endpoints.suspect(to.first->entry.id, steadyNow());
+        m_failed.insert(to.first->entry.id);
+        return attempt_end::NotRun;
+    }
+    ++m_runs;
+    const bool isOverTime = remaining() <= duration::zero();
+    if (!isOverTime && !current.isBroken)
+        blame(to, {});
+    m_failed.insert(to.first->entry.id);
+    return m_streamBegun ? attempt_end::Interrupted : attempt_end::MayHaveRun;
+}
+
+attempt_end forwarded_call::judgeStreamEnd(const destination &to, const attempt &current)
+{
+    if (current.events.hasPartialEvent() || !m_streamBegun) {
+        blame(to, {});
+        return m_streamBegun ? attempt_end::Interrupted : attempt_end::MayHaveRun;
+    }
+    for (const endpoint_ptr &stage : to.stages)
+        m_context.endpoints.confirm(stage->entry.id);
+    m_exchange.finishStream();
+    return attempt_end::Answered;
+}
+
+attempt_end forwarded_call::passOn(const destination &to, const http_response &response)
+{
+    if (isSuccess(response.status))
+        m_context.endpoints.confirm(to.first->entry.id);
+    m_exchange.respond(m_context.wire.passAnswer(response));
+    return attempt_end::Answered;
+}
+
+// Keeps this request, and for a while all others, from the endpoint at fault.
+void forwarded_call::blame(const destination &to, const std::string &faultAddress)
+{
+    endpoint_ptr fault = to.first;
+    for (const endpoint_ptr &stage : to.stages) {
+        if (!faultAddress.empty() && stage->entry.address == faultAddress)
+            fault = stage;
+    }
+    m_failed.insert(fault->entry.id);
+    m_context.endpoints.suspect(fault->entry.id, steadyNow());
+}
+
+void forwarded_call::refuseFinally(attempt_end last)
+{
+    if (m_streamBegun)
+        return finish("broken_off"); // ends without its final chunk
+    const bool hasRun = last != attempt_end::NotRun || (m_runs > 0);
+    refusal_reason reason = m_wasBusy ? refusal_reason::Busy : refusal_reason::NoEndpoint;
+    if (hasRun)
+        reason = remaining() <= answerMargin ? refusal_reason::TimedOut : refusal_reason::Failed;
+    duration retryAfter = busyRetryAfter;
+    if (!m_wasBusy) {
+        const duration load = m_context.layersExpectedAt - steadyNow();
+        retryAfter = load > duration::zero() ? load : gapRetryAfter;
+    }
+    m_exchange.respond(m_context.wire.refuse(reason, retryAfter));
+    finish(hasRun ? "failed" : "refused");
+}
+
+void forwarded_call::finish(const char *outcome)
+{
+    m_context.counters
+            .counterOf("fescuedeck_requests_total",
+                       { { "kind", std::string(nameOf(callKindNames, m_route.kind)) },
+                         { "outcome", outcome } })
+            .add();
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -0,0 +1,76 @@
+// One request of a caller on its way through the gateway: attempts, resumption, and the answer.
+#ifndef FESCUEDECK_GATEWAY_FORWARDED_CALL_H
+#define FESCUEDECK_GATEWAY_FORWARDED_CALL_H
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "fescuedeck/gateway/endpoint_choice.h"
+#include "fescuedeck/gateway/event_splitter.h"
+#include "fescuedeck/gateway/gateway_context.h"
+#include "fescuedeck/net/http_server.h"
+
+namespace fescuedeck {
+
+// How one sending ended, as far as repeating it is concerned.
+enum class attempt_end {
+    Answered,    // the caller has the answer
+    NotRun,      // the request has certainly not run
+    MayHaveRun,  // it may have run, and there is no usable answer
+    Interrupted, // events have reached the caller and more are due
+    CallerLeft,
+};
+
+// Used by the coroutine of its exchange only.
+class forwarded_call
+{
+public:
+    forwarded_call(gateway_context &context, http_exchange &exchange,
+                   std::shared_ptr<const config_index> config, const route_rule &route,
+                   const call_info &info);
+
+    std::string workspace;
+    time_point end{}; // the answer is due
+
+    void run();
+
+private:
+    struct attempt;
+
+    std::optional<destination> choose() const;
+    attempt_end send(const destination &to);
+    attempt_end judge(const destination &to, attempt &current, const call_result &result);
+    attempt_end judgeFailure(const destination &to, const attempt &current,
+                             const call_result &result);
+    attempt_end judgeStreamEnd(const destination &to, const attempt &current);
+    attempt_end passOn(const destination &to, const http_response &response);
+    void onStreamHead(attempt &current, const http_response &head);
+    void onStreamPart(attempt &current, std::string_view part);
+    bool isRepeatable(attempt_end last) const;
+    void refuseFinally(attempt_end last);
+    void blame(const destination &to, const std::string &faultAddress);
+    duration remaining() const { return end - steadyNow(); }
+    bool isSealedAnswer(const answer_info &answer, const http_response &response) const;
+    void finish(const char *outcome);
+
+    gateway_context &m_context;
+    http_exchange &m_exchange;
+    std::shared_ptr<const config_index> m_config;
+    const route_rule &m_route;
+    const call_info &m_info;
+    const std::string m_service;
+    const service_rule *m_rule;
+    std::set<std::string> m_failed; // endpoints
+    int m_runs = 0;                 // sendings that may have run
+    int m_sendings = 0;
+    bool m_wasBusy = false;     // an endpoint was full
+    bool m_streamBegun = false; // the caller has the head of the answer
+    bool m_hasLeft = false;
+    std::optional<std::int64_t> m_lastEvent;
+};
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/gateway/gateway.h
@@ -0,0 +1,25 @@
+// The gateway process: routes callers' requests on a platform that has its own store, balancer and
+// engines.
+#ifndef FESCUEDECK_GATEWAY_GATEWAY_H
+#define FESCUEDECK_GATEWAY_GATEWAY_H
+
+#include <functional>
+
+#include <boost/asio/io_context.hpp>
+
+#include "fescuedeck/gateway/gateway_settings.h"
+#include "fescuedeck/gateway/gateway_wire.h"
+#include "fescuedeck/net/http_client.h"
+
+namespace fescuedeck {
+
+// Makes the adapter of the platform, whose store is reached through the client.
+using make_wire_fn = std::function<gateway_wire(http_client &client)>;
+
+// Runs until SIGTERM and the end of the requests in flight. Returns the exit status: 0 after a
+// graceful end, 1 if an address cannot be used.
+int runGateway(const gateway_settings &settings, const make_wire_fn &makeWire);
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -0,0 +1,46 @@
+// The state that all parts of one gateway share.
+//
+// A gateway runs on one thread: its hosts give it a fraction of one core. So nothing here is
+// locked, and nothing may be used from another thread.
+#ifndef FESCUEDECK_GATEWAY_GATEWAY_CONTEXT_H
+#define FESCUEDECK_GATEWAY_GATEWAY_CONTEXT_H
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "fescuedeck/admission/retry_budget.h"
+#include "fescuedeck/base/random.h"
+#include "fescuedeck/gateway/endpoint_registry.h"
+#include "fescuedeck/gateway/gateway_config.h"
+#include "fescuedeck/gateway/gateway_settings.h"
+#include "fescuedeck/gateway/gateway_wire.h"
+#include "fescuedeck/net/http_client.h"
+#include "fescuedeck/telemetry/metrics.h"
+
+namespace fescuedeck {
+
+struct gateway_context
+{
+    gateway_context(gateway_settings gatewaySettings, gateway_wire gatewayWire,
+                    boost::asio::io_context &ioContext, http_client &httpClient, random_fn randomFn);
+
+    const gateway_settings settings;
+    const gateway_wire wire;
+    boost::asio::io_context &io;
+    http_client &client;
+    random_fn random;
+    metrics counters;
+    std::shared_ptr<const config_index> config; // null before the first one
+    endpoint_registry endpoints;
+    retry_budget retries; // by service
+    bool knowsEndpoints = false; // their list has been read once
+    bool isStopping = false;
+    // Until about when layers that are missing now are loaded.
+    time_point layersExpectedAt{};
+};
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/gateway/layer_placement.cpp
@@ -0,0 +1,299 @@
+#include "fescuedeck/gateway/layer_placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescuedeck {
+namespace {
+
+constexpr double bytesPerMb = 1e6;
+
+struct planned_engine
+{
+    const placement_engine *engine = nullptr;
+    int capacity = 0; // layers
+    double stepFactor = 1;
+    std::optional<layer_range> range;
+    bool isDecided = false;
+};
+
+// One group of engines and the number of engines that hold each layer.
+class group_plan
+{
+public:
+    group_plan(int layers, std::vector<planned_engine> engines)
+        : m_layers(layers)
+        , m_engines(std::move(engines))
+        , m_holders(static_cast<std::size_t>(layers))
+    {
+        for (const planned_engine &engine : m_engines)
+            count(engine.range, 1);
+    }
+
+    void closeGaps(std::vector<placement_decision> &decisions);
+    void useEmptyEngines(std::vector<placement_decision> &decisions);
+
+private:
+    int &holders(int layer) { return m_holders[static_cast<std::size_t>(layer)]; }
+    int holders(int layer) const { return m_holders[static_cast<std::size_t>(layer)]; }
+
+    void count(const std::optional<layer_range> &range, int change);
+    std::optional<layer_range> firstGap(int from) const;
+    bool isMovable(const planned_engine &engine) const;
+    planned_engine *moverFor(const layer_range &gap);
+    layer_range windowAround(const layer_range &gap, int capacity) const;
+    double protectionOf(const layer_range &window) const;
+    layer_range mostUsefulWindow(int capacity) const;
+    void assign(planned_engine &engine, const layer_range &range, bool closesGap,
+                std::vector<placement_decision> &decisions);
+
+    const int m_layers;
+    std::vector<planned_engine> m_engines;
+    std::vector<int> m_holders; // by layer
+};
+
+void group_plan::count(const std::optional<layer_range> &range, int change)
+{
+    if (!range)
+        return;
+    for (int layer = std::max(0, range->begin); layer < std::min(m_layers, range->end); ++layer)
+        holders(layer) += change;
+}
+
+std::optional<layer_range> group_plan::firstGap(int from) const
+{
+    int begin = from;
+    while (begin < m_layers && holders(begin) > 0)
+        ++begin;
+    if (begin == m_layers)
+        return std::nullopt;
+    int end = begin;
+    while (end < m_layers && holders(end) == 0)
+        ++end;
+    return layer_range{ begin, end };
+}
+
+bool group_plan::isMovable(const planned_engine &engine) const
+{
+    if (engine.isDecided || engine.engine->isBusy || engine.capacity == 0)
+        return false;
+    if (!engine.range)
+        return true;
+    for (int layer = engine.range->begin; layer < engine.range->end; ++layer) {
+        if (layer < m_layers && holders(layer) < 2)
+            return false;
+    }
+    return true;
+}
+
+// The engine that covers most of the gap. Among equals an empty one, then the smallest, so that
+// large engines stay free for large gaps, then the fastest.
+planned_engine *group_plan::moverFor(const layer_range &gap)
+{
+    planned_engine *best = nullptr;
+    const auto covered
+            = [&](const planned_engine &engine) { return std::min(engine.capacity, gap.size()); };
+    const auto isBetter = [&](const planned_engine &a, const planned_engine &b) {
+        if (covered(a) != covered(b))
+            return covered(a) > covered(b);
+        if (a.range.has_value() != b.range.has_value())
+            return !a.range.has_value();
+        if (a.capacity != b.capacity)
+            return a.capacity < b.capacity;
+        if (a.stepFactor != b.stepFactor)
+            return a.stepFactor < b.stepFactor;
+        return a.engine->id < b.engine->id;
+    };
+    for (planned_engine &engine : m_engines) {
+        if (isMovable(engine) && (best == nullptr || isBetter(engine, *best)))
+            best = &engine;
+    }
+    return best;
+}
+
+// Worth of one more holder for the layers of a window: layers with few holders count most.
+double group_plan::protectionOf(const layer_range &window) const
+{
+    double worth = 0;
+    for (int layer = window.begin; layer < window.end; ++layer)
+        worth += std::pow(0.25, holders(layer));
+    // An engine whose loss would leave no gap any more is worth more than two halves of engines.
+    constexpr double wholeEngineWorth = 2;
+    for (const planned_engine &engine : m_engines) {
+        if (!engine.range || !window.contains(*engine.range))
+            continue;
+        const bool isSoleHolder = std::any_of(
+                m_holders.begin() + engine.range->begin, m_holders.begin() + engine.range->end,
+                [](int holderCount) { return holderCount == 1; });
+        worth += isSoleHolder ? wholeEngineWorth : 0;
+    }
+    return worth;
+}
+
+layer_range group_plan::windowAround(const layer_range &gap, int capacity) const
+{
+    const int size = std::min(capacity, m_layers);
+    if (size <= gap.size()) {
+        const int begin = std::min(gap.begin, m_layers - size);
+        return { begin, begin + size };
+    }
+    layer_range best{ -1, -1 };
+    double bestWorth = -1;
+    const int firstBegin = std::max(0, gap.end - size);
+    const int lastBegin = std::min(gap.begin, m_layers - size);
+    for (int begin = lastBegin; begin >= firstBegin; --begin) {
+        const layer_range window{ begin, begin + size };
+        const double worth = protectionOf(window);
+        if (worth > bestWorth) {
+            best = window;
+            bestWorth = worth;
+        }
+    }
+    return best;
+}
+
+layer_range group_plan::mostUsefulWindow(int capacity) const
+{
+    const int size = std::min(capacity, m_layers);
+    layer_range best{ 0, size };
+    double bestWorth = -1;
+    for (int begin = 0; begin + size <= m_layers; ++begin) {
+        const layer_range window{ begin, begin + size };
+        const double worth = protectionOf(window);
+        if (worth > bestWorth) {
+            best = window;
+            bestWorth = worth;
+        }
+    }
+    return best;
+}
+
+void group_plan::assign(planned_engine &engine, const layer_range &range, bool closesGap,
+                        std::vector<placement_decision> &decisions)
+{
+    count(engine.range, -1);
+    engine.range = range;
+    engine.isDecided = true;
+    count(engine.range, 1);
+    decisions.push_back({ engine.engine->id, range, closesGap });
+}
+
+void group_plan::closeGaps(std::vector<placement_decision> &decisions)
+{
+    std::optional<layer_range> gap = firstGap(0);
+    while (gap) {
+        planned_engine *mover = moverFor(*gap);
+        if (mover == nullptr)
+            return;
+        assign(*mover, windowAround(*gap, mover->capacity), true, decisions);
+        gap = firstGap(0);
+    }
+}
+
+void group_plan::useEmptyEngines(std::vector<placement_decision> &decisions)
+{
+    std::vector<planned_engine *> empty;
+    for (planned_engine &engine : m_engines) {
+        if (!engine.range && isMovable(engine))
+            empty.push_back(&engine);
+    }
+    std::sort(empty.begin(), empty.end(), [](const planned_engine *a, const planned_engine *b) {
+        if (a->capacity != b->capacity)
+            return a->capacity > b->capacity;
+        return a->engine->id < b->engine->id;
+    });
+    for (planned_engine *engine : empty)
+        assign(*engine, mostUsefulWindow(engine->capacity), false, decisions);
+}
+
+int capacityOf(const engine_spec &spec, const placement_engine &engine,
+               const placement_policy &policy)
+{
+    const accelerator_kind *kind = spec.findKind(engine.accelerator);
+    return kind == nullptr ? 0 : layerCapacity(spec, *kind, policy);
+}
+
+std::vector<planned_engine> engineOfGroup(const engine_spec &spec,
+                                          const std::vector<placement_engine> &engines,
+                                          const std::map<std::string, std::string> &groups,
+                                          const std::string &group, const placement_policy &policy)
+{
+    std::vector<planned_engine> members;
+    for (const placement_engine &engine : engines) {
+        if (groups.at(engine.failureDomain) != group)
+            continue;
+        planned_engine member;
+        member.engine = &engine;
+        member.capacity = capacityOf(spec, engine, policy);
+        member.range = engine.range;
+        if (const accelerator_kind *kind = spec.findKind(engine.accelerator))
+            member.stepFactor = kind->stepFactor;
+        members.push_back(member);
+    }
+    return members;
+}
+
+} // namespace
+
+int layerCapacity(const engine_spec &spec, const accelerator_kind &kind,
+                  const placement_policy &policy)
+{
+    if (spec.layers <= 0 || spec.layerMb <= 0)
+        return 0;
+    const double tokens = static_cast<double>(spec.usualPromptTokens + spec.usualAnswerTokens)
+                          * policy.concurrentRequests;
+    const double cacheMbPerLayer = tokens * spec.cacheBytesPerToken / spec.layers / bytesPerMb;
+    const int withCache = static_cast<int>(kind.memoryMb / (spec.layerMb + cacheMbPerLayer));
+    // A layer without room for any request's cache would be of no use.
+    const int fitting = kind.memoryMb > spec.layerMb ? 1 : 0;
+    return std::min(spec.layers, std::max(withCache, fitting));
+}
+
+std::map<std::string, std::string> placementGroups(const engine_spec &spec,
+                                                   const std::vector<placement_engine> &engines,
+                                                   const placement_policy &policy)
+{
+    std::map<std::string, int> capacities;
+    for (const placement_engine &engine : engines)
+        capacities[engine.failureDomain] += capacityOf(spec, engine, policy);
+    int pooled = 0;
+    std::string largest;
+    for (const auto &[domain, capacity] : capacities) {
+        if (capacity < spec.layers)
+            pooled += capacity;
+        else if (largest.empty() || capacity > capacities.at(largest))
+            largest = domain;
+    }
+    // Domains that cannot hold a chain even together strengthen the largest one.
+    static const std::string pool;
+    const std::string &rest = pooled >= spec.layers || largest.empty() ? pool : largest;
+    std::map<std::string, std::string> groups;
+    for (const auto &[domain, capacity] : capacities)
+        groups[domain] = capacity < spec.layers ? rest : domain;
+    return groups;
+}
+
+std::vector<placement_decision> planLayers(const engine_spec &spec,
+                                           const std::vector<placement_engine> &engines,
+                                           const placement_policy &policy)
+{
+    std::vector<placement_decision> decisions;
+    if (spec.layers <= 0)
+        return decisions;
+    const auto groups = placementGroups(spec, engines, policy);
+    std::vector<std::string> names;
+    for (const auto &[domain, group] : groups)
+        names.push_back(group);
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+    std::vector<group_plan> plans;
+    for (const std::string &name : names)
+        plans.emplace_back(spec.layers, engineOfGroup(spec, engines, groups, name, policy));
+    for (group_plan &plan : plans)
+        plan.closeGaps(decisions);
+    for (group_plan &plan : plans)
+        plan.useEmptyEngines(decisions);
+    return decisions;
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/placement_controller.h
@@ -0,0 +1,113 @@
+// Gives the orders that bring the engines of one model to the planned layers, and keeps account of
+// those that are under way.
+//
+// Every order names the number of orders that its engine has accepted so far. An order that is
+// carried out late, after another one, therefore no longer fits and is refused by the engine.
+#ifndef FESCUEDECK_GATEWAY_PLACEMENT_CONTROLLER_H
+#define FESCUEDECK_GATEWAY_PLACEMENT_CONTROLLER_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fescuedeck/base/layer_range.h"
+#include "fescuedeck/base/name_table.h"
+#include "fescuedeck/base/time.h"
+#include "fescuedeck/gateway/endpoint_registry.h"
+#include "fescuedeck/gateway/gateway_config.h"
+#include "fescuedeck/gateway/layer_placement.h"
+
+namespace fescuedeck {
+
+struct placement_order
+{
+    std::string endpoint; // id
+    std::string address;
+    std::int64_t startedAt = 0; // incarnation that is meant
+    layer_range range;
+    std::int64_t expectedOrders = 0; // accepted by the engine before this one
+    bool closesGap = false;
+};
+
+enum class order_outcome {
+    Begun,      // the engine is loading
+    Done,       // the engine holds the range already
+    Mismatched, // the engine's state is not the expected one
+    Fenced,     // the engine has seen a higher fencing token
+    NotSent,    // the engine cannot have received it
+    Unknown,    // no usable answer: it may be carried out, now or later
+};
+
+constexpr name_table<order_outcome, 6> orderOutcomeNames = { {
+        { order_outcome::Begun, "begun" },
+        { order_outcome::Done, "done" },
+        { order_outcome::Mismatched, "mismatched" },
+        { order_outcome::Fenced, "fenced" },
+        { order_outcome::NotSent, "not_sent" },
+        { order_outcome::Unknown, "unknown" },
+} };
+
+// What an engine says of itself when asked.
+struct engine_report
+{
+    std::optional<layer_range> layers;
+    std::int64_t orders = 0; // accepted
+    bool isBusy = false;     // an order is under way
+    std::vector<std::string> stalledOn; // addresses of engines that its requests wait for
+};
+
+struct placement_timing
+{
+    duration resendAfter = std::chrono::milliseconds(700); // after an order without an answer
+    duration reportInterval = std::chrono::milliseconds(300);
+    // Beyond the expected load time, before the engine is asked whether it has loaded.
+    duration loadMargin = std::chrono::milliseconds(50);
+    // An order whose effect does not show by then is forgotten and planned anew.
+    duration giveUpAfter = std::chrono::seconds(15);
+};
+
+// Not thread-safe.
+class placement_controller
+{
+public:
+    explicit placement_controller(placement_policy policy = {}, placement_timing timing = {});
+
+    // Orders to send now. endpoints are all known ones of the service.
+    std::vector<placement_order> plan(const engine_spec &spec,
+                                      const std::vector<endpoint_ptr> &endpoints, time_point now);
+    void answered(const placement_order &order, order_outcome outcome, time_point now);
+    // Engines that must be asked for a report now.
+    std::vector<std::string> reportsDue(time_point now);
+    void reported(const std::string &endpoint, const engine_report &report, time_point now);
+    // Time until the engine of the order that finishes last has loaded; zero if none closes a gap.
+    duration timeToCloseGaps(time_point now) const;
+    // Forgets all orders, for example because another gateway gives them now.
+    void clear() { m_pending.clear(); }
+    std::size_t pending() const { return m_pending.size(); }
+
+private:
+    struct pending_order
+    {
+        placement_order order;
+        bool isBegun = false;
+        bool isDoubtful = false;
+        time_point sentAt{};
+        time_point readyAt{}; // expected end of the load
+        time_point nextReport{};
+    };
+
+    void settle(const std::vector<endpoint_ptr> &endpoints, time_point now);
+    std::vector<placement_engine> enginesOf(const std::vector<endpoint_ptr> &endpoints,
+                                            time_point now) const;
+
+    const placement_policy m_policy;
+    const placement_timing m_timing;
+    std::map<std::string, pending_order> m_pending; // by endpoint
+    engine_spec m_spec;
+};
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/gateway/placement_duty.cpp
@@ -0,0 +1,135 @@
+#include "fescuedeck/gateway/placement_duty.h"
+
+#include "fescuedeck/router/wait_event.h"
+#include "fescuedeck/telemetry/log_setup.h"
+
+namespace fescuedeck {
+
+placement_duty::placement_duty(gateway_context &context, std::string member,
+                               placement_duty_settings settings)
+    : m_context(context)
+    , m_member(std::move(member))
+    , m_settings(settings)
+{
+}
+
+void placement_duty::start()
+{
+    boost::asio::spawn(m_context.io,
+                       [this](boost::asio::yield_context yield) { renewForever(yield); });
+    boost::asio::spawn(m_context.io,
+                       [this](boost::asio::yield_context yield) { planForever(yield); });
+}
+
+bool placement_duty::isHolder(time_point now) const
+{
+    return now + m_settings.sendMargin < m_holdsUntil && !m_context.isStopping;
+}
+
+void placement_duty::renewForever(boost::asio::yield_context yield)
+{
+    while (!m_context.isStopping) {
+        // The term counts from the sending, as the store may have begun it then.
+        const time_point sentAt = steadyNow();
+        const bool wasHolder = isHolder(sentAt);
+        const auto grant = m_context.wire.store.joinDuty(m_member, m_settings.term,
+                                                         m_settings.renewTimeout, yield);
+        if (grant) {
+            m_holdsUntil = grant.value().isHolder ? sentAt + m_settings.term : time_point{};
+            m_fencingToken = grant.value().fencingToken;
+            if (grant.value().isHolder != wasHolder) {
+                logInfo("gateway", std::string(wasHolder ? "lost" : "holds")
+                                           + " the placement duty, fencing token "
+                                           + std::to_string(m_fencingToken));
+            }
+        }
+        sleepFor(m_settings.renewInterval, yield);
+    }
+    m_holdsUntil = {};
+    const auto error = m_context.wire.store.leaveDuty(m_member, m_settings.renewTimeout, yield);
+    if (error)
+        logWarning("gateway", "the placement duty could not be given up: " + error->detail);
+}
+
+void placement_duty::planForever(boost::asio::yield_context yield)
+{
+    while (true) {
+        sleepFor(m_settings.planInterval, yield);
+        const time_point now = steadyNow();
+        if (!isHolder(now)) {
+            for (auto &[service, controller] : m_controllers)
+                controller.clear();
+            continue;
+        }
+        if (!m_context.config || !m_context.knowsEndpoints)
+            continue;
+        const auto config = m_context.config;
+        for (const service_rule &service : config->config().services) {
+            if (service.engine)
+                planService(service, now);
+        }
+    }
+}
+
+void placement_duty::planService(const service_rule &service, time_point now)
+{
+    placement_controller &controller = m_controllers[service.name];
+    const auto endpoints = m_context.endpoints.ofService(service.name);
+    for (const placement_order &order : controller.plan(*service.engine, endpoints, now)) {
+        boost::asio::spawn(m_context.io, [this, name = service.name,
+                                          order](boost::asio::yield_context yield) {
+            sendOrder(name, order, yield);
+        });
+    }
+    for (const std::string &endpoint : controller.reportsDue(now)) {
+        boost::asio::spawn(m_context.io, [this, name = service.name,
+                                          endpoint](boost::asio::yield_context yield) {
+            fetchReport(name, endpoint, yield);
+        });
+    }
+    m_context.layersExpectedAt = now + controller.timeToCloseGaps(now);
+}
+
+void placement_duty::sendOrder(const std::string &service, const placement_order &order,
+                               boost::asio::yield_context yield)
+{
+    placement_controller &controller = m_controllers[service];
+    if (!isHolder(steadyNow()))
+        return controller.answered(order, order_outcome::NotSent, steadyNow());
+    call_options options;
+    options.timeout = m_settings.orderTimeout;
+    const call_result result
+            = m_context.client.send(order.address, m_context.wire.encodeOrder(order, m_fencingToken),
+                                    options, yield);
+    order_outcome outcome = result.mayHaveBeenSent ? order_outcome::Unknown : order_outcome::NotSent;
+    if (result.response)
+        outcome = m_context.wire.decodeOrderAnswer(result.response.value());
+    logInfo("gateway", "order to " + order.endpoint + ": layers " + toString(order.range)
+                               + ", fencing token " + std::to_string(m_fencingToken) + ", outcome "
+                               + std::string(nameOf(orderOutcomeNames, outcome)));
+    controller.answered(order, outcome, steadyNow());
+}
+
+void placement_duty::fetchReport(const std::string &service, const std::string &endpoint,
+                                 boost::asio::yield_context yield)
+{
+    const endpoint_ptr record = m_context.endpoints.find(endpoint);
+    if (!record)
+        return;
+    call_options options;
+    options.timeout = m_settings.orderTimeout;
+    const call_result result = m_context.client.send(
+            record->entry.address, m_context.wire.encodeReportRequest(), options, yield);
+    if (!result.response)
+        return;
+    const auto report = m_context.wire.decodeReport(result.response.value());
+    if (!report) {
+        logWarning("gateway", "report of " + endpoint + ": " + report.error().message());
+        return;
+    }
+    m_context.endpoints.observeLayers(endpoint, report.value().layers, report.value().orders,
+                                      steadyNow());
+    m_controllers[service].reported(endpoint, report.value(), steadyNow());
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/placement_duty.h
@@ -0,0 +1,56 @@
+// Holds the duty of ordering layers, and carries the orders out while it is held.
+#ifndef FESCUEDECK_GATEWAY_PLACEMENT_DUTY_H
+#define FESCUEDECK_GATEWAY_PLACEMENT_DUTY_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include <boost/asio/spawn.hpp>
+
+#include "fescuedeck/gateway/gateway_context.h"
+#include "fescuedeck/gateway/placement_controller.h"
+
+namespace fescuedeck {
+
+struct placement_duty_settings
+{
+    duration term = std::chrono::seconds(3); // of the duty, after the last renewal
+    duration renewInterval = std::chrono::milliseconds(700);
+    duration renewTimeout = std::chrono::milliseconds(1500);
+    duration planInterval = std::chrono::milliseconds(50);
+    // No order is sent in this last part of the term.
+    duration sendMargin = std::chrono::milliseconds(500);
+    duration orderTimeout = std::chrono::milliseconds(1000);
+};
+
+// Not thread-safe. Must outlive its io_context's run.
+class placement_duty
+{
+public:
+    placement_duty(gateway_context &context, std::string member,
+                   placement_duty_settings settings = {});
+
+    void start();
+    bool isHolder(time_point now) const;
+
+private:
+    void renewForever(boost::asio::yield_context yield);
+    void planForever(boost::asio::yield_context yield);
+    void planService(const service_rule &service, time_point now);
+    void sendOrder(const std::string &service, const placement_order &order,
+                   boost::asio::yield_context yield);
+    void fetchReport(const std::string &service, const std::string &endpoint,
+                     boost::asio::yield_context yield);
+
+    gateway_context &m_context;
+    const std::string m_member;
+    const placement_duty_settings m_settings;
+    std::map<std::string, placement_controller> m_controllers; // by service
+    time_point m_holdsUntil{};
+    std::int64_t m_fencingToken = 0;
+};
+
+} // namespace fescuedeck
+
+#endif
--- /dev/null
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -0,0 +1,52 @@
+#include "fescuedeck/gateway/request_forwarder.h"
+
+#include <algorithm>
+
+#include "fescuedeck/gateway/forwarded_call.h"
+
+namespace fescuedeck {
+namespace {
+
+// A caller that states no limit waits this long at most.
+constexpr duration longestWait = std::chrono::seconds(60);
+
+duration timeLimitOf(const call_info &info, const route_rule &route)
+{
+    duration limit = route.timeout > duration::zero() ? route.timeout : longestWait;
+    if (info.timeLimit)
+        limit = std::min(limit, *info.timeLimit);
+    return limit;
+}
+
+} // namespace
+
+request_forwarder::request_forwarder(gateway_context &context)
+    : m_context(context)
+{
+}
+
+void request_forwarder::handle(http_exchange &exchange)
+{
+    const gateway_wire &wire = m_context.wire;
+    const auto refuse = [&](refusal_reason reason) {
+        m_context.counters.counterOf("fescuedeck_rejected_requests_total").add();
+        exchange.respond(wire.refuse(reason, duration::zero()));
+    };
+    const auto config = m_context.config;
+    if (!config)
+        return refuse(refusal_reason::NoConfig);
+    const call_info info = wire.readCall(exchange.request());
+    const route_rule *route = config->findRoute(info.host, info.path);
+    if (route == nullptr)
+        return refuse(refusal_reason::NoRoute);
+    const workspace_rule *workspace = config->findWorkspace(info.key);
+    const bool needsKey = !config->config().workspaces.empty() && !route->isPublic;
+    if (needsKey && workspace == nullptr)
+        return refuse(refusal_reason::NoKey);
+    forwarded_call call(m_context, exchange, config, *route, info);
+    call.workspace = workspace == nullptr ? std::string() : workspace->name;
+    call.end = steadyNow() + timeLimitOf(info, *route);
+    call.run();
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -0,0 +1,88 @@
+#include "fescuedeck/gateway/table_follower.h"
+
+#include "fescuedeck/router/wait_event.h"
+#include "fescuedeck/telemetry/log_setup.h"
+
+namespace fescuedeck {
+
+table_follower::table_follower(boost::asio::io_context &ioContext, const store_hooks &store,
+                               store_table table, table_follower_settings settings,
+                               table_follower_hooks hooks, random_fn random)
+    : m_io(ioContext)
+    , m_store(store)
+    , m_table(table)
+    , m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_backoff(m_settings.retry, std::move(random))
+{
+}
+
+void table_follower::start()
+{
+    boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { run(yield); });
+}
+
+void table_follower::run(boost::asio::yield_context yield)
+{
+    while (true) {
+        const bool isGood = m_position ? readOn(yield) : readWhole(yield);
+        if (isGood)
+            m_backoff.reset();
+        const duration pause = isGood ? m_settings.pause : m_backoff.next();
+        if (pause > duration::zero())
+            sleepFor(pause, yield);
+    }
+}
+
+bool table_follower::readWhole(boost::asio::yield_context yield)
+{
+    const auto page = m_store.readNewest(m_table, m_settings.timeout, yield);
+    noteRead(page.has_value(), page ? std::string() : page.error().detail);
+    if (!page)
+        return false;
+    std::vector<std::string> keys;
+    for (const store_record &record : page.value().records) {
+        m_hooks.onRecord(record);
+        if (!record.isRemoval)
+            keys.push_back(record.key);
+    }
+    m_hooks.onWholeTable(keys);
+    m_position = page.value().next;
+    return true;
+}
+
+bool table_follower::readOn(boost::asio::yield_context yield)
+{
+    const auto page = m_store.readFrom(m_table, *m_position, m_settings.wait,
+                                       m_settings.wait + m_settings.timeout, yield);
+    noteRead(page.has_value(), page ? std::string() : page.error().detail);
+    if (!page)
+        return false;
+    if (page.value().isGap) {
+        logWarning("gateway", "records of table " + m_settings.name
+                                      + " were dropped before they were read; reading it whole");
+        m_position.reset();
+        return true;
+    }
+    for (const store_record &record : page.value().records)
+        m_hooks.onRecord(record);
+    m_position = page.value().next;
+    return true;
+}
+
+void table_follower::noteRead(bool isGood, const std::string &detail)
+{
+    if (isGood)
+        m_lastRead = steadyNow();
+    if (m_isLost != isGood)
+        return;
+    m_isLost = !isGood;
+    if (m_isLost)
+        logWarning("gateway", "table " + m_settings.name + " cannot be read: " + detail);
+    else
+        logInfo("gateway", "table " + m_settings.name + " can be read again");
+    if (m_hooks.onOutage)
+        m_hooks.onOutage(m_isLost);
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -0,0 +1,72 @@
+// Keeps a copy of one table of the shared store up to date.
+//
+// The table is read whole at the start and after a gap, and record by record in between. Use one
+// for each table.
+#ifndef FESCUEDECK_GATEWAY_TABLE_FOLLOWER_H
+#define FESCUEDECK_GATEWAY_TABLE_FOLLOWER_H
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include "fescuedeck/base/random.h"
+#include "fescuedeck/base/time.h"
+#include "fescuedeck/gateway/gateway_wire.h"
+#include "fescuedeck/net/backoff.h"
+
+namespace fescuedeck {
+
+struct table_follower_settings
+{
+    std::string name;     // for logs
+    duration wait{};      // how long the store may hold an empty answer back
+    duration pause{};     // between two reads
+    duration timeout = std::chrono::seconds(2); // of one read, beyond wait
+    backoff_limits retry = { std::chrono::milliseconds(100), std::chrono::seconds(1) };
+};
+
+struct table_follower_hooks
+{
+    std::function<void(const store_record &)> onRecord;
+    // The whole table has been read: keys that are not in the list are gone.
+    std::function<void(const std::vector<std::string> &keys)> onWholeTable;
+    // The store cannot be read (true), or can again.
+    std::function<void(bool isLost)> onOutage;
+};
+
+// Not thread-safe. Must outlive its io_context's run.
+class table_follower
+{
+public:
+    table_follower(boost::asio::io_context &ioContext, const store_hooks &store, store_table table,
+                   table_follower_settings settings, table_follower_hooks hooks, random_fn random);
+
+    void start();
+    // Time of the last successful read; the start of the epoch before the first one.
+    time_point lastRead() const { return m_lastRead; }
+
+private:
+    void run(boost::asio::yield_context yield);
+    bool readWhole(boost::asio::yield_context yield);
+    bool readOn(boost::asio::yield_context yield);
+    void noteRead(bool isGood, const std::string &detail);
+
+    boost::asio::io_context &m_io;
+    const store_hooks &m_store;
+    const store_table m_table;
+    const table_follower_settings m_settings;
+    const table_follower_hooks m_hooks;
+    backoff m_backoff;
+    std::optional<std::int64_t> m_position; // none: the whole table must be read
+    time_point m_lastRead{};
+    bool m_isLost = false;
+};
+
+} // namespace fescuedeck
+
+#endif
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -57,7 +57,7 @@
     return message;
 }
 
-http_response toResponse(http::response<http::string_body> &&message)
+http_response toHead(const http::response<http::string_body> &message)
 {
     http_response response;
     response.status = static_cast<int>(message.result_int());
@@ -65,6 +65,12 @@
         response.headers.push_back(
                 { std::string(field.name_string()), std::string(field.value()) });
     }
+    return response;
+}
+
+http_response toResponse(http::response<http::string_body> &&message)
+{
+    http_response response = toHead(message);
     response.body = std::move(message.body());
     return response;
 }
@@ -273,6 +279,7 @@
     result<http_response> readResponse();
     void readHead(error_code &error);
     void readBody(error_code &error);
+    void limitNextStep(duration limit);
     bool mayRetry() const;
     bool isAborted() const;
     failure describe(errc kind, const std::string &what) const;
@@ -289,6 +296,8 @@
 
     beast::flat_buffer m_buffer;
     std::optional<response_parser> m_parser;
+    time_point m_end{};        // of the whole call
+    bool m_isReused = false;   // connection of the current attempt
     bool m_wroteBytes = false; // by the current attempt
     bool m_gotBytes = false;
     bool m_mayHaveBeenSent = false;
@@ -300,21 +309,33 @@
         return { describe(errc::Timeout, "the deadline has passed"), false };
     if (m_options.cancellation && !m_options.cancellation->m_state->attach(m_cancellable))
         return { describe(errc::ConnectionClosed, "cancelled"), false };
-    m_deadline.start(m_options.timeout);
+    m_end = steadyNow() + m_options.timeout;
+    limitNextStep({});
     if (!m_options.freshConnection) {
         if (auto idle = m_core.take(m_address)) {
             m_socket = std::move(*idle);
+            m_isReused = true;
             auto response = exchange();
             if (response || !mayRetry())
-                return { std::move(response), m_mayHaveBeenSent };
+                return { std::move(response), m_mayHaveBeenSent, m_isReused };
         }
     }
+    m_isReused = false;
+    limitNextStep(m_options.connectTimeout);
     if (const auto error = connect(endpoint))
         return { *error, m_mayHaveBeenSent };
+    limitNextStep({});
     auto response = exchange();
     return { std::move(response), m_mayHaveBeenSent };
 }
 
+// limit is zero if only the end of the whole call counts.
+void http_call::limitNextStep(duration limit)
+{
+    const duration left = m_end - steadyNow();
+    m_deadline.start(limit > duration::zero() ? std::min(limit, left) : left);
+}
+
 std::optional<failure> http_call::connect(const tcp::endpoint &endpoint)
 {
     error_code error;
@@ -360,6 +381,8 @@
     do {
         readHead(error);
     } while (!error && m_parser->get().result() == http::status::continue_);
+    if (!error && m_options.onHead)
+        m_options.onHead(toHead(m_parser->get()));
     if (!error)
         readBody(error);
     if (error)
@@ -388,10 +411,13 @@
     m_parser->eager(false);
     std::size_t delivered = 0;
     while (!error && !m_parser->is_done()) {
+        limitNextStep(m_options.silenceTimeout);
         http::async_read_some(m_socket, m_buffer, *m_parser, m_yield[error]);
-        const std::string &body = m_parser->get().body();
+        std::string &body = m_parser->get().body();
         if (body.size() > delivered)
             m_options.onBodyPart(std::string_view(body).substr(delivered));
+        if (!m_options.collectsBody)
+            body.clear();
         delivered = body.size();
     }
 }
@@ -415,8 +441,8 @@
     if (m_deadline.hasExpired()) {
         const auto millis
                 = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.timeout);
-        return makeFailure(errc::Timeout,
-                           call + "no answer within " + std::to_string(millis.count()) + " ms");
+        return makeFailure(errc::Timeout, call + "no answer in time, of at most "
+                                                  + std::to_string(millis.count()) + " ms");
     }
     return makeFailure(kind, call + what);
 }
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -45,15 +45,21 @@
 struct call_options
 {
     duration timeout = std::chrono::seconds(10); // of the whole call, connecting included
+    // Shorter limits within it; zero sets none.
+    duration connectTimeout{};
+    duration silenceTimeout{}; // between two parts of the response body
     // Opens a new connection instead of reusing an idle one.
     bool freshConnection = false;
     // A call that fails on a reused connection before any byte of the response is sent once more on
     // a new connection. Without this flag that happens only if no byte had been written.
     bool idempotent = false;
     std::optional<call_cancellation> cancellation;
-    // Gets each part of the response body as it arrives, on the strand of the caller. The body is
-    // still collected in the response.
+    // Gets status and headers before the body arrives, on the strand of the caller.
+    std::function<void(const http_response &)> onHead;
+    // Gets each part of the response body as it arrives, on the strand of the caller.
     std::function<void(std::string_view)> onBodyPart;
+    // Whether the body is also collected in the response when onBodyPart is set.
+    bool collectsBody = true;
 };
 
 struct call_result
@@ -61,6 +67,8 @@
     result<http_response> response;
     // False only if no byte of the request was handed to a socket.
     bool mayHaveBeenSent = false;
+    // Whether the request went out on a connection that had served others before.
+    bool reusedConnection = false;
 };
 
 struct http_client_limits
--- a/src/fescuedeck/net/http_server.cpp
+++ b/src/fescuedeck/net/http_server.cpp
@@ -106,12 +106,12 @@
 public:
     http_server_core(asio::io_context &ioContext, http_server_limits serverLimits,
                      http_handler requestHandler)
-        : limits(serverLimits)
-        , handler(std::move(requestHandler))
+        : handler(std::move(requestHandler))
         , m_ioContext(ioContext)
         , m_strand(asio::make_strand(ioContext))
         , m_acceptor(ioContext)
         , m_pause(ioContext)
+        , m_limits(std::make_shared<const http_server_limits>(serverLimits))
     {
     }
 
@@ -121,7 +121,12 @@
     void closeAll();
     void remove(http_connection *connection);
 
-    const http_server_limits limits;
+    std::shared_ptr<const http_server_limits> limits() const { return std::atomic_load(&m_limits); }
+    void setLimits(const http_server_limits &limits)
+    {
+        std::atomic_store(&m_limits, std::make_shared<const http_server_limits>(limits));
+    }
+
     const http_handler handler;
     std::function<void(const std::string &)> exceptionHook;
     std::atomic<bool> isDraining{ false };
@@ -140,6 +145,7 @@
     asio::strand<asio::io_context::executor_type> m_strand;
     tcp::acceptor m_acceptor; // used on m_strand after listen()
     asio::steady_timer m_pause;
+    std::shared_ptr<const http_server_limits> m_limits; // read and replaced atomically
     std::uint16_t m_port = 0;
     // Leaf lock: nothing else is locked or called while it is held.
     std::mutex m_mutex;
@@ -156,7 +162,7 @@
         , m_strand(strand)
         , m_socket(std::move(socket))
         , m_deadline(strand, m_socket)
-        , m_buffer(m_core->limits.maxHeaderBytes + readChunkBytes)
+        , m_buffer(m_core->limits()->maxHeaderBytes + readChunkBytes)
     {
     }
     ~http_connection() { m_core->remove(this); }
@@ -246,7 +252,7 @@
 void http_connection::beginDrain()
 {
     if (m_isIdle)
-        m_deadline.start(m_core->limits.drainGrace);
+        m_deadline.start(m_core->limits()->drainGrace);
 }
 
 void http_connection::close()
@@ -267,7 +273,7 @@
 {
     if (m_buffer.size() > 0)
         return true;
-    const http_server_limits &limits = m_core->limits;
+    const http_server_limits limits = *m_core->limits();
     m_isIdle = true;
     m_deadline.start(m_core->isDraining ? limits.drainGrace : limits.idleTimeout);
     error_code error;
@@ -280,7 +286,7 @@
 
 bool http_connection::readRequest()
 {
-    const http_server_limits &limits = m_core->limits;
+    const http_server_limits limits = *m_core->limits();
     m_headSent = false;
     m_isStreaming = false;
     m_isHead = false;
@@ -321,7 +327,7 @@
 
 void http_connection::reject(const error_code &error)
 {
-    const auto response = rejection(error, m_core->limits);
+    const auto response = rejection(error, *m_core->limits());
     if (response && m_socket.is_open())
         respond(*response);
 }
@@ -385,7 +391,7 @@
     if (m_callerLeft)
         return false;
     error_code error;
-    m_deadline.start(m_core->limits.writeTimeout);
+    m_deadline.start(m_core->limits()->writeTimeout);
     operation((*m_yield)[error]);
     m_deadline.stop();
     if (error)
@@ -559,7 +565,8 @@
 void http_server_core::startConnection(tcp::socket socket)
 {
     const int count = ++openConnections;
-    if (count > limits.maxConnections + maxRefusals) {
+    const int maxConnections = limits()->maxConnections;
+    if (count > maxConnections + maxRefusals) {
         --openConnections;
         return;
     }
@@ -572,7 +579,7 @@
         const std::lock_guard lock(m_mutex);
         m_connections.emplace(connection.get(), connection);
     }
-    const bool isRefused = count > limits.maxConnections;
+    const bool isRefused = count > maxConnections;
     asio::spawn(
             strand,
             [connection = std::move(connection), isRefused](const asio::yield_context &yield) {
@@ -708,6 +715,11 @@
     return m_core->listen(endpoint.value());
 }
 
+void http_server::setLimits(const http_server_limits &limits)
+{
+    m_core->setLimits(limits);
+}
+
 std::uint16_t http_server::port() const
 {
     return m_core->port();
--- a/src/fescuedeck/net/http_server.h
+++ b/src/fescuedeck/net/http_server.h
@@ -103,6 +103,9 @@
     std::error_code listen(const std::string &address);
     std::uint16_t port() const;
 
+    // Limits of requests that are read from now on. Thread-safe.
+    void setLimits(const http_server_limits &limits);
+
     // Closes the listener, lets open exchanges finish, tells callers to close their connections and
     // closes idle ones after drainGrace. Thread-safe.
     void stopAccepting();
