--- a/src/fescuedeck/gateway/endpoint_choice.cpp
+++ b/src/fescuedeck/gateway/endpoint_choice.cpp
@@ -10,8 +10,14 @@
 
 // An endpoint of another domain is chosen if the own ones are busier by this share of their slots.
 constexpr double otherDomainPenalty = 0.5;
-// The same for chains, as a multiple of the cost of an idle chain.
-constexpr double otherDomainCostFactor = 1.5;
+// Bytes between domains are dear, so that a chain of another domain must be less crowded by this
+// much.
+constexpr double otherDomainCrowding = 0.35;
+// Engines preempt requests when their cache is full, which delays all of them. Requests differ in
+// size, so that this share of the cache is as much as can be used without that.
+constexpr double usableCacheShare = 0.8;
+// A chain that takes this long for each token leaves too little room to the callers' pauses.
+constexpr double slowTokenMs = 60;
 // Cost of a further part of a chain, in milliseconds a token: the hop between two engines.
 constexpr double partCostMs = 0.2;
 // An engine's cost grows by this factor until its slots are full.
@@ -30,12 +36,31 @@
     return endpoint->isUsable(request.now) && request.excluded.count(endpoint->entry.id) == 0;
 }
 
+// 1 means as many tokens as fit.
+double fillOf(const engine_spec &spec, const endpoint_record &endpoint, const chain_part &part)
+{
+    const accelerator_kind *kind = spec.findKind(endpoint.entry.accelerator);
+    if (kind == nullptr || !endpoint.entry.layers)
+        return 0;
+    const double room = usableCacheShare
+                        * cacheTokens(spec, *kind, endpoint.entry.layers->size(), part.layers.size());
+    const double used = endpoint.tokensInFlight + endpoint.peerTokens;
+    return room > 0 ? used / room : 1;
+}
+
 double costPerLayer(const engine_spec &spec, const endpoint_record &endpoint)
 {
     const accelerator_kind *kind = spec.findKind(endpoint.entry.accelerator);
     const double factor = kind == nullptr ? 1 : kind->stepFactor;
-    const double busy = static_cast<double>(endpoint.inFlight) / std::max(1, spec.slots);
-    const double loadFactor = 1 + (fullSlotsCostFactor - 1) * std::min(1.0, busy);
+    const double busy = static_cast<double>(endpoint.inFlight + endpoint.peerInFlight)
+                        / std::max(1, spec.slots);
+    double fill = 0;
+    if (endpoint.entry.layers) {
+        const int layers = endpoint.entry.layers->size();
+        fill = fillOf(spec, endpoint, { {}, {}, { 0, layers } });
+    }
+    const double loadFactor
+            = 1 + (fullSlotsCostFactor - 1) * std::min(1.0, std::max(busy, fill * fill));
     return spec.stepMs * factor * endpoint.slowness * loadFactor / std::max(1, spec.layers);
 }
 
@@ -90,28 +115,51 @@
     return destination{ best, {}, { best } };
 }
 
+namespace {
+
+destination destinationOf(const std::vector<endpoint_ptr> &endpoints, layer_chain chain)
+{
+    destination chosen;
+    for (const chain_part &part : chain.parts)
+        chosen.stages.push_back(findIn(endpoints, part.endpoint));
+    chosen.first = chosen.stages.front();
+    chosen.chain = std::move(chain.parts);
+    return chosen;
+}
+
+// Grows slowly while a chain has room and steeply when its caches or its steps are at their limit.
+double crowdingOf(const engine_spec &spec, const destination &to, double tokenMs)
+{
+    double fill = 0;
+    for (std::size_t i = 0; i < to.stages.size(); ++i)
+        fill = std::max(fill, fillOf(spec, *to.stages[i], to.chain[i]));
+    const double slow = tokenMs / slowTokenMs;
+    return fill * fill * fill * fill + slow * slow;
+}
+
+} // namespace
+
 std::optional<destination> chooseChain(const engine_spec &spec,
                                        const std::vector<endpoint_ptr> &endpoints,
                                        const choice_request &request)
 {
-    std::optional<layer_chain> best;
+    std::optional<destination> best;
+    double bestCrowding = 0;
     for (const auto &[group, stages] : stagesByGroup(spec, endpoints, request)) {
         std::optional<layer_chain> chain = findChain(stages, spec.layers, partCostMs, maxChainParts);
         if (!chain)
             continue;
+        const double tokenMs = chain->cost;
+        destination candidate = destinationOf(endpoints, std::move(*chain));
+        double crowding = crowdingOf(spec, candidate, tokenMs);
         if (group != request.failureDomain)
-            chain->cost *= otherDomainCostFactor;
-        if (!best || chain->cost < best->cost)
-            best = std::move(chain);
+            crowding += otherDomainCrowding;
+        if (!best || crowding < bestCrowding) {
+            best = std::move(candidate);
+            bestCrowding = crowding;
+        }
     }
-    if (!best)
-        return std::nullopt;
-    destination chosen;
-    for (const chain_part &part : best->parts)
-        chosen.stages.push_back(findIn(endpoints, part.endpoint));
-    chosen.first = chosen.stages.front();
-    chosen.chain = std::move(best->parts);
-    return chosen;
+    return best;
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -20,8 +20,11 @@
     endpoint_ptr &record = m_endpoints[entry.id];
     const bool isNew = !record || record->entry.startedAt != entry.startedAt
                        || record->entry.address != entry.address;
-    if (isNew)
+    if (isNew) {
         record = std::make_shared<endpoint_record>();
+        record->firstSeenAt = now;
+        m_newestSince = now;
+    }
     const std::optional<layer_range> seenLayers = record->entry.layers;
     const bool mayBeOlder = record->layersSeenAt && now - *record->layersSeenAt < announcementLag;
     record->entry = entry;
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -44,13 +44,16 @@
     endpoint_entry entry;
     std::int64_t offset = 0; // of the announcement in the store
     time_point announcedAt{};
+    time_point firstSeenAt{};
     std::int64_t orders = 0; // accepted by this incarnation, as far as is known
     std::optional<time_point> layersSeenAt; // when the engine itself stated its layers
     time_point suspectUntil{}; // not to be used before
     int suspicions = 0;        // in a row without a good answer
     int inFlight = 0;          // requests of this gateway
-    double tokensInFlight = 0; // tokens x layers of this gateway's requests
-    double slowness = 1;       // observed time over expected time, smoothed
+    double tokensInFlight = 0; // of this gateway's requests, prompt and answer
+    double peerTokens = 0;     // the same of the other gateways, as last heard
+    int peerInFlight = 0;
+    double slowness = 1;       // stated time of a step over the usual one
 
     bool isUsable(time_point now) const
     {
@@ -92,6 +95,8 @@
     endpoint_ptr findByAddress(const std::string &address) const;
     std::vector<endpoint_ptr> ofService(const std::string &service) const;
     std::size_t size() const { return m_endpoints.size(); }
+    // When the newest endpoint was first seen.
+    time_point newestSince() const { return m_newestSince; }
     // Grows with each change of what can be chosen.
     std::uint64_t revision() const { return m_revision; }
 
@@ -99,6 +104,7 @@
     suspicion_policy m_policy;
     std::map<std::string, endpoint_ptr> m_endpoints; // by id
     std::uint64_t m_revision = 0;
+    time_point m_newestSince{};
 };
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -123,11 +123,20 @@
            && m_sendings < m_route.maxAttempts + extraSendings && remaining() > answerMargin;
 }
 
+// Callers state the most that they take, which few answers reach.
+double forwarded_call::expectedAnswerTokens() const
+{
+    const auto most = static_cast<double>(m_info.maxAnswerTokens);
+    if (m_rule == nullptr || !m_rule->engine || m_rule->engine->usualAnswerTokens == 0)
+        return most;
+    return std::min(most, static_cast<double>(m_rule->engine->usualAnswerTokens));
+}
+
 attempt_end forwarded_call::send(const destination &to)
 {
     attempt current(m_lastEvent);
     const in_flight_guard inFlight(
-            to, static_cast<double>(m_info.promptTokens + m_info.maxAnswerTokens));
+            to, static_cast<double>(m_info.promptTokens) + expectedAnswerTokens());
     forwarding options;
     options.endpoint = to.first->entry.id;
     options.workspace = workspace;
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -40,6 +40,7 @@
     struct attempt;
 
     std::optional<destination> choose() const;
+    double expectedAnswerTokens() const;
     attempt_end send(const destination &to);
     attempt_end judge(const destination &to, attempt &current, const call_result &result);
     attempt_end judgeFailure(const destination &to, const attempt &current,
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -32,6 +32,8 @@
 constexpr duration bodyTimeout = std::chrono::seconds(20);
 // After SIGTERM: until the balancer has seen that the gateway is not ready any more.
 constexpr duration shutdownNotice = std::chrono::milliseconds(2500);
+// Requests on kept connections are taken until then, so that even a long one ends in time.
+constexpr duration lastTaking = std::chrono::seconds(3);
 constexpr duration shutdownPollInterval = std::chrono::milliseconds(20);
 // The process ends this long before it would be killed.
 constexpr duration shutdownMargin = std::chrono::milliseconds(400);
@@ -217,6 +219,7 @@
     logInfo("gateway", "stopping");
     const time_point deadline = steadyNow() + m_context.settings.gracePeriod - shutdownMargin;
     m_context.isStopping = true;
+    m_context.stopsTakingAt = steadyNow() + lastTaking;
     sleepFor(shutdownNotice, yield);
     m_callers.stopAccepting();
     while (m_callers.openConnections() > 0 && steadyNow() < deadline)
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -37,6 +37,7 @@
     retry_budget retries; // by service
     bool knowsEndpoints = false; // their list has been read once
     bool isStopping = false;
+    time_point stopsTakingAt = time_point::max(); // requests read later are refused
     // Until about when layers that are missing now are loaded.
     time_point layersExpectedAt{};
 };
--- a/src/fescuedeck/gateway/gateway_wire.h
+++ b/src/fescuedeck/gateway/gateway_wire.h
@@ -58,6 +58,7 @@
 // Why the gateway answers itself.
 enum class refusal_reason {
     NoConfig,      // no configuration is known yet
+    Stopping,      // this gateway ends, and others serve
     NoRoute,       // host or path is in no route
     NoKey,         // key is missing or belongs to nobody
     NoEndpoint,    // nothing can serve the request now
--- a/src/fescuedeck/gateway/layer_placement.cpp
+++ b/src/fescuedeck/gateway/layer_placement.cpp
@@ -249,6 +249,14 @@
     return std::min(spec.layers, std::max(withCache, fitting));
 }
 
+double cacheTokens(const engine_spec &spec, const accelerator_kind &kind, int heldLayers,
+                   int runLayers)
+{
+    const double freeMb = std::max(0.0, kind.memoryMb - spec.layerMb * heldLayers);
+    const double bytesPerToken = spec.cacheBytesPerToken * runLayers / std::max(1, spec.layers);
+    return bytesPerToken > 0 ? freeMb * bytesPerMb / bytesPerToken : 0;
+}
+
 std::map<std::string, std::string> placementGroups(const engine_spec &spec,
                                                    const std::vector<placement_engine> &engines,
                                                    const placement_policy &policy)
--- a/src/fescuedeck/gateway/layer_placement.h
+++ b/src/fescuedeck/gateway/layer_placement.h
@@ -31,7 +31,7 @@
 struct placement_policy
 {
     // Requests of usual size whose KV cache must fit beside the layers of each engine.
-    int concurrentRequests = 64;
+    int concurrentRequests = 96;
 };
 
 struct placement_decision
@@ -46,6 +46,10 @@
 int layerCapacity(const engine_spec &spec, const accelerator_kind &kind,
                   const placement_policy &policy);
 
+// Tokens whose KV cache fits into an engine that holds so many layers and runs so many of them.
+double cacheTokens(const engine_spec &spec, const accelerator_kind &kind, int heldLayers,
+                   int runLayers);
+
 // The group of each failure domain: domains with equal values are planned together.
 std::map<std::string, std::string> placementGroups(const engine_spec &spec,
                                                    const std::vector<placement_engine> &engines,
--- a/src/fescuedeck/gateway/placement_duty.cpp
+++ b/src/fescuedeck/gateway/placement_duty.cpp
@@ -1,5 +1,7 @@
 #include "fescuedeck/gateway/placement_duty.h"
 
+#include <algorithm>
+
 #include "fescuedeck/router/wait_event.h"
 #include "fescuedeck/telemetry/log_setup.h"
 
@@ -71,10 +73,21 @@
     }
 }
 
+// A plan for the part of the fleet that has announced itself first would be kept for good.
+bool placement_duty::isSettled(const std::vector<endpoint_ptr> &endpoints, time_point now) const
+{
+    const bool isEmptyFleet
+            = std::none_of(endpoints.begin(), endpoints.end(),
+                           [](const endpoint_ptr &endpoint) { return endpoint->entry.layers; });
+    return !isEmptyFleet || now - m_context.endpoints.newestSince() >= m_settings.settleTime;
+}
+
 void placement_duty::planService(const service_rule &service, time_point now)
 {
     placement_controller &controller = m_controllers[service.name];
     const auto endpoints = m_context.endpoints.ofService(service.name);
+    if (controller.pending() == 0 && !isSettled(endpoints, now))
+        return;
     for (const placement_order &order : controller.plan(*service.engine, endpoints, now)) {
         boost::asio::spawn(m_context.io, [this, name = service.name,
                                           order](boost::asio::yield_context yield) {
--- a/src/fescuedeck/gateway/placement_duty.h
+++ b/src/fescuedeck/gateway/placement_duty.h
@@ -22,6 +22,9 @@
     // No order is sent in this last part of the term.
     duration sendMargin = std::chrono::milliseconds(500);
     duration orderTimeout = std::chrono::milliseconds(1000);
+    // While no engine holds layers, planning waits until no new engine has announced itself for
+    // this long: more than one interval between two announcements.
+    duration settleTime = std::chrono::milliseconds(1600);
 };
 
 // Not thread-safe. Must outlive its io_context's run.
@@ -37,6 +40,7 @@
 private:
     void renewForever(boost::asio::yield_context yield);
     void planForever(boost::asio::yield_context yield);
+    bool isSettled(const std::vector<endpoint_ptr> &endpoints, time_point now) const;
     void planService(const service_rule &service, time_point now);
     void sendOrder(const std::string &service, const placement_order &order,
                    boost::asio::yield_context yield);
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -32,6 +32,8 @@
         m_context.counters.counterOf("fescuedeck_rejected_requests_total").add();
         exchange.respond(wire.refuse(reason, duration::zero()));
     };
+    if (steadyNow() >= m_context.stopsTakingAt)
+        return refuse(refusal_reason::Stopping);
     const auto config = m_context.config;
     if (!config)
         return refuse(refusal_reason::NoConfig);
