--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-#include "fescuedeck/telemetry/log_setup.h"
+#include "fescuedeck/gateway/retry_after.h"
+#include "fescuedeck/telemetry/event_line.h"
 
 namespace fescuedeck {
 namespace {
@@ -17,11 +18,6 @@
 constexpr duration silenceLimit = std::chrono::milliseconds(900);
 // The caller gets the gateway's answer this long before it stops waiting.
 constexpr duration answerMargin = std::chrono::milliseconds(30);
-// When a caller may return after endpoints were full.
-constexpr duration busyRetryAfter = std::chrono::milliseconds(200);
-// The same when no chain is whole and no load is known to be under way.
-constexpr duration gapRetryAfter = std::chrono::milliseconds(1500);
-
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -100,7 +96,11 @@
         return finish("answered");
     }
     if (last == attempt_end::CallerLeft)
-        return finish("left");
+        return finish("caller_left");
+    if (m_ownFailure && !m_streamBegun) {
+        m_exchange.respond(m_context.wire.passAnswer(*m_ownFailure));
+        return finish("answered");
+    }
     refuseFinally(last);
 }
 
@@ -115,7 +115,7 @@
 
 bool forwarded_call::isRepeatable(attempt_end last) const
 {
-    const bool isIdempotent = m_route.kind == call_kind::Safe || m_route.isResumable;
+    const bool isIdempotent = isRepeatableKind();
     const bool mayRunAgain = last == attempt_end::NotRun
                              || (last == attempt_end::MayHaveRun && isIdempotent)
                              || (last == attempt_end::Interrupted && m_route.isResumable);
@@ -160,6 +160,7 @@
         cancellation.cancel();
     });
     ++m_sendings;
+    m_lastEndpoint = to.first->entry.id;
     const call_result result = m_context.client.send(to.first->entry.address, request, call,
                                                      m_exchange.yield());
     if (m_hasLeft || m_exchange.callerLeft())
@@ -215,13 +216,28 @@
         return judgeFailure(to, current, result);
     const http_response &response = result.response.value();
     const answer_info answer = m_context.wire.readAnswer(response);
+    m_ownFailure.reset();
     if (answer.didNotRun || answer.isMisdirected) {
         m_wasBusy = m_wasBusy || !answer.isMisdirected;
+        event_line("sending_refused", event_level::Warning)
+                .field("request", m_info.id)
+                .field("endpoint", to.first->entry.id)
+                .field("sending", m_sendings)
+                .field("status", response.status)
+                .field("at_fault", answer.faultAddress);
         blame(to, answer.faultAddress);
         return attempt_end::NotRun;
     }
     ++m_runs;
-    if (current.isBroken || !isSealedAnswer(answer, response)) {
+    // Callers take these statuses for the promise that the request has not run.
+    const bool isFalsePromise = answer.promisesNotRun && !isRepeatableKind();
+    if (current.isBroken || isFalsePromise || !isSealedAnswer(answer, response)) {
+        event_line("answer_unusable", event_level::Warning)
+                .field("request", m_info.id)
+                .field("endpoint", to.first->entry.id)
+                .field("status", response.status)
+                .field("answers", answer.id)
+                .field("sealed", answer.isSealed);
         blame(to, {});
         return m_streamBegun ? attempt_end::Interrupted : attempt_end::MayHaveRun;
     }
@@ -233,6 +249,7 @@
     if (response.status >= firstErrorStatus && isRepeatable(attempt_end::MayHaveRun)
         && m_context.retries.available(m_service) >= 1) {
         m_failed.insert(to.first->entry.id);
+        m_ownFailure = m_route.kind == call_kind::Stream ? current.head : response;
         return attempt_end::MayHaveRun;
     }
     return passOn(to, m_route.kind == call_kind::Stream ? current.head : response);
@@ -243,8 +260,13 @@
 {
     const failure &error = result.response.error();
     m_context.counters.counterOf("fescuedeck_failed_sendings_total").add();
-    logWarning("gateway", "request " + m_info.id + " failed at " + to.first->entry.id + ": "
-                                  + error.detail);
+    event_line("sending_failed", event_level::Warning)
+            .field("request", m_info.id)
+            .field("endpoint", to.first->entry.id)
+            .field("sending", m_sendings)
+            .field("may_have_run", result.mayHaveBeenSent)
+            .field("begun", m_streamBegun)
+            .field("cause", errorName(static_cast<errc>(error.code.value())));
     if (!result.mayHaveBeenSent) {
         m_context.endpoints.suspect(to.first->entry.id, steadyNow());
         m_failed.insert(to.first->entry.id);
@@ -298,17 +320,31 @@
     refusal_reason reason = m_wasBusy ? refusal_reason::Busy : refusal_reason::NoEndpoint;
     if (hasRun)
         reason = remaining() <= answerMargin ? refusal_reason::TimedOut : refusal_reason::Failed;
-    duration retryAfter = busyRetryAfter;
-    if (!m_wasBusy) {
-        const duration load = m_context.layersExpectedAt - steadyNow();
-        retryAfter = load > duration::zero() ? load : gapRetryAfter;
-    }
+    const duration retryAfter = retryAfterFor(reason, m_context.layersExpectedAt - steadyNow(),
+                                              m_context.random);
+    event_line("request_refused", event_level::Warning)
+            .field("request", m_info.id)
+            .field("reason", nameOf(refusalReasonNames, reason))
+            .field("service", m_service)
+            .field("excluded", static_cast<int>(m_failed.size()))
+            .field("retry_after_ms", retryAfter);
     m_exchange.respond(m_context.wire.refuse(reason, retryAfter));
     finish(hasRun ? "failed" : "refused");
 }
 
 void forwarded_call::finish(const char *outcome)
 {
+    event_line("request_ended")
+            .field("request", m_info.id)
+            .field("outcome", outcome)
+            .field("kind", nameOf(callKindNames, m_route.kind))
+            .field("route", m_route.name)
+            .field("workspace", workspace)
+            .field("config", m_config->config().version)
+            .field("sendings", m_sendings)
+            .field("runs", m_runs)
+            .field("last_endpoint", m_lastEndpoint)
+            .field("took_ms", duration(steadyNow() - m_startedAt));
     m_context.counters
             .counterOf("fescuedeck_requests_total",
                        { { "kind", std::string(nameOf(callKindNames, m_route.kind)) },
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -50,6 +50,10 @@
     void onStreamHead(attempt &current, const http_response &head);
     void onStreamPart(attempt &current, std::string_view part);
     bool isRepeatable(attempt_end last) const;
+    bool isRepeatableKind() const
+    {
+        return m_route.kind == call_kind::Safe || m_route.isResumable;
+    }
     void refuseFinally(attempt_end last);
     void blame(const destination &to, const std::string &faultAddress);
     duration remaining() const { return end - steadyNow(); }
@@ -66,10 +70,14 @@
     std::set<std::string> m_failed; // endpoints
     int m_runs = 0;                 // sendings that may have run
     int m_sendings = 0;
+    std::string m_lastEndpoint; // of the last sending
+    const time_point m_startedAt = steadyNow();
     bool m_wasBusy = false;     // an endpoint was full
     bool m_streamBegun = false; // the caller has the head of the answer
     bool m_hasLeft = false;
     std::optional<std::int64_t> m_lastEvent;
+    // An endpoint's own failure, which the caller gets if no other endpoint does better.
+    std::optional<http_response> m_ownFailure;
 };
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "fescuedeck/gateway/table_follower.h"
 #include "fescuedeck/net/http_server.h"
 #include "fescuedeck/router/wait_event.h"
+#include "fescuedeck/telemetry/event_line.h"
 #include "fescuedeck/telemetry/log_setup.h"
 
 namespace fescuedeck {
@@ -26,9 +27,11 @@
 
 // The configuration changes rarely, so a held-back read costs one call a while.
 constexpr duration configWait = std::chrono::seconds(8);
-// Endpoints' announcements change many times a second. The pause bounds the calls, and is well
-// below the time in which a leaving endpoint must get no more requests.
-constexpr duration endpointsPause = std::chrono::milliseconds(400);
+// Announcements are written when they change. The pause bounds the calls while many change, and is
+// well below the time in which a leaving endpoint must get no more requests.
+constexpr duration endpointsWait = std::chrono::seconds(3);
+constexpr duration endpointsPause = std::chrono::milliseconds(100);
+constexpr duration logFlushInterval = std::chrono::milliseconds(250);
 constexpr duration bodyTimeout = std::chrono::seconds(20);
 // After SIGTERM: until the balancer has seen that the gateway is not ready any more.
 constexpr duration shutdownNotice = std::chrono::milliseconds(2500);
@@ -92,12 +95,12 @@
     , m_config(m_io, m_context.wire.store, store_table::Configuration,
                { "configuration", configWait, {} }, configHooks(), m_context.random)
     , m_endpoints(m_io, m_context.wire.store, store_table::Endpoints,
-                  { "endpoints", {}, endpointsPause }, endpointHooks(), m_context.random)
+                  { "endpoints", endpointsWait, endpointsPause }, endpointHooks(), m_context.random)
     , m_duty(m_context, settings.id + "." + randomHex(incarnationBytes, m_context.random))
 {
     const auto log = [this](const std::string &what) {
         m_context.counters.counterOf("fescuedeck_handler_exceptions_total").add();
-        logError("gateway", "a request handler failed: " + what);
+        event_line("handler_failed", event_level::Error).field("detail", what);
     };
     m_callers.onHandlerException(log);
 }
@@ -127,8 +130,9 @@
         return;
     auto config = m_context.wire.parseConfig(record.value);
     if (!config) {
-        logError("gateway", "configuration at offset " + std::to_string(record.offset)
-                                    + " is not used: " + config.error().message());
+        event_line("config_unusable", event_level::Error)
+                .field("offset", record.offset)
+                .field("detail", config.error().detail);
         return;
     }
     const std::int64_t version = config.value().version;
@@ -143,8 +147,7 @@
     serverLimits.idleTimeout = limits.idleTimeout;
     serverLimits.bodyTimeout = bodyTimeout;
     m_callers.setLimits(serverLimits);
-    logInfo("gateway", "configuration " + std::to_string(version) + " in force, offset "
-                               + std::to_string(record.offset));
+    event_line("config_in_force").field("version", version).field("offset", record.offset);
 }
 
 void gateway::takeEntry(const store_record &record)
@@ -155,9 +158,10 @@
     }
     const auto entry = m_context.wire.parseEntry(record);
     if (!entry) {
-        logWarning("gateway", "announcement of " + record.key + " at offset "
-                                      + std::to_string(record.offset)
-                                      + " is not used: " + entry.error().message());
+        event_line("announcement_unusable", event_level::Warning)
+                .field("endpoint", record.key)
+                .field("offset", record.offset)
+                .field("detail", entry.error().detail);
         m_context.endpoints.remove(record.key);
         return;
     }
@@ -191,8 +195,10 @@
             return true;
         const std::error_code error = server.listen(address);
         if (error)
-            logError("gateway", std::string(name) + " cannot listen on " + address + ": "
-                                        + error.message());
+            event_line("cannot_listen", event_level::Error)
+                    .field("interface", name)
+                    .field("address", address)
+                    .field("detail", error.message());
         return !error;
     };
     return open(m_callers, "callers", m_context.settings.callersAddress)
@@ -206,7 +212,7 @@
         if (error)
             return;
         if (number == SIGHUP) {
-            logInfo("gateway", "settings are read at the start only; SIGHUP changes nothing");
+            event_line("settings_signal").field("outcome", "unchanged");
             waitForSignal(signals);
             return;
         }
@@ -216,7 +222,7 @@
 
 void gateway::shutDown(boost::asio::yield_context yield)
 {
-    logInfo("gateway", "stopping");
+    event_line("stopping").field("open_requests", m_callers.openExchanges());
     const time_point deadline = steadyNow() + m_context.settings.gracePeriod - shutdownMargin;
     m_context.isStopping = true;
     m_context.stopsTakingAt = steadyNow() + lastTaking;
@@ -224,8 +230,8 @@
     m_callers.stopAccepting();
     while (m_callers.openConnections() > 0 && steadyNow() < deadline)
         sleepFor(shutdownPollInterval, yield);
-    logInfo("gateway", "stopped with " + std::to_string(m_callers.openExchanges())
-                               + " requests in flight");
+    event_line("stopped").field("open_requests", m_callers.openExchanges());
+    flushEventLog();
     m_io.stop();
 }
 
@@ -235,6 +241,16 @@
     waitForSignal(signals);
     if (!listen())
         return exitFailed;
+    event_line("started")
+            .field("host", m_context.settings.id)
+            .field("failure_domain", m_context.settings.failureDomain)
+            .field("version", FESCUEDECK_VERSION);
+    boost::asio::spawn(m_io, [](boost::asio::yield_context yield) {
+        while (true) {
+            sleepFor(logFlushInterval, yield);
+            flushEventLog();
+        }
+    });
     m_config.start();
     m_endpoints.start();
     m_duty.start();
--- a/src/fescuedeck/gateway/gateway_wire.h
+++ b/src/fescuedeck/gateway/gateway_wire.h
@@ -12,6 +12,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "fescuedeck/base/error.h"
+#include "fescuedeck/base/name_table.h"
 #include "fescuedeck/base/time.h"
 #include "fescuedeck/gateway/chain_finder.h"
 #include "fescuedeck/gateway/endpoint_registry.h"
@@ -50,6 +51,7 @@
     std::string id; // of the request that it answers; empty if it says none
     bool isSealed = false;  // the endpoint vouches for it
     bool didNotRun = false; // the endpoint states that it has not run the request
+    bool promisesNotRun = false; // its status alone says so to callers
     bool isMisdirected = false; // another endpoint has the address, or a range is not there
     bool isEncoded = false; // body is not in the form that was asked for
     std::string faultAddress; // engine that could not do its part
@@ -68,6 +70,18 @@
     Quarantined,   // the request has crashed endpoints
 };
 
+constexpr name_table<refusal_reason, 9> refusalReasonNames = { {
+        { refusal_reason::NoConfig, "no_config" },
+        { refusal_reason::Stopping, "stopping" },
+        { refusal_reason::NoRoute, "no_route" },
+        { refusal_reason::NoKey, "no_key" },
+        { refusal_reason::NoEndpoint, "no_endpoint" },
+        { refusal_reason::Busy, "busy" },
+        { refusal_reason::TimedOut, "timed_out" },
+        { refusal_reason::Failed, "failed" },
+        { refusal_reason::Quarantined, "quarantined" },
+} };
+
 // Tables of the shared store.
 enum class store_table {
     Configuration, // written by the operator
--- a/src/fescuedeck/gateway/placement_duty.cpp
+++ b/src/fescuedeck/gateway/placement_duty.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "fescuedeck/router/wait_event.h"
-#include "fescuedeck/telemetry/log_setup.h"
+#include "fescuedeck/telemetry/event_line.h"
 
 namespace fescuedeck {
 
@@ -40,9 +40,9 @@
             m_holdsUntil = grant.value().isHolder ? sentAt + m_settings.term : time_point{};
             m_fencingToken = grant.value().fencingToken;
             if (grant.value().isHolder != wasHolder) {
-                logInfo("gateway", std::string(wasHolder ? "lost" : "holds")
-                                           + " the placement duty, fencing token "
-                                           + std::to_string(m_fencingToken));
+                event_line(wasHolder ? "duty_lost" : "duty_taken")
+                        .field("duty", "placement")
+                        .field("fencing_token", m_fencingToken);
             }
         }
         sleepFor(m_settings.renewInterval, yield);
@@ -50,7 +50,7 @@
     m_holdsUntil = {};
     const auto error = m_context.wire.store.leaveDuty(m_member, m_settings.renewTimeout, yield);
     if (error)
-        logWarning("gateway", "the placement duty could not be given up: " + error->detail);
+        event_line("duty_not_released", event_level::Warning).field("detail", error->detail);
 }
 
 void placement_duty::planForever(boost::asio::yield_context yield)
@@ -117,9 +117,13 @@
     order_outcome outcome = result.mayHaveBeenSent ? order_outcome::Unknown : order_outcome::NotSent;
     if (result.response)
         outcome = m_context.wire.decodeOrderAnswer(result.response.value());
-    logInfo("gateway", "order to " + order.endpoint + ": layers " + toString(order.range)
-                               + ", fencing token " + std::to_string(m_fencingToken) + ", outcome "
-                               + std::string(nameOf(orderOutcomeNames, outcome)));
+    event_line("order_answered")
+            .field("endpoint", order.endpoint)
+            .field("layers", toString(order.range))
+            .field("closes_gap", order.closesGap)
+            .field("expected_orders", order.expectedOrders)
+            .field("fencing_token", m_fencingToken)
+            .field("outcome", nameOf(orderOutcomeNames, outcome));
     controller.answered(order, outcome, steadyNow());
 }
 
@@ -137,7 +141,9 @@
         return;
     const auto report = m_context.wire.decodeReport(result.response.value());
     if (!report) {
-        logWarning("gateway", "report of " + endpoint + ": " + report.error().message());
+        event_line("report_unusable", event_level::Warning)
+                .field("endpoint", endpoint)
+                .field("detail", report.error().detail);
         return;
     }
     m_context.endpoints.observeLayers(endpoint, report.value().layers, report.value().orders,
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "fescuedeck/gateway/forwarded_call.h"
+#include "fescuedeck/gateway/retry_after.h"
+#include "fescuedeck/telemetry/event_line.h"
 
 namespace fescuedeck {
 namespace {
@@ -29,8 +31,14 @@
 {
     const gateway_wire &wire = m_context.wire;
     const auto refuse = [&](refusal_reason reason) {
-        m_context.counters.counterOf("fescuedeck_rejected_requests_total").add();
-        exchange.respond(wire.refuse(reason, duration::zero()));
+        const std::string name(nameOf(refusalReasonNames, reason));
+        m_context.counters
+                .counterOf("fescuedeck_rejected_requests_total", { { "reason", name } })
+                .add();
+        event_line("request_rejected", event_level::Warning)
+                .field("request", m_context.wire.readCall(exchange.request()).id)
+                .field("reason", name);
+        exchange.respond(wire.refuse(reason, retryAfterFor(reason, {}, m_context.random)));
     };
     if (steadyNow() >= m_context.stopsTakingAt)
         return refuse(refusal_reason::Stopping);
--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -1,7 +1,7 @@
 #include "fescuedeck/gateway/table_follower.h"
 
 #include "fescuedeck/router/wait_event.h"
-#include "fescuedeck/telemetry/log_setup.h"
+#include "fescuedeck/telemetry/event_line.h"
 
 namespace fescuedeck {
 
@@ -59,8 +59,9 @@
     if (!page)
         return false;
     if (page.value().isGap) {
-        logWarning("gateway", "records of table " + m_settings.name
-                                      + " were dropped before they were read; reading it whole");
+        event_line("table_gap", event_level::Warning)
+                .field("table", m_settings.name)
+                .field("offset", *m_position);
         m_position.reset();
         return true;
     }
@@ -77,10 +78,11 @@
     if (m_isLost != isGood)
         return;
     m_isLost = !isGood;
-    if (m_isLost)
-        logWarning("gateway", "table " + m_settings.name + " cannot be read: " + detail);
-    else
-        logInfo("gateway", "table " + m_settings.name + " can be read again");
+    event_line(m_isLost ? "table_lost" : "table_regained",
+               m_isLost ? event_level::Warning : event_level::Info)
+            .field("table", m_settings.name)
+            .field("offset", m_position.value_or(-1))
+            .field("detail", detail);
     if (m_hooks.onOutage)
         m_hooks.onOutage(m_isLost);
 }
--- a/src/fescuedeck/telemetry/log_setup.h
+++ b/src/fescuedeck/telemetry/log_setup.h
@@ -13,6 +13,12 @@
 // of "error", "warn", "info" and "debug". Call once, before other threads start.
 result<bool> setUpLogging(const std::string &level);
 
+// Like setUpLogging, for a process whose lines are JSON objects: the messages alone go to standard
+// output, without ever waiting for its reader.
+result<bool> setUpEventLogging(const std::string &level);
+// Hands to standard output what it did not take before. Call several times a second.
+void flushEventLog();
+
 // Lines for changes of state, with a logger named "fescuedeck.<module>". Thread-safe.
 void logInfo(const char *module, const std::string &message);
 void logWarning(const char *module, const std::string &message);
