--- /dev/null
+++ b/src/fescuedeck/gateway/chain_finder_test.cpp
@@ -0,0 +1,114 @@
+#include "fescuedeck/gateway/chain_finder.h"
+
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/base/random.h"
+
+namespace fescuedeck {
+namespace {
+
+constexpr int maxParts = 32;
+
+chain_stage stage(const std::string &id, int begin, int end, double cost = 1)
+{
+    return { id, id + ":80", { begin, end }, cost };
+}
+
+std::string describe(const std::optional<layer_chain> &chain)
+{
+    std::string text;
+    if (!chain)
+        return "none";
+    for (const chain_part &part : chain->parts)
+        text += part.endpoint + "=" + toString(part.layers) + " ";
+    return text;
+}
+
+// Every layer once and in order, each part within what its engine holds, no engine twice.
+bool isSound(const layer_chain &chain, const std::vector<chain_stage> &stages, int layers)
+{
+    int next = 0;
+    std::set<std::string> used;
+    for (const chain_part &part : chain.parts) {
+        const auto holder = std::find_if(
+                stages.begin(), stages.end(),
+                [&](const chain_stage &candidate) { return candidate.endpoint == part.endpoint; });
+        if (holder == stages.end() || !holder->held.contains(part.layers))
+            return false;
+        if (part.layers.begin != next || part.layers.size() <= 0 || !used.insert(part.endpoint).second)
+            return false;
+        next = part.layers.end;
+    }
+    return next == layers;
+}
+
+} // namespace
+
+TEST_CASE("a chain runs every layer once and in order", "[gateway]")
+{
+    const std::vector<chain_stage> stages
+            = { stage("b", 4, 10), stage("a", 0, 6), stage("c", 8, 12) };
+    const auto chain = findChain(stages, 12, 0.1, maxParts);
+    REQUIRE(chain);
+    CHECK(isSound(*chain, stages, 12));
+}
+
+TEST_CASE("no chain is found while a layer is held by nobody", "[gateway]")
+{
+    CHECK_FALSE(findChain({ stage("a", 0, 5), stage("b", 6, 10) }, 10, 0.1, maxParts));
+    CHECK_FALSE(findChain({ stage("a", 0, 5) }, 10, 0.1, maxParts));
+    CHECK_FALSE(findChain({}, 10, 0.1, maxParts));
+}
+
+TEST_CASE("the faster of two engines with the same layers is used, and fewer parts win", "[gateway]")
+{
+    CHECK(describe(findChain({ stage("slow", 0, 10, 5), stage("fast", 0, 10, 1) }, 10, 0.1, maxParts))
+          == "fast=0-10 ");
+    CHECK(describe(findChain({ stage("all", 0, 10), stage("a", 0, 5), stage("b", 5, 10) }, 10, 0.1,
+                             maxParts))
+          == "all=0-10 ");
+}
+
+TEST_CASE("an engine never appears twice in a chain", "[gateway]")
+{
+    // The cheapest way would leave the slow engine for the fast one and come back.
+    const std::vector<chain_stage> stages = { stage("slow", 0, 12, 10), stage("fast", 4, 8, 0.1) };
+    const auto chain = findChain(stages, 12, 0.1, maxParts);
+    REQUIRE(chain);
+    CHECK(isSound(*chain, stages, 12));
+}
+
+TEST_CASE("a chain with more parts than a request may name is not used", "[gateway]")
+{
+    CHECK_FALSE(findChain({ stage("a", 0, 1), stage("b", 1, 2), stage("c", 2, 3) }, 3, 0.1, 2));
+}
+
+TEST_CASE("chains of random fleets are sound, and exist whenever all layers are held", "[gateway]")
+{
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        const random_fn random = seededRandom(seed);
+        const int layers = 1 + static_cast<int>(uniformBelow(random, 40));
+        std::vector<chain_stage> stages;
+        std::vector<int> holders(static_cast<std::size_t>(layers));
+        const std::size_t count = 1 + uniformBelow(random, 14);
+        for (std::size_t i = 0; i < count; ++i) {
+            const int begin = static_cast<int>(uniformBelow(random, static_cast<std::uint64_t>(layers)));
+            const int end = begin + 1
+                            + static_cast<int>(
+                                    uniformBelow(random, static_cast<std::uint64_t>(layers - begin)));
+            stages.push_back(stage("e" + std::to_string(i), begin, end, 0.1 + uniformReal(random)));
+            for (int layer = begin; layer < end; ++layer)
+                ++holders[static_cast<std::size_t>(layer)];
+        }
+        const bool isCovered = std::find(holders.begin(), holders.end(), 0) == holders.end();
+        const auto chain = findChain(stages, layers, 0.1, maxParts);
+        INFO("seed " << seed);
+        CHECK(chain.has_value() == isCovered);
+        if (chain)
+            CHECK(isSound(*chain, stages, layers));
+    }
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/endpoint_choice_test.cpp
@@ -0,0 +1,105 @@
+#include "fescuedeck/gateway/endpoint_choice.h"
+
+#include <catch2/catch.hpp>
+
+namespace fescuedeck {
+namespace {
+
+const time_point start{ std::chrono::hours(1) };
+
+engine_spec chainSpec()
+{
+    engine_spec spec;
+    spec.layers = 8;
+    spec.layerMb = 1000;
+    spec.cacheBytesPerToken = 1e6;
+    spec.stepMs = 1;
+    spec.slots = 16;
+    spec.usualPromptTokens = 10;
+    spec.usualAnswerTokens = 10;
+    // 8 layers and 20 tokens for each of the policy's requests fit.
+    spec.kinds = { { "card", 12000, 1, 1 } };
+    return spec;
+}
+
+endpoint_ptr endpointIn(const std::string &id, const std::string &domain,
+                        std::optional<layer_range> layers = std::nullopt)
+{
+    auto endpoint = std::make_shared<endpoint_record>();
+    endpoint->entry = { id, "service", id + ":80", domain, 8, endpoint_phase_announced::Ready,
+                        "card", layers, 1 };
+    return endpoint;
+}
+
+choice_request fromDomain(const std::string &domain)
+{
+    return { domain, {}, start };
+}
+
+} // namespace
+
+TEST_CASE("a plain request stays in its domain until that is much busier", "[gateway]")
+{
+    const endpoint_ptr near = endpointIn("near", "a");
+    const endpoint_ptr far = endpointIn("far", "b");
+    CHECK(chooseEndpoint({ far, near }, fromDomain("a"))->first == near);
+    near->inFlight = 3;
+    CHECK(chooseEndpoint({ far, near }, fromDomain("a"))->first == near);
+    near->inFlight = 7;
+    CHECK(chooseEndpoint({ far, near }, fromDomain("a"))->first == far);
+}
+
+TEST_CASE("endpoints that are suspect, draining or have failed the request are not chosen",
+          "[gateway]")
+{
+    const endpoint_ptr suspect = endpointIn("suspect", "a");
+    suspect->suspectUntil = start + std::chrono::seconds(1);
+    const endpoint_ptr draining = endpointIn("draining", "a");
+    draining->entry.phase = endpoint_phase_announced::Draining;
+    const endpoint_ptr failed = endpointIn("failed", "a");
+    choice_request request = fromDomain("a");
+    request.excluded = { "failed" };
+    CHECK_FALSE(chooseEndpoint({ suspect, draining, failed }, request));
+}
+
+TEST_CASE("chains never cross domains that can each hold all layers", "[gateway]")
+{
+    const std::vector<endpoint_ptr> engines
+            = { endpointIn("a1", "a", layer_range{ 0, 4 }), endpointIn("b1", "b", layer_range{ 4, 8 }) };
+    CHECK_FALSE(chooseChain(chainSpec(), engines, fromDomain("a")));
+}
+
+TEST_CASE("a request whose own domain has no whole chain goes to another domain", "[gateway]")
+{
+    const std::vector<endpoint_ptr> engines
+            = { endpointIn("a1", "a", layer_range{ 0, 4 }), endpointIn("b1", "b", layer_range{ 0, 8 }) };
+    const auto chosen = chooseChain(chainSpec(), engines, fromDomain("a"));
+    REQUIRE(chosen);
+    CHECK(chosen->first->entry.id == "b1");
+}
+
+// Load pattern: one domain's callers alone bring more tokens than its caches hold.
+TEST_CASE("a chain whose caches are full loses requests to another domain", "[gateway]")
+{
+    const endpoint_ptr near = endpointIn("near", "a", layer_range{ 0, 8 });
+    const endpoint_ptr far = endpointIn("far", "b", layer_range{ 0, 8 });
+    CHECK(chooseChain(chainSpec(), { near, far }, fromDomain("a"))->first == near);
+    near->tokensInFlight = 3000;
+    CHECK(chooseChain(chainSpec(), { near, far }, fromDomain("a"))->first == far);
+    // Tokens of other gateways' requests count as much.
+    near->tokensInFlight = 0;
+    near->peerTokens = 3000;
+    CHECK(chooseChain(chainSpec(), { near, far }, fromDomain("a"))->first == far);
+    far->peerTokens = 4000;
+    CHECK(chooseChain(chainSpec(), { near, far }, fromDomain("a"))->first == near);
+}
+
+TEST_CASE("an engine that states a slow pace is left for one with the same layers", "[gateway]")
+{
+    const endpoint_ptr slow = endpointIn("slow", "a", layer_range{ 0, 8 });
+    const endpoint_ptr good = endpointIn("good", "a", layer_range{ 0, 8 });
+    slow->slowness = 5;
+    CHECK(chooseChain(chainSpec(), { slow, good }, fromDomain("a"))->first == good);
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/endpoint_registry_test.cpp
@@ -0,0 +1,87 @@
+#include "fescuedeck/gateway/endpoint_registry.h"
+
+#include <catch2/catch.hpp>
+
+namespace fescuedeck {
+namespace {
+
+const time_point start{ std::chrono::hours(1) };
+
+endpoint_entry entryOf(const std::string &id, std::int64_t startedAt = 1)
+{
+    return { id, "model", id + ":80", "a", 8, endpoint_phase_announced::Ready, "card", std::nullopt,
+             startedAt };
+}
+
+} // namespace
+
+TEST_CASE("a draining or removed endpoint is not used, also by those who hold its record",
+          "[gateway]")
+{
+    endpoint_registry registry;
+    registry.announce(entryOf("x"), 1, start);
+    const endpoint_ptr held = registry.find("x");
+    CHECK(held->isUsable(start));
+    endpoint_entry draining = entryOf("x");
+    draining.phase = endpoint_phase_announced::Draining;
+    registry.announce(draining, 2, start);
+    CHECK_FALSE(held->isUsable(start));
+    registry.announce(entryOf("x"), 3, start);
+    CHECK(held->isUsable(start));
+    registry.remove("x");
+    CHECK_FALSE(held->isUsable(start));
+    CHECK(registry.find("x") == nullptr);
+}
+
+TEST_CASE("suspicions last longer each time and end with a good answer", "[gateway]")
+{
+    endpoint_registry registry({ std::chrono::milliseconds(500), std::chrono::seconds(4) });
+    registry.announce(entryOf("x"), 1, start);
+    registry.suspect("x", start);
+    CHECK_FALSE(registry.find("x")->isUsable(start + std::chrono::milliseconds(499)));
+    CHECK(registry.find("x")->isUsable(start + std::chrono::milliseconds(500)));
+    registry.suspect("x", start);
+    CHECK_FALSE(registry.find("x")->isUsable(start + std::chrono::milliseconds(999)));
+    for (int i = 0; i < 20; ++i)
+        registry.suspect("x", start);
+    CHECK(registry.find("x")->isUsable(start + std::chrono::seconds(4)));
+    registry.confirm("x");
+    CHECK(registry.find("x")->isUsable(start));
+}
+
+TEST_CASE("an announcement that may be older does not replace what the engine stated itself",
+          "[gateway]")
+{
+    endpoint_registry registry;
+    registry.announce(entryOf("x"), 1, start);
+    registry.observeLayers("x", layer_range{ 0, 4 }, 1, start);
+    registry.announce(entryOf("x"), 2, start + std::chrono::seconds(1));
+    CHECK(registry.find("x")->entry.layers == layer_range{ 0, 4 });
+    registry.announce(entryOf("x"), 3, start + std::chrono::seconds(3));
+    CHECK_FALSE(registry.find("x")->entry.layers);
+}
+
+TEST_CASE("a restarted endpoint with the same id has nothing of its earlier incarnation",
+          "[gateway]")
+{
+    endpoint_registry registry;
+    registry.announce(entryOf("x", 1), 1, start);
+    registry.observeLayers("x", layer_range{ 0, 4 }, 5, start);
+    registry.suspect("x", start);
+    registry.announce(entryOf("x", 2), 2, start);
+    CHECK_FALSE(registry.find("x")->entry.layers);
+    CHECK(registry.find("x")->orders == 0);
+    CHECK(registry.find("x")->isUsable(start));
+}
+
+TEST_CASE("endpoints that are missing from the whole table are gone", "[gateway]")
+{
+    endpoint_registry registry;
+    registry.announce(entryOf("x"), 1, start);
+    registry.announce(entryOf("y"), 2, start);
+    registry.retain({ "y" });
+    CHECK(registry.find("x") == nullptr);
+    CHECK(registry.ofService("model").size() == 1);
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/event_splitter_test.cpp
@@ -0,0 +1,54 @@
+#include "fescuedeck/gateway/event_splitter.h"
+
+#include <catch2/catch.hpp>
+
+namespace fescuedeck {
+
+TEST_CASE("only whole events are taken from a stream", "[gateway]")
+{
+    event_splitter splitter;
+    splitter.feed("id: 1\ndata: a\n\nid: 2\nda");
+    CHECK(splitter.take() == "id: 1\ndata: a\n\n");
+    CHECK(splitter.hasPartialEvent());
+    splitter.feed("ta: b\n\n");
+    CHECK(splitter.take() == "id: 2\ndata: b\n\n");
+    CHECK_FALSE(splitter.hasPartialEvent());
+    CHECK(splitter.lastId() == 2);
+    CHECK_FALSE(splitter.isBroken());
+}
+
+TEST_CASE("events split between any two bytes give the same stream", "[gateway]")
+{
+    const std::string stream = "id: 7\r\ndata: x\r\n\r\nversion: 1\nid: 8\ndata: y\n\nid: 9\n\n";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        event_splitter splitter;
+        splitter.feed(std::string_view(stream).substr(0, cut));
+        std::string taken = splitter.take();
+        splitter.feed(std::string_view(stream).substr(cut));
+        taken += splitter.take();
+        CHECK(taken == stream);
+        CHECK(splitter.lastId() == 9);
+    }
+}
+
+TEST_CASE("a resumed stream leaves out the events that the caller has", "[gateway]")
+{
+    event_splitter splitter(4);
+    splitter.feed("id: 3\n\nid: 4\n\nid: 5\n\n");
+    CHECK(splitter.take() == "id: 5\n\n");
+    CHECK_FALSE(splitter.isBroken());
+}
+
+TEST_CASE("a missing, unreadable or absent id breaks the stream instead of reaching the caller",
+          "[gateway]")
+{
+    for (const char *damaged : { "id: 6\n\n", "id: x\n\n", "data: no id\n\n" }) {
+        event_splitter splitter(4);
+        splitter.feed(damaged);
+        CHECK(splitter.take().empty());
+        CHECK(splitter.isBroken());
+        CHECK(splitter.lastId() == 4);
+    }
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/layer_placement_test.cpp
@@ -0,0 +1,212 @@
+#include "fescuedeck/gateway/layer_placement.h"
+
+#include <algorithm>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/base/random.h"
+
+namespace fescuedeck {
+namespace {
+
+engine_spec specOf(int layers)
+{
+    engine_spec spec;
+    spec.layers = layers;
+    spec.layerMb = 1750;
+    spec.cacheBytesPerToken = 459000.0 * layers / 80;
+    spec.usualPromptTokens = 772;
+    spec.usualAnswerTokens = 154;
+    spec.kinds = { { "large", 36000, 3.1, 3.2 }, { "medium", 21600, 16, 8.2 }, { "small", 14400, 15, 15 } };
+    return spec;
+}
+
+void add(std::vector<placement_engine> &fleet, const std::string &domain, const std::string &kind,
+         int count)
+{
+    for (int i = 0; i < count; ++i)
+        fleet.push_back({ domain + kind + std::to_string(i), domain, kind, std::nullopt, false });
+}
+
+// The fleet of one of the users: 38 engines of three kinds in three failure domains.
+std::vector<placement_engine> usersFleet()
+{
+    std::vector<placement_engine> fleet;
+    add(fleet, "a", "large", 3);
+    add(fleet, "b", "large", 1);
+    add(fleet, "c", "large", 1);
+    add(fleet, "a", "medium", 3);
+    add(fleet, "b", "medium", 5);
+    add(fleet, "c", "medium", 7);
+    add(fleet, "a", "small", 5);
+    add(fleet, "b", "small", 8);
+    add(fleet, "c", "small", 5);
+    return fleet;
+}
+
+void carryOut(std::vector<placement_engine> &fleet, const std::vector<placement_decision> &plan)
+{
+    for (const placement_decision &decision : plan) {
+        for (placement_engine &engine : fleet) {
+            if (engine.id == decision.id)
+                engine.range = decision.range;
+        }
+    }
+}
+
+// Layers that no engine of the domain holds.
+int uncovered(const std::vector<placement_engine> &fleet, const std::string &domain, int layers)
+{
+    int missing = 0;
+    for (int layer = 0; layer < layers; ++layer) {
+        const bool isHeld = std::any_of(fleet.begin(), fleet.end(), [&](const placement_engine &e) {
+            return (domain.empty() || e.failureDomain == domain) && e.range && e.range->begin <= layer
+                   && layer < e.range->end;
+        });
+        missing += isHeld ? 0 : 1;
+    }
+    return missing;
+}
+
+bool exceedsMemory(const engine_spec &spec, const std::vector<placement_engine> &fleet)
+{
+    return std::any_of(fleet.begin(), fleet.end(), [&](const placement_engine &engine) {
+        return engine.range
+               && engine.range->size() * spec.layerMb > spec.findKind(engine.accelerator)->memoryMb;
+    });
+}
+
+} // namespace
+
+TEST_CASE("each failure domain that can gets a whole chain", "[gateway]")
+{
+    const engine_spec spec = specOf(80);
+    auto fleet = usersFleet();
+    carryOut(fleet, planLayers(spec, fleet, {}));
+    for (const char *domain : { "a", "b", "c" })
+        CHECK(uncovered(fleet, domain, 80) == 0);
+    CHECK_FALSE(exceedsMemory(spec, fleet));
+    // No engine is left without layers.
+    CHECK(std::all_of(fleet.begin(), fleet.end(),
+                      [](const placement_engine &engine) { return engine.range.has_value(); }));
+}
+
+TEST_CASE("a plan that has been carried out asks for nothing more", "[gateway]")
+{
+    auto fleet = usersFleet();
+    carryOut(fleet, planLayers(specOf(80), fleet, {}));
+    CHECK(planLayers(specOf(80), fleet, {}).empty());
+}
+
+TEST_CASE("the gap of a lost engine is closed by few engines of its own domain", "[gateway]")
+{
+    const engine_spec spec = specOf(80);
+    auto fleet = usersFleet();
+    carryOut(fleet, planLayers(spec, fleet, {}));
+    for (std::size_t lost = 0; lost < fleet.size(); ++lost) {
+        auto rest = fleet;
+        const std::string domain = rest[lost].failureDomain;
+        rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(lost));
+        const auto repair = planLayers(spec, rest, {});
+        for (const placement_decision &decision : repair)
+            CHECK(decision.id.substr(0, 1) == domain);
+        carryOut(rest, repair);
+        INFO("lost " << fleet[lost].id);
+        CHECK(uncovered(rest, domain, 80) == 0);
+        CHECK(repair.size() <= 4);
+    }
+}
+
+TEST_CASE("engines that are carrying out an order get no other one", "[gateway]")
+{
+    auto fleet = usersFleet();
+    for (placement_engine &engine : fleet)
+        engine.isBusy = true;
+    CHECK(planLayers(specOf(80), fleet, {}).empty());
+}
+
+TEST_CASE("an empty engine that joins protects layers with one holder", "[gateway]")
+{
+    const engine_spec spec = specOf(80);
+    auto fleet = usersFleet();
+    carryOut(fleet, planLayers(spec, fleet, {}));
+    fleet.push_back({ "new", "a", "large", std::nullopt, false });
+    const auto plan = planLayers(spec, fleet, {});
+    REQUIRE(plan.size() == 1);
+    CHECK(plan[0].id == "new");
+    CHECK_FALSE(plan[0].closesGap);
+}
+
+TEST_CASE("a kind of accelerator that is not known, or too small for a layer, gets no order",
+          "[gateway]")
+{
+    engine_spec spec = specOf(4);
+    spec.kinds.push_back({ "tiny", 1000, 1, 1 });
+    std::vector<placement_engine> fleet;
+    add(fleet, "a", "tiny", 2);
+    add(fleet, "a", "unheard-of", 2);
+    CHECK(planLayers(spec, fleet, {}).empty());
+}
+
+TEST_CASE("domains that cannot hold a chain alone are planned together", "[gateway]")
+{
+    const engine_spec spec = specOf(20);
+    std::vector<placement_engine> fleet;
+    add(fleet, "a", "medium", 1);
+    add(fleet, "b", "medium", 1);
+    add(fleet, "c", "medium", 1);
+    carryOut(fleet, planLayers(spec, fleet, {}));
+    CHECK(uncovered(fleet, "", 20) == 0);
+}
+
+// Guards against assumptions on the number of domains, kinds, engines or layers.
+TEST_CASE("plans of random fleets stay within memory, cover what they can and are stable",
+          "[gateway]")
+{
+    const std::vector<std::string> kinds = { "large", "medium", "small" };
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        const random_fn random = seededRandom(seed);
+        const int layers = 1 + static_cast<int>(uniformBelow(random, 120));
+        const engine_spec spec = specOf(layers);
+        std::vector<placement_engine> fleet;
+        const std::uint64_t domains = 1 + uniformBelow(random, 6);
+        for (std::uint64_t domain = 0; domain < domains; ++domain) {
+            const std::uint64_t count = uniformBelow(random, 16);
+            for (std::uint64_t i = 0; i < count; ++i) {
+                add(fleet, "d" + std::to_string(domain) + "-" + std::to_string(i) + "-",
+                    kinds[uniformBelow(random, kinds.size())], 1);
+                fleet.back().failureDomain = "d" + std::to_string(domain);
+            }
+        }
+        INFO("seed " << seed);
+        int capacity = 0;
+        for (const placement_engine &engine : fleet)
+            capacity += layerCapacity(spec, *spec.findKind(engine.accelerator), {});
+        carryOut(fleet, planLayers(spec, fleet, {}));
+        CHECK_FALSE(exceedsMemory(spec, fleet));
+        CHECK(planLayers(spec, fleet, {}).empty());
+        if (capacity < layers)
+            continue;
+        // Some group holds all layers.
+        const auto groups = placementGroups(spec, fleet, {});
+        std::set<std::string> names;
+        for (const auto &[domain, group] : groups)
+            names.insert(group);
+        bool isServed = false;
+        for (const std::string &name : names) {
+            std::vector<placement_engine> members;
+            for (const placement_engine &engine : fleet) {
+                if (groups.at(engine.failureDomain) == name)
+                    members.push_back(engine);
+            }
+            isServed = isServed || uncovered(members, "", layers) == 0;
+        }
+        CHECK(isServed);
+        // The loss of one engine moves few others.
+        fleet.erase(fleet.begin() + static_cast<std::ptrdiff_t>(uniformBelow(random, fleet.size())));
+        CHECK(planLayers(spec, fleet, {}).size() <= fleet.size() / 2 + 1);
+    }
+}
+
+} // namespace fescuedeck
