--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -7,9 +7,16 @@
 
 // Longest time from an announcement's making until it is read here.
 constexpr duration announcementLag = std::chrono::milliseconds(2500);
+// How long other gateways are told that an endpoint has left.
+constexpr duration departureMemory = std::chrono::seconds(10);
 
 } // namespace
 
+std::string incarnationName(const endpoint_entry &entry)
+{
+    return entry.id + "@" + std::to_string(entry.startedAt);
+}
+
 endpoint_registry::endpoint_registry(suspicion_policy policy)
     : m_policy(policy)
 {
@@ -28,6 +35,7 @@
     const std::optional<layer_range> seenLayers = record->entry.layers;
     const bool mayBeOlder = record->layersSeenAt && now - *record->layersSeenAt < announcementLag;
     record->entry = entry;
+    m_departed.erase(incarnationName(entry));
     if (mayBeOlder)
         record->entry.layers = seenLayers;
     record->offset = offset;
@@ -35,18 +43,28 @@
     ++m_revision;
 }
 
-void endpoint_registry::remove(const std::string &id)
+void endpoint_registry::remove(const std::string &id, time_point now)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end())
         return;
     // Those who still hold the record must not choose it any more.
     found->second->entry.phase = endpoint_phase_announced::Draining;
+    m_departed[incarnationName(found->second->entry)] = now;
     m_endpoints.erase(found);
     ++m_revision;
 }
 
-void endpoint_registry::retain(const std::vector<std::string> &ids)
+void endpoint_registry::markLeaving(const std::string &id)
+{
+    const endpoint_ptr record = find(id);
+    if (!record || record->entry.phase == endpoint_phase_announced::Draining)
+        return;
+    record->entry.phase = endpoint_phase_announced::Draining;
+    ++m_revision;
+}
+
+void endpoint_registry::retain(const std::vector<std::string> &ids, time_point now)
 {
     std::vector<std::string> gone;
     for (const auto &[id, record] : m_endpoints) {
@@ -54,7 +72,21 @@
             gone.push_back(id);
     }
     for (const std::string &id : gone)
-        remove(id);
+        remove(id, now);
+}
+
+std::vector<std::string> endpoint_registry::leaving(time_point now) const
+{
+    std::vector<std::string> names;
+    for (const auto &[id, record] : m_endpoints) {
+        if (record->entry.phase == endpoint_phase_announced::Draining)
+            names.push_back(incarnationName(record->entry));
+    }
+    for (const auto &[name, since] : m_departed) {
+        if (now - since < departureMemory)
+            names.push_back(name);
+    }
+    return names;
 }
 
 void endpoint_registry::suspect(const std::string &id, time_point now)
@@ -108,6 +140,14 @@
     return nullptr;
 }
 
+std::vector<endpoint_ptr> endpoint_registry::all() const
+{
+    std::vector<endpoint_ptr> records;
+    for (const auto &[id, record] : m_endpoints)
+        records.push_back(record);
+    return records;
+}
+
 std::vector<endpoint_ptr> endpoint_registry::ofService(const std::string &service) const
 {
     std::vector<endpoint_ptr> found;
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -61,6 +61,9 @@
     }
 };
 
+// Name that differs between the incarnations of one endpoint.
+std::string incarnationName(const endpoint_entry &entry);
+
 using endpoint_ptr = std::shared_ptr<endpoint_record>;
 
 struct suspicion_policy
@@ -78,9 +81,13 @@
     // The newest announcement of an endpoint.
     void announce(const endpoint_entry &entry, std::int64_t offset, time_point now);
     // The endpoint has left, or its announcement has lapsed.
-    void remove(const std::string &id);
-    // Removes the endpoints whose announcement is older than offset and that are not in ids.
-    void retain(const std::vector<std::string> &ids);
+    void remove(const std::string &id, time_point now);
+    // Incarnations, as id@start, that leave or have left within the last seconds.
+    std::vector<std::string> leaving(time_point now) const;
+    // Another gateway knows that the endpoint leaves.
+    void markLeaving(const std::string &id);
+    // Removes the endpoints that are not in ids.
+    void retain(const std::vector<std::string> &ids, time_point now);
 
     // A call failed in a way that speaks against the endpoint.
     void suspect(const std::string &id, time_point now);
@@ -93,6 +100,7 @@
 
     endpoint_ptr find(const std::string &id) const;
     endpoint_ptr findByAddress(const std::string &address) const;
+    std::vector<endpoint_ptr> all() const;
     std::vector<endpoint_ptr> ofService(const std::string &service) const;
     std::size_t size() const { return m_endpoints.size(); }
     // When the newest endpoint was first seen.
@@ -105,6 +113,7 @@
     std::map<std::string, endpoint_ptr> m_endpoints; // by id
     std::uint64_t m_revision = 0;
     time_point m_newestSince{};
+    std::map<std::string, time_point> m_departed; // incarnations, with the time of their removal
 };
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/endpoint_registry_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry_test.cpp
@@ -28,7 +28,7 @@
     CHECK_FALSE(held->isUsable(start));
     registry.announce(entryOf("x"), 3, start);
     CHECK(held->isUsable(start));
-    registry.remove("x");
+    registry.remove("x", start);
     CHECK_FALSE(held->isUsable(start));
     CHECK(registry.find("x") == nullptr);
 }
@@ -74,12 +74,24 @@
     CHECK(registry.find("x")->isUsable(start));
 }
 
+TEST_CASE("departed incarnations are named for a while, and not once they are announced again",
+          "[gateway]")
+{
+    endpoint_registry registry;
+    registry.announce(entryOf("x"), 1, start);
+    registry.remove("x", start);
+    CHECK(registry.leaving(start) == std::vector<std::string>{ "x@1" });
+    CHECK(registry.leaving(start + std::chrono::seconds(11)).empty());
+    registry.announce(entryOf("x"), 2, start);
+    CHECK(registry.leaving(start).empty());
+}
+
 TEST_CASE("endpoints that are missing from the whole table are gone", "[gateway]")
 {
     endpoint_registry registry;
     registry.announce(entryOf("x"), 1, start);
     registry.announce(entryOf("y"), 2, start);
-    registry.retain({ "y" });
+    registry.retain({ "y" }, start);
     CHECK(registry.find("x") == nullptr);
     CHECK(registry.ofService("model").size() == 1);
 }
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -119,6 +119,8 @@
     const bool mayRunAgain = last == attempt_end::NotRun
                              || (last == attempt_end::MayHaveRun && isIdempotent)
                              || (last == attempt_end::Interrupted && m_route.isResumable);
+    if (m_context.crashes.isQuarantined(fingerprint, steadyNow()))
+        return false;
     return mayRunAgain && !m_hasLeft && m_runs < m_route.maxAttempts
            && m_sendings < m_route.maxAttempts + extraSendings && remaining() > answerMargin;
 }
@@ -273,6 +275,8 @@
         return attempt_end::NotRun;
     }
     ++m_runs;
+    if (error.code == make_error_code(errc::ConnectionClosed) && !current.isBroken)
+        noteCrash(to);
     const bool isOverTime = remaining() <= duration::zero();
     if (!isOverTime && !current.isBroken)
         blame(to, {});
@@ -280,6 +284,18 @@
     return m_streamBegun ? attempt_end::Interrupted : attempt_end::MayHaveRun;
 }
 
+void forwarded_call::noteCrash(const destination &to)
+{
+    const bool isQuarantined = m_context.crashes.recordCrash(fingerprint, steadyNow());
+    event_line("crash_suspected", event_level::Warning)
+            .field("request", m_info.id)
+            .field("endpoint", to.first->entry.id)
+            .field("crashes", m_context.crashes.crashesOf(fingerprint))
+            .field("quarantined", isQuarantined);
+    if (isQuarantined && m_context.onQuarantine)
+        m_context.onQuarantine(fingerprint);
+}
+
 attempt_end forwarded_call::judgeStreamEnd(const destination &to, const attempt &current)
 {
     if (current.events.hasPartialEvent() || !m_streamBegun) {
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -32,7 +32,8 @@
                    const call_info &info);
 
     std::string workspace;
-    time_point end{}; // the answer is due
+    std::string fingerprint; // of the request, for the crash ledger
+    time_point end{};        // the answer is due
 
     void run();
 
@@ -54,6 +55,7 @@
     {
         return m_route.kind == call_kind::Safe || m_route.isResumable;
     }
+    void noteCrash(const destination &to);
     void refuseFinally(attempt_end last);
     void blame(const destination &to, const std::string &faultAddress);
     duration remaining() const { return end - steadyNow(); }
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -8,8 +8,10 @@
 
 #include "fescuedeck/base/ids.h"
 #include "fescuedeck/gateway/gateway_context.h"
+#include "fescuedeck/gateway/gateway_peers.h"
 #include "fescuedeck/gateway/placement_duty.h"
 #include "fescuedeck/gateway/request_forwarder.h"
+#include "fescuedeck/gateway/suspension_watch.h"
 #include "fescuedeck/gateway/table_follower.h"
 #include "fescuedeck/net/http_server.h"
 #include "fescuedeck/router/wait_event.h"
@@ -25,12 +27,18 @@
 constexpr int statusNotFound = 404;
 constexpr int incarnationBytes = 4;
 
-// The configuration changes rarely, so a held-back read costs one call a while.
-constexpr duration configWait = std::chrono::seconds(8);
+// A connection that has gone silent hides changes until the read is given up. A change must be in
+// force within two seconds, so a read may take little more than one.
+constexpr duration configWait = std::chrono::milliseconds(1200);
+constexpr duration readTimeout = std::chrono::milliseconds(500);
+// Quarantined requests are rare, and peers tell each other as well.
+constexpr duration rareTableWait = std::chrono::seconds(20);
 // Announcements are written when they change. The pause bounds the calls while many change, and is
 // well below the time in which a leaving endpoint must get no more requests.
-constexpr duration endpointsWait = std::chrono::seconds(3);
+constexpr duration endpointsWait = std::chrono::milliseconds(1200);
 constexpr duration endpointsPause = std::chrono::milliseconds(100);
+constexpr duration quarantineTimeout = std::chrono::seconds(2);
+constexpr duration expiryInterval = std::chrono::seconds(5);
 constexpr duration logFlushInterval = std::chrono::milliseconds(250);
 constexpr duration bodyTimeout = std::chrono::seconds(20);
 // After SIGTERM: until the balancer has seen that the gateway is not ready any more.
@@ -61,27 +69,36 @@
     bool isReady() const;
     http_response operatorsAnswer(const http_request &request) const;
     void takeConfig(const store_record &record);
+    void useConfig(const std::string &value, const char *source);
+    void publishQuarantine(const std::string &fingerprint);
+    void onSuspension(duration time);
+    void expireForever(boost::asio::yield_context yield);
     void takeEntry(const store_record &record);
     void waitForSignal(boost::asio::signal_set &signals);
     void shutDown(boost::asio::yield_context yield);
     table_follower_hooks configHooks();
     table_follower_hooks endpointHooks();
+    table_follower_hooks quarantineHooks();
 
     boost::asio::io_context m_io{ 1 };
     http_client m_client;
     gateway_context m_context;
+    const std::string m_incarnation;
     request_forwarder m_forwarder;
     http_server m_callers;
     http_server m_readiness;
     http_server m_operators;
     table_follower m_config;
     table_follower m_endpoints;
+    table_follower m_quarantine;
     placement_duty m_duty;
+    gateway_peers m_peers;
 };
 
 gateway::gateway(const gateway_settings &settings, const make_wire_fn &makeWire)
     : m_client(m_io, clientLimits())
     , m_context(settings, makeWire(m_client), m_io, m_client, systemRandom())
+    , m_incarnation(randomHex(incarnationBytes, m_context.random))
     , m_forwarder(m_context)
     , m_callers(m_io, {}, [this](http_exchange &exchange) { m_forwarder.handle(exchange); })
     , m_readiness(m_io, {},
@@ -93,11 +110,17 @@
                       exchange.respond(operatorsAnswer(exchange.request()));
                   })
     , m_config(m_io, m_context.wire.store, store_table::Configuration,
-               { "configuration", configWait, {} }, configHooks(), m_context.random)
+               { "configuration", configWait, {}, readTimeout }, configHooks(), m_context.random)
     , m_endpoints(m_io, m_context.wire.store, store_table::Endpoints,
-                  { "endpoints", endpointsWait, endpointsPause }, endpointHooks(), m_context.random)
-    , m_duty(m_context, settings.id + "." + randomHex(incarnationBytes, m_context.random))
+                  { "endpoints", endpointsWait, endpointsPause, readTimeout }, endpointHooks(), m_context.random)
+    , m_quarantine(m_io, m_context.wire.store, store_table::Quarantine,
+                   { "quarantine", rareTableWait, {} }, quarantineHooks(), m_context.random)
+    , m_duty(m_context, settings.id + "." + m_incarnation)
+    , m_peers(m_context, m_incarnation,
+              { [this](const std::string &value) { useConfig(value, "peer"); } })
 {
+    m_context.onQuarantine
+            = [this](const std::string &fingerprint) { publishQuarantine(fingerprint); };
     const auto log = [this](const std::string &what) {
         m_context.counters.counterOf("fescuedeck_handler_exceptions_total").add();
         event_line("handler_failed", event_level::Error).field("detail", what);
@@ -118,20 +141,73 @@
     table_follower_hooks hooks;
     hooks.onRecord = [this](const store_record &record) { takeEntry(record); };
     hooks.onWholeTable = [this](const std::vector<std::string> &keys) {
-        m_context.endpoints.retain(keys);
+        m_context.endpoints.retain(keys, steadyNow());
         m_context.knowsEndpoints = true;
     };
+    hooks.onOutage = [this](bool isLost) {
+        m_context.isEndpointTableLost = isLost;
+        // What peers said meanwhile is replaced by the table itself.
+        if (!isLost)
+            m_endpoints.refresh();
+    };
     return hooks;
 }
 
+table_follower_hooks gateway::quarantineHooks()
+{
+    table_follower_hooks hooks;
+    hooks.onRecord = [this](const store_record &record) {
+        if (!record.isRemoval)
+            m_context.crashes.quarantine(record.key, steadyNow());
+    };
+    hooks.onWholeTable = [](const std::vector<std::string> &) {};
+    return hooks;
+}
+
+void gateway::publishQuarantine(const std::string &fingerprint)
+{
+    m_peers.announceChange();
+    boost::asio::spawn(m_io, [this, fingerprint](boost::asio::yield_context yield) {
+        const store_write entry{ store_table::Quarantine, fingerprint, m_context.settings.id,
+                                 false };
+        const auto error = m_context.wire.store.write(entry, quarantineTimeout, yield);
+        if (error) {
+            event_line("quarantine_not_stored", event_level::Warning)
+                    .field("fingerprint", fingerprint)
+                    .field("detail", error->detail);
+        }
+    });
+}
+
+void gateway::onSuspension(duration time)
+{
+    event_line("stood_still", event_level::Warning).field("time_ms", time);
+    m_duty.giveUp();
+    m_config.refresh();
+    m_endpoints.refresh();
+}
+
+void gateway::expireForever(boost::asio::yield_context yield)
+{
+    while (true) {
+        sleepFor(expiryInterval, yield);
+        m_context.crashes.expire(steadyNow());
+    }
+}
+
 void gateway::takeConfig(const store_record &record)
 {
-    if (record.key != m_context.wire.configKey || record.isRemoval)
-        return;
-    auto config = m_context.wire.parseConfig(record.value);
+    if (record.key == m_context.wire.configKey && !record.isRemoval)
+        useConfig(record.value, "store");
+}
+
+// Versions never go back, wherever they come from.
+void gateway::useConfig(const std::string &value, const char *source)
+{
+    auto config = m_context.wire.parseConfig(value);
     if (!config) {
         event_line("config_unusable", event_level::Error)
-                .field("offset", record.offset)
+                .field("source", source)
                 .field("detail", config.error().detail);
         return;
     }
@@ -147,13 +223,16 @@
     serverLimits.idleTimeout = limits.idleTimeout;
     serverLimits.bodyTimeout = bodyTimeout;
     m_callers.setLimits(serverLimits);
-    event_line("config_in_force").field("version", version).field("offset", record.offset);
+    m_peers.setConfigText(value);
+    m_peers.announceChange();
+    event_line("config_in_force").field("version", version).field("source", source);
 }
 
 void gateway::takeEntry(const store_record &record)
 {
     if (record.isRemoval) {
-        m_context.endpoints.remove(record.key);
+        m_context.endpoints.remove(record.key, steadyNow());
+        m_peers.announceChange();
         return;
     }
     const auto entry = m_context.wire.parseEntry(record);
@@ -162,7 +241,7 @@
                 .field("endpoint", record.key)
                 .field("offset", record.offset)
                 .field("detail", entry.error().detail);
-        m_context.endpoints.remove(record.key);
+        m_context.endpoints.remove(record.key, steadyNow());
         return;
     }
     m_context.endpoints.announce(entry.value(), record.offset, steadyNow());
@@ -251,8 +330,12 @@
             flushEventLog();
         }
     });
+    watchForSuspension(m_io, [this](duration time) { onSuspension(time); });
+    boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { expireForever(yield); });
     m_config.start();
     m_endpoints.start();
+    m_quarantine.start();
+    m_peers.start();
     m_duty.start();
     m_io.run();
     return exitOk;
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #ifndef FESCUEDECK_GATEWAY_GATEWAY_CONTEXT_H
 #define FESCUEDECK_GATEWAY_GATEWAY_CONTEXT_H
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -12,6 +13,7 @@
 
 #include "fescuedeck/admission/retry_budget.h"
 #include "fescuedeck/base/random.h"
+#include "fescuedeck/gateway/crash_ledger.h"
 #include "fescuedeck/gateway/endpoint_registry.h"
 #include "fescuedeck/gateway/gateway_config.h"
 #include "fescuedeck/gateway/gateway_settings.h"
@@ -35,7 +37,11 @@
     std::shared_ptr<const config_index> config; // null before the first one
     endpoint_registry endpoints;
     retry_budget retries; // by service
+    crash_ledger crashes;
+    // Tells the other gateways that a request has been quarantined.
+    std::function<void(const std::string &fingerprint)> onQuarantine;
     bool knowsEndpoints = false; // their list has been read once
+    bool isEndpointTableLost = false; // the store cannot be read
     bool isStopping = false;
     time_point stopsTakingAt = time_point::max(); // requests read later are refused
     // Until about when layers that are missing now are loaded.
--- a/src/fescuedeck/gateway/gateway_wire.h
+++ b/src/fescuedeck/gateway/gateway_wire.h
@@ -18,6 +18,7 @@
 #include "fescuedeck/gateway/endpoint_registry.h"
 #include "fescuedeck/gateway/gateway_config.h"
 #include "fescuedeck/gateway/placement_controller.h"
+#include "fescuedeck/net/http_client.h"
 #include "fescuedeck/net/http_message.h"
 
 namespace fescuedeck {
@@ -98,11 +99,19 @@
     bool isRemoval = false;
 };
 
+struct store_write
+{
+    store_table table = store_table::Peers;
+    std::string key; // at most 255 bytes
+    std::string value;
+    bool isFirst = false; // refused unless the table has never had a record
+};
+
 struct store_page
 {
     std::vector<store_record> records;
     std::int64_t next = 0; // offset to read from after this page
-    bool isGap = false;    // records before next are lost to this reader
+    bool isGap = false;    // records before next are lost to this reader, who must read it whole
 };
 
 // A share of the work that one gateway at a time does.
@@ -119,11 +128,11 @@
             readNewest;
     // Records from an offset on; the store holds an empty answer back for up to wait.
     std::function<result<store_page>(store_table, std::int64_t from, duration wait,
-                                     duration timeout, boost::asio::yield_context)>
+                                     duration timeout, const call_cancellation &,
+                                     boost::asio::yield_context)>
             readFrom;
-    // Replaces the value of a key.
-    std::function<std::optional<failure>(store_table, const std::string &key,
-                                         const std::string &value, duration timeout,
+    // Replaces the value of a key. Without an error the store has it; with one it may have it.
+    std::function<std::optional<failure>(const store_write &, duration timeout,
                                          boost::asio::yield_context)>
             write;
     // Joins those who can hold the duty or stays among them, for the term.
--- a/src/fescuedeck/gateway/placement_duty.cpp
+++ b/src/fescuedeck/gateway/placement_duty.cpp
@@ -28,6 +28,11 @@
     return now + m_settings.sendMargin < m_holdsUntil && !m_context.isStopping;
 }
 
+void placement_duty::giveUp()
+{
+    m_holdsUntil = {};
+}
+
 void placement_duty::renewForever(boost::asio::yield_context yield)
 {
     while (!m_context.isStopping) {
--- a/src/fescuedeck/gateway/placement_duty.h
+++ b/src/fescuedeck/gateway/placement_duty.h
@@ -36,6 +36,8 @@
 
     void start();
     bool isHolder(time_point now) const;
+    // The process stood still, so that the term may have ended unnoticed.
+    void giveUp();
 
 private:
     void renewForever(boost::asio::yield_context yield);
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fescuedeck/base/hash.h"
 #include "fescuedeck/gateway/forwarded_call.h"
 #include "fescuedeck/gateway/retry_after.h"
 #include "fescuedeck/telemetry/event_line.h"
@@ -20,6 +21,19 @@
     return limit;
 }
 
+std::string fingerprintOf(const http_request &request, const std::string &key)
+{
+    constexpr char separator = '\0';
+    std::string text = key;
+    text += separator;
+    text += request.method;
+    text += separator;
+    text += request.target;
+    text += separator;
+    text += request.body;
+    return sha256Hex(text);
+}
+
 } // namespace
 
 request_forwarder::request_forwarder(gateway_context &context)
@@ -53,8 +67,12 @@
     const bool needsKey = !config->config().workspaces.empty() && !route->isPublic;
     if (needsKey && workspace == nullptr)
         return refuse(refusal_reason::NoKey);
+    const std::string fingerprint = fingerprintOf(exchange.request(), info.key);
+    if (m_context.crashes.isQuarantined(fingerprint, steadyNow()))
+        return refuse(refusal_reason::Quarantined);
     forwarded_call call(m_context, exchange, config, *route, info);
     call.workspace = workspace == nullptr ? std::string() : workspace->name;
+    call.fingerprint = fingerprint;
     call.end = steadyNow() + timeLimitOf(info, *route);
     call.run();
 }
--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -1,5 +1,7 @@
 #include "fescuedeck/gateway/table_follower.h"
 
+#include <algorithm>
+
 #include "fescuedeck/router/wait_event.h"
 #include "fescuedeck/telemetry/event_line.h"
 
@@ -34,9 +36,15 @@
     }
 }
 
+void table_follower::refresh()
+{
+    m_position.reset();
+    m_cancellation.cancel();
+}
+
 bool table_follower::readWhole(boost::asio::yield_context yield)
 {
-    const auto page = m_store.readNewest(m_table, m_settings.timeout, yield);
+    const auto page = m_store.readNewest(m_table, currentTimeout(), yield);
     noteRead(page.has_value(), page ? std::string() : page.error().detail);
     if (!page)
         return false;
@@ -47,14 +55,17 @@
             keys.push_back(record.key);
     }
     m_hooks.onWholeTable(keys);
-    m_position = page.value().next;
+    m_position = std::max(page.value().next, m_firstKept);
     return true;
 }
 
 bool table_follower::readOn(boost::asio::yield_context yield)
 {
+    m_cancellation = call_cancellation();
     const auto page = m_store.readFrom(m_table, *m_position, m_settings.wait,
-                                       m_settings.wait + m_settings.timeout, yield);
+                                       m_settings.wait + currentTimeout(), m_cancellation, yield);
+    if (m_cancellation.isCancelled())
+        return true;
     noteRead(page.has_value(), page ? std::string() : page.error().detail);
     if (!page)
         return false;
@@ -62,6 +73,7 @@
         event_line("table_gap", event_level::Warning)
                 .field("table", m_settings.name)
                 .field("offset", *m_position);
+        m_firstKept = page.value().next;
         m_position.reset();
         return true;
     }
@@ -71,8 +83,16 @@
     return true;
 }
 
+duration table_follower::currentTimeout() const
+{
+    constexpr int maxDoublings = 8;
+    const int factor = 1 << std::min(m_failures, maxDoublings);
+    return std::min<duration>(m_settings.timeout * factor, m_settings.longestTimeout);
+}
+
 void table_follower::noteRead(bool isGood, const std::string &detail)
 {
+    m_failures = isGood ? 0 : m_failures + 1;
     if (isGood)
         m_lastRead = steadyNow();
     if (m_isLost != isGood)
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -18,6 +18,7 @@
 #include "fescuedeck/base/time.h"
 #include "fescuedeck/gateway/gateway_wire.h"
 #include "fescuedeck/net/backoff.h"
+#include "fescuedeck/net/http_client.h"
 
 namespace fescuedeck {
 
@@ -26,7 +27,9 @@
     std::string name;     // for logs
     duration wait{};      // how long the store may hold an empty answer back
     duration pause{};     // between two reads
-    duration timeout = std::chrono::seconds(2); // of one read, beyond wait
+    // Of one read, beyond wait. It doubles with each failure, for a store that is slow.
+    duration timeout = std::chrono::seconds(2);
+    duration longestTimeout = std::chrono::seconds(3);
     backoff_limits retry = { std::chrono::milliseconds(100), std::chrono::seconds(1) };
 };
 
@@ -47,6 +50,8 @@
                    table_follower_settings settings, table_follower_hooks hooks, random_fn random);
 
     void start();
+    // Reads the whole table again at once, for example after the process was suspended.
+    void refresh();
     // Time of the last successful read; the start of the epoch before the first one.
     time_point lastRead() const { return m_lastRead; }
 
@@ -54,6 +59,7 @@
     void run(boost::asio::yield_context yield);
     bool readWhole(boost::asio::yield_context yield);
     bool readOn(boost::asio::yield_context yield);
+    duration currentTimeout() const;
     void noteRead(bool isGood, const std::string &detail);
 
     boost::asio::io_context &m_io;
@@ -63,8 +69,11 @@
     const table_follower_hooks m_hooks;
     backoff m_backoff;
     std::optional<std::int64_t> m_position; // none: the whole table must be read
+    std::int64_t m_firstKept = 0;           // records before it are not kept
+    call_cancellation m_cancellation;       // of the current read
     time_point m_lastRead{};
     bool m_isLost = false;
+    int m_failures = 0; // in a row
 };
 
 } // namespace fescuedeck
