--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -102,13 +102,35 @@
     ++m_revision;
 }
 
+void endpoint_registry::suspectBriefly(const std::string &id, time_point until)
+{
+    const endpoint_ptr record = find(id);
+    if (!record || record->suspectUntil >= until)
+        return;
+    record->suspectUntil = until;
+    ++m_revision;
+}
+
+void endpoint_registry::markLost(const std::string &id, time_point until)
+{
+    const endpoint_ptr record = find(id);
+    if (!record)
+        return;
+    record->lostUntil = until;
+    ++m_revision;
+}
+
 void endpoint_registry::confirm(const std::string &id)
 {
     const endpoint_ptr record = find(id);
-    if (!record || record->suspicions == 0)
+    const bool isDoubted = record
+                           && (record->suspicions > 0 || record->suspectUntil != time_point{}
+                               || record->lostUntil != time_point{});
+    if (!isDoubted)
         return;
     record->suspicions = 0;
     record->suspectUntil = {};
+    record->lostUntil = {};
     ++m_revision;
 }
 
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -47,7 +47,8 @@
     time_point firstSeenAt{};
     std::int64_t orders = 0; // accepted by this incarnation, as far as is known
     std::optional<time_point> layersSeenAt; // when the engine itself stated its layers
-    time_point suspectUntil{}; // not to be used before
+    time_point suspectUntil{}; // not to be used before, though it may well live
+    time_point lostUntil{};    // shown not to answer: its layers count as missing
     int suspicions = 0;        // in a row without a good answer
     int inFlight = 0;          // requests of this gateway
     double tokensInFlight = 0; // of this gateway's requests, prompt and answer
@@ -55,10 +56,14 @@
     int peerInFlight = 0;
     double slowness = 1;       // stated time of a step over the usual one
 
-    bool isUsable(time_point now) const
+    bool isLost(time_point now) const { return lostUntil > now; }
+    // Whether its layers can be counted on.
+    bool isPresent(time_point now) const
     {
-        return entry.phase == endpoint_phase_announced::Ready && suspectUntil <= now;
+        return entry.phase == endpoint_phase_announced::Ready && !isLost(now);
     }
+    // Whether a request may go there now.
+    bool isUsable(time_point now) const { return isPresent(now) && suspectUntil <= now; }
 };
 
 // Name that differs between the incarnations of one endpoint.
@@ -91,6 +96,10 @@
 
     // A call failed in a way that speaks against the endpoint.
     void suspect(const std::string &id, time_point now);
+    // The same without lengthening, for endpoints of which one at most is at fault.
+    void suspectBriefly(const std::string &id, time_point until);
+    // It has been shown not to answer.
+    void markLost(const std::string &id, time_point until);
     // A call was answered well.
     void confirm(const std::string &id);
     // The endpoint itself has said which layers it holds after so many orders. Announcements that
--- /dev/null
+++ b/src/fescuedeck/gateway/engine_inspector.cpp
@@ -0,0 +1,73 @@
+#include "fescuedeck/gateway/engine_inspector.h"
+
+#include "fescuedeck/telemetry/event_line.h"
+
+namespace fescuedeck {
+namespace {
+
+// Entries of endpoints that have gone are dropped from the table of questions beyond this size.
+constexpr std::size_t maxRemembered = 1024;
+
+} // namespace
+
+engine_inspector::engine_inspector(gateway_context &context, engine_inspector_settings settings)
+    : m_context(context)
+    , m_settings(settings)
+{
+}
+
+void engine_inspector::inspect(const std::string &id)
+{
+    const endpoint_ptr engine = m_context.endpoints.find(id);
+    const time_point now = steadyNow();
+    if (!engine || engine->isLost(now))
+        return;
+    if (m_lastAsked.size() > maxRemembered)
+        m_lastAsked.clear();
+    time_point &last = m_lastAsked[id];
+    if (now - last < m_settings.interval)
+        return;
+    last = now;
+    boost::asio::spawn(m_context.io,
+                       [this, engine](boost::asio::yield_context yield) { ask(engine, yield); });
+}
+
+void engine_inspector::ask(const endpoint_ptr &engine, boost::asio::yield_context yield)
+{
+    call_options options;
+    options.timeout = m_settings.timeout;
+    // A kept connection may have gone silent while the engine is well.
+    options.freshConnection = true;
+    const call_result result = m_context.client.send(
+            engine->entry.address, m_context.wire.encodeReportRequest(), options, yield);
+    if (!result.response)
+        return markLost(engine, "no_answer");
+    const auto report = m_context.wire.decodeReport(result.response.value());
+    if (report)
+        take(engine, report.value());
+}
+
+void engine_inspector::take(const endpoint_ptr &engine, const engine_report &report)
+{
+    engine->slowness = report.pace;
+    m_context.endpoints.confirm(engine->entry.id);
+    for (const std::string &address : report.stalledOn) {
+        const endpoint_ptr stalled = m_context.endpoints.findByAddress(address);
+        if (stalled && !stalled->isLost(steadyNow()))
+            markLost(stalled, "others_wait_for_it");
+    }
+}
+
+void engine_inspector::markLost(const endpoint_ptr &engine, const char *evidence)
+{
+    event_line("engine_lost", event_level::Warning)
+            .field("endpoint", engine->entry.id)
+            .field("layers", engine->entry.layers ? toString(*engine->entry.layers) : "none")
+            .field("evidence", evidence);
+    m_context.counters.counterOf("fescuedeck_engines_lost_total").add();
+    m_context.endpoints.markLost(engine->entry.id, steadyNow() + m_settings.lostFor);
+    if (m_context.onEngineLost)
+        m_context.onEngineLost();
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/engine_inspector.h
@@ -0,0 +1,49 @@
+// Finds out which engine of a chain has failed when requests through the chain fall silent.
+//
+// The first engine of a chain names those that its requests wait for. An engine that does not
+// answer at all is lost until it announces itself as another incarnation or answers again.
+#ifndef FESCUEDECK_GATEWAY_ENGINE_INSPECTOR_H
+#define FESCUEDECK_GATEWAY_ENGINE_INSPECTOR_H
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/spawn.hpp>
+
+#include "fescuedeck/gateway/gateway_context.h"
+#include "fescuedeck/gateway/placement_controller.h"
+
+namespace fescuedeck {
+
+struct engine_inspector_settings
+{
+    duration timeout = std::chrono::milliseconds(400); // of one question
+    // Least time between two questions to one engine, as each is priced.
+    duration interval = std::chrono::milliseconds(250);
+    // How long an engine without an answer is not used before it is asked again.
+    duration lostFor = std::chrono::seconds(2);
+};
+
+// Not thread-safe. Must outlive its io_context's run.
+class engine_inspector
+{
+public:
+    explicit engine_inspector(gateway_context &context, engine_inspector_settings settings = {});
+
+    // Asks the engine which others it waits for, and whether it lives. Returns at once.
+    void inspect(const std::string &id);
+
+private:
+    void ask(const endpoint_ptr &engine, boost::asio::yield_context yield);
+    void take(const endpoint_ptr &engine, const engine_report &report);
+    void markLost(const endpoint_ptr &engine, const char *evidence);
+
+    gateway_context &m_context;
+    const engine_inspector_settings m_settings;
+    std::map<std::string, time_point> m_lastAsked; // by endpoint
+};
+
+} // namespace fescuedeck
+
+#endif
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -14,8 +14,17 @@
 constexpr int extraSendings = 2;
 // A host that is up accepts a connection much sooner.
 constexpr duration connectTimeout = std::chrono::milliseconds(400);
-// A stream without an event for so long has lost an engine of its chain.
-constexpr duration silenceLimit = std::chrono::milliseconds(900);
+// A chain that gives no event for this share of the pause that callers bear has most likely lost an
+// engine; the rest of the pause is needed to go on at another chain.
+constexpr double silentShareOfPause = 0.6;
+// The same for the first event, as a share of the objective.
+constexpr double silentShareOfObjective = 0.5;
+// Chains under load are slower: a pause counts only if it is several times the stream's usual one.
+constexpr int silentFactor = 4;
+constexpr duration longestSilence = std::chrono::milliseconds(900);
+constexpr duration shortestSilence = std::chrono::milliseconds(100);
+// How long a chain is left alone while its failed engine is being found.
+constexpr duration chainDoubt = std::chrono::milliseconds(300);
 // The caller gets the gateway's answer this long before it stops waiting.
 constexpr duration answerMargin = std::chrono::milliseconds(30);
 bool isSuccess(int status)
@@ -64,6 +73,8 @@
     call_cancellation cancellation;
     event_splitter events;
     http_response head;
+    time_point lastPart{};
+    duration usualPause{}; // between events, smoothed
     bool isStream = false; // the head of a stream of events has arrived
     bool isBroken = false; // the answer cannot be passed on
 };
@@ -152,7 +163,7 @@
     call.connectTimeout = connectTimeout;
     call.cancellation = current.cancellation;
     if (m_route.kind == call_kind::Stream) {
-        call.silenceTimeout = silenceLimit;
+        call.silenceTimeout = [this, &current] { return silenceLimit(current); };
         call.collectsBody = false;
         call.onHead = [&](const http_response &head) { onStreamHead(current, head); };
         call.onBodyPart = [&](std::string_view part) { onStreamPart(current, part); };
@@ -170,6 +181,32 @@
     return judge(to, current, result);
 }
 
+duration forwarded_call::silenceLimit(const attempt &current) const
+{
+    const bool isFirst = current.lastPart == time_point{};
+    const duration borne = isFirst ? m_route.objective : m_route.pauseObjective;
+    const double share = isFirst ? silentShareOfObjective : silentShareOfPause;
+    duration limit = borne > duration::zero()
+                             ? std::chrono::duration_cast<duration>(borne * share)
+                             : longestSilence;
+    limit = std::max<duration>(limit, current.usualPause * silentFactor);
+    // Without another attempt there is nothing to gain from giving up early.
+    if (m_runs + 1 >= m_route.maxAttempts)
+        limit = longestSilence * silentFactor;
+    return std::clamp<duration>(limit, shortestSilence, longestSilence * silentFactor);
+}
+
+void forwarded_call::notePause(attempt &current)
+{
+    constexpr int smoothing = 4;
+    const time_point now = steadyNow();
+    if (current.lastPart != time_point{}) {
+        const duration pause = now - current.lastPart;
+        current.usualPause += (pause - current.usualPause) / smoothing;
+    }
+    current.lastPart = now;
+}
+
 void forwarded_call::onStreamHead(attempt &current, const http_response &head)
 {
     const answer_info answer = m_context.wire.readAnswer(head);
@@ -186,6 +223,7 @@
         current.head.body += part; // of a failure, to be passed on whole
         return;
     }
+    notePause(current);
     current.events.feed(part);
     const std::string events = current.events.take();
     if (current.events.isBroken()) {
@@ -227,7 +265,11 @@
                 .field("sending", m_sendings)
                 .field("status", response.status)
                 .field("at_fault", answer.faultAddress);
-        blame(to, answer.faultAddress);
+        const bool isFull = !answer.isMisdirected && answer.faultAddress.empty();
+        if (isFull)
+            m_failed.insert(to.first->entry.id);
+        else
+            blame(to, answer.faultAddress);
         return attempt_end::NotRun;
     }
     ++m_runs;
@@ -272,13 +314,17 @@
     if (!result.mayHaveBeenSent) {
         m_context.endpoints.suspect(to.first->entry.id, steadyNow());
         m_failed.insert(to.first->entry.id);
+        if (!to.chain.empty() && m_context.inspectEngine)
+            m_context.inspectEngine(to.first->entry.id);
         return attempt_end::NotRun;
     }
     ++m_runs;
     if (error.code == make_error_code(errc::ConnectionClosed) && !current.isBroken)
         noteCrash(to);
     const bool isOverTime = remaining() <= duration::zero();
-    if (!isOverTime && !current.isBroken)
+    if (!isOverTime && !to.chain.empty())
+        doubtChain(to);
+    else if (!isOverTime && !current.isBroken)
         blame(to, {});
     m_failed.insert(to.first->entry.id);
     return m_streamBegun ? attempt_end::Interrupted : attempt_end::MayHaveRun;
@@ -328,6 +374,18 @@
     m_context.endpoints.suspect(fault->entry.id, steadyNow());
 }
 
+// Any engine of the chain may have failed. This request leaves them all, and others do so until the
+// first engine has said which one it waits for.
+void forwarded_call::doubtChain(const destination &to)
+{
+    for (const endpoint_ptr &stage : to.stages) {
+        m_failed.insert(stage->entry.id);
+        m_context.endpoints.suspectBriefly(stage->entry.id, steadyNow() + chainDoubt);
+    }
+    if (m_context.inspectEngine)
+        m_context.inspectEngine(to.first->entry.id);
+}
+
 void forwarded_call::refuseFinally(attempt_end last)
 {
     if (m_streamBegun)
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -57,6 +57,9 @@
     }
     void noteCrash(const destination &to);
     void refuseFinally(attempt_end last);
+    duration silenceLimit(const attempt &current) const;
+    static void notePause(attempt &current);
+    void doubtChain(const destination &to);
     void blame(const destination &to, const std::string &faultAddress);
     duration remaining() const { return end - steadyNow(); }
     bool isSealedAnswer(const answer_info &answer, const http_response &response) const;
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 
 #include "fescuedeck/base/ids.h"
 #include "fescuedeck/gateway/gateway_context.h"
+#include "fescuedeck/gateway/engine_inspector.h"
 #include "fescuedeck/gateway/gateway_peers.h"
 #include "fescuedeck/gateway/placement_duty.h"
 #include "fescuedeck/gateway/request_forwarder.h"
@@ -72,6 +73,7 @@
     void useConfig(const std::string &value, const char *source);
     void publishQuarantine(const std::string &fingerprint);
     void onSuspension(duration time);
+    void onPeerSuspicion(const std::string &endpoint);
     void expireForever(boost::asio::yield_context yield);
     void takeEntry(const store_record &record);
     void waitForSignal(boost::asio::signal_set &signals);
@@ -91,6 +93,7 @@
     table_follower m_config;
     table_follower m_endpoints;
     table_follower m_quarantine;
+    engine_inspector m_inspector;
     placement_duty m_duty;
     gateway_peers m_peers;
 };
@@ -115,10 +118,14 @@
                   { "endpoints", endpointsWait, endpointsPause, readTimeout }, endpointHooks(), m_context.random)
     , m_quarantine(m_io, m_context.wire.store, store_table::Quarantine,
                    { "quarantine", rareTableWait, {} }, quarantineHooks(), m_context.random)
+    , m_inspector(m_context)
     , m_duty(m_context, settings.id + "." + m_incarnation)
     , m_peers(m_context, m_incarnation,
-              { [this](const std::string &value) { useConfig(value, "peer"); } })
+              { [this](const std::string &value) { useConfig(value, "peer"); },
+                [this](const std::string &endpoint) { onPeerSuspicion(endpoint); } })
 {
+    m_context.inspectEngine = [this](const std::string &endpoint) { m_inspector.inspect(endpoint); };
+    m_context.onEngineLost = [this] { m_peers.announceChange(); };
     m_context.onQuarantine
             = [this](const std::string &fingerprint) { publishQuarantine(fingerprint); };
     const auto log = [this](const std::string &what) {
@@ -187,6 +194,13 @@
     m_endpoints.refresh();
 }
 
+// A peer may be cut off from engines that live, so that whoever orders layers asks them itself.
+void gateway::onPeerSuspicion(const std::string &endpoint)
+{
+    if (m_duty.isHolder(steadyNow()))
+        m_inspector.inspect(endpoint);
+}
+
 void gateway::expireForever(boost::asio::yield_context yield)
 {
     while (true) {
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -40,6 +40,9 @@
     crash_ledger crashes;
     // Tells the other gateways that a request has been quarantined.
     std::function<void(const std::string &fingerprint)> onQuarantine;
+    // Asks an engine what it waits for. Set by the owner.
+    std::function<void(const std::string &endpoint)> inspectEngine;
+    std::function<void()> onEngineLost;
     bool knowsEndpoints = false; // their list has been read once
     bool isEndpointTableLost = false; // the store cannot be read
     bool isStopping = false;
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -139,12 +139,15 @@
 peer_digest gateway_peers::currentDigest() const
 {
     peer_digest digest;
+    const time_point now = steadyNow();
     digest.version = m_context.config ? m_context.config->config().version : 0;
     for (const endpoint_ptr &endpoint : m_context.endpoints.all()) {
+        if (endpoint->isLost(now))
+            digest.suspects.insert(endpoint->entry.id);
         if (endpoint->tokensInFlight > 0)
             digest.inFlight[endpoint->entry.id] = endpoint->tokensInFlight;
     }
-    const auto leaving = m_context.endpoints.leaving(steadyNow());
+    const auto leaving = m_context.endpoints.leaving(now);
     digest.leaving.insert(leaving.begin(), leaving.end());
     const auto quarantined = m_context.crashes.quarantined();
     digest.quarantined.insert(quarantined.begin(), quarantined.end());
@@ -185,6 +188,8 @@
         if (isLeaving && m_context.isEndpointTableLost)
             m_context.endpoints.markLeaving(endpoint->entry.id);
     }
+    for (const std::string &endpoint : view.suspects)
+        m_hooks.onSuspicion(endpoint);
     const std::int64_t version = m_context.config ? m_context.config->config().version : 0;
     const auto newer = m_directory.newerBundle(version, now);
     if (newer && m_network && now - m_lastConfigRequest >= configRequestInterval) {
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -26,6 +26,8 @@
 {
     // Takes a configuration in the operator's own form from a peer.
     std::function<void(const std::string &value)> onConfig;
+    // A peer gets no answer from an engine.
+    std::function<void(const std::string &endpoint)> onSuspicion;
 };
 
 // Not thread-safe. Must outlive its io_context's run.
--- a/src/fescuedeck/gateway/placement_controller.cpp
+++ b/src/fescuedeck/gateway/placement_controller.cpp
@@ -41,7 +41,7 @@
 {
     std::vector<placement_engine> engines;
     for (const endpoint_ptr &endpoint : endpoints) {
-        if (!endpoint->isUsable(now))
+        if (!endpoint->isPresent(now))
             continue;
         placement_engine engine;
         engine.id = endpoint->entry.id;
--- a/src/fescuedeck/gateway/placement_controller.h
+++ b/src/fescuedeck/gateway/placement_controller.h
@@ -56,6 +56,7 @@
     std::int64_t orders = 0; // accepted
     bool isBusy = false;     // an order is under way
     std::vector<std::string> stalledOn; // addresses of engines that its requests wait for
+    double pace = 1; // over 1: it is slower than usual by this factor
 };
 
 struct placement_timing
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -378,6 +378,8 @@
 result<http_response> http_call::readResponse()
 {
     error_code error;
+    if (m_options.silenceTimeout && m_options.onBodyPart)
+        limitNextStep(m_options.silenceTimeout());
     do {
         readHead(error);
     } while (!error && m_parser->get().result() == http::status::continue_);
@@ -411,7 +413,8 @@
     m_parser->eager(false);
     std::size_t delivered = 0;
     while (!error && !m_parser->is_done()) {
-        limitNextStep(m_options.silenceTimeout);
+        if (m_options.silenceTimeout)
+            limitNextStep(m_options.silenceTimeout());
         http::async_read_some(m_socket, m_buffer, *m_parser, m_yield[error]);
         std::string &body = m_parser->get().body();
         if (body.size() > delivered)
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -45,9 +45,10 @@
 struct call_options
 {
     duration timeout = std::chrono::seconds(10); // of the whole call, connecting included
-    // Shorter limits within it; zero sets none.
-    duration connectTimeout{};
-    duration silenceTimeout{}; // between two parts of the response body
+    duration connectTimeout{}; // a shorter limit within it; zero sets none
+    // A shorter limit of the wait for the response's head and for each part of its body, asked for
+    // before each wait. It applies only if onBodyPart is set.
+    std::function<duration()> silenceTimeout;
     // Opens a new connection instead of reusing an idle one.
     bool freshConnection = false;
     // A call that fails on a reused connection before any byte of the response is sent once more on
