--- a/src/fescuedeck/gateway/engine_inspector.cpp
+++ b/src/fescuedeck/gateway/engine_inspector.cpp
@@ -7,6 +7,8 @@
 
 // Entries of endpoints that have gone are dropped from the table of questions beyond this size.
 constexpr std::size_t maxRemembered = 1024;
+// An engine whose cache is filled beyond this share refuses requests for want of memory.
+constexpr double fullCacheShare = 0.85;
 
 } // namespace
 
@@ -16,7 +18,7 @@
 {
 }
 
-void engine_inspector::inspect(const std::string &id)
+void engine_inspector::inspect(const std::string &id, engine_doubt doubt)
 {
     const endpoint_ptr engine = m_context.endpoints.find(id);
     const time_point now = steadyNow();
@@ -29,10 +31,13 @@
         return;
     last = now;
     boost::asio::spawn(m_context.io,
-                       [this, engine](boost::asio::yield_context yield) { ask(engine, yield); });
+                       [this, engine, doubt](boost::asio::yield_context yield) {
+                           ask(engine, doubt, yield);
+                       });
 }
 
-void engine_inspector::ask(const endpoint_ptr &engine, boost::asio::yield_context yield)
+void engine_inspector::ask(const endpoint_ptr &engine, engine_doubt doubt,
+                           boost::asio::yield_context yield)
 {
     call_options options;
     options.timeout = m_settings.timeout;
@@ -44,13 +49,22 @@
         return markLost(engine, "no_answer");
     const auto report = m_context.wire.decodeReport(result.response.value());
     if (report)
-        take(engine, report.value());
+        take(engine, doubt, report.value());
 }
 
-void engine_inspector::take(const endpoint_ptr &engine, const engine_report &report)
+void engine_inspector::take(const endpoint_ptr &engine, engine_doubt doubt,
+                            const engine_report &report)
 {
     engine->slowness = report.pace;
-    m_context.endpoints.confirm(engine->entry.id);
+    const bool heldLayers = engine->entry.layers == report.layers;
+    m_context.endpoints.observeLayers(engine->entry.id, report.layers, report.orders, steadyNow());
+    // It lives, has room and holds its layers, and refuses all the same: it is leaving.
+    const bool isLeaving
+            = doubt == engine_doubt::Refused && heldLayers && report.cacheShare < fullCacheShare;
+    if (isLeaving)
+        markLost(engine, "refuses_its_part");
+    else
+        m_context.endpoints.confirm(engine->entry.id);
     for (const std::string &address : report.stalledOn) {
         const endpoint_ptr stalled = m_context.endpoints.findByAddress(address);
         if (stalled && !stalled->isLost(steadyNow()))
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -385,7 +385,7 @@
         m_context.endpoints.suspect(to.first->entry.id, steadyNow());
         m_failed.insert(to.first->entry.id);
         if (!to.chain.empty() && m_context.inspectEngine)
-            m_context.inspectEngine(to.first->entry.id);
+            m_context.inspectEngine(to.first->entry.id, engine_doubt::Silent);
         return attempt_end::NotRun;
     }
     ++m_runs;
@@ -393,7 +393,7 @@
         noteCrash(to);
     const bool isOverTime = remaining() <= duration::zero();
     if (!isOverTime && !to.chain.empty())
-        doubtChain(to);
+        doubtChain(to, current);
     else if (!isOverTime && !current.isBroken)
         blame(to, {});
     m_failed.insert(to.first->entry.id);
@@ -442,18 +442,27 @@
     }
     m_failed.insert(fault->entry.id);
     m_context.endpoints.suspect(fault->entry.id, steadyNow());
+    if (!to.chain.empty() && !faultAddress.empty() && m_context.inspectEngine)
+        m_context.inspectEngine(fault->entry.id, engine_doubt::Refused);
 }
 
 // Any engine of the chain may have failed. This request leaves them all, and others do so until the
 // first engine has said which one it waits for.
-void forwarded_call::doubtChain(const destination &to)
+void forwarded_call::doubtChain(const destination &to, const attempt &current)
 {
+    // A late first event is a weak sign, which load explains as well: the chain gets more time.
+    const bool isWeak = current.lastPart == time_point{};
+    if (isWeak) {
+        duration &usual = to.first->usualFirstEvent;
+        usual = std::max<duration>(usual, steadyNow() - current.sentAt);
+    }
     for (const endpoint_ptr &stage : to.stages) {
         m_failed.insert(stage->entry.id);
-        m_context.endpoints.suspectBriefly(stage->entry.id, steadyNow() + chainDoubt);
+        if (!isWeak)
+            m_context.endpoints.suspectBriefly(stage->entry.id, steadyNow() + chainDoubt);
     }
     if (m_context.inspectEngine)
-        m_context.inspectEngine(to.first->entry.id);
+        m_context.inspectEngine(to.first->entry.id, engine_doubt::Silent);
 }
 
 void forwarded_call::refuseFinally(attempt_end last)
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -59,7 +59,7 @@
     void refuseFinally(attempt_end last);
     duration silenceLimit(const attempt &current) const;
     static void notePause(attempt &current);
-    void doubtChain(const destination &to);
+    void doubtChain(const destination &to, const attempt &current);
     void blame(const destination &to, const std::string &faultAddress);
     duration remaining() const { return end - steadyNow(); }
     bool isSealedAnswer(const answer_info &answer, const http_response &response) const;
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -129,8 +129,9 @@
               { [this](const std::string &value) { useConfig(value, "peer"); },
                 [this](const std::string &endpoint) { onPeerSuspicion(endpoint); } })
 {
-    m_context.inspectEngine
-            = [this](const std::string &endpoint) { m_inspector.inspect(endpoint); };
+    m_context.inspectEngine = [this](const std::string &endpoint, engine_doubt doubt) {
+        m_inspector.inspect(endpoint, doubt);
+    };
     m_context.onEngineLost = [this] { m_peers.announceChange(); };
     m_context.onQuarantine
             = [this](const std::string &fingerprint) { publishQuarantine(fingerprint); };
@@ -212,7 +213,7 @@
 void gateway::onPeerSuspicion(const std::string &endpoint)
 {
     if (m_duty.isHolder(steadyNow()))
-        m_inspector.inspect(endpoint);
+        m_inspector.inspect(endpoint, engine_doubt::Silent);
 }
 
 void gateway::expireForever(boost::asio::yield_context yield)
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -23,6 +23,12 @@
 
 namespace fescuedeck {
 
+// Why an engine is asked for a report.
+enum class engine_doubt {
+    Silent,  // requests through it give no events
+    Refused, // it refused its part of a chain
+};
+
 struct gateway_context
 {
     gateway_context(gateway_settings gatewaySettings, gateway_wire gatewayWire,
@@ -42,7 +48,7 @@
     // Tells the other gateways that a request has been quarantined.
     std::function<void(const std::string &fingerprint)> onQuarantine;
     // Asks an engine what it waits for. Set by the owner.
-    std::function<void(const std::string &endpoint)> inspectEngine;
+    std::function<void(const std::string &endpoint, engine_doubt)> inspectEngine;
     std::function<void()> onEngineLost;
     bool knowsEndpoints = false; // their list has been read once
     // From then on an endpoint that is not listed can be taken as gone.
