--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -129,26 +129,25 @@
     ++m_revision;
 }
 
-void endpoint_registry::markLost(const std::string &id, time_point until)
+void endpoint_registry::markLost(const std::string &id, time_point until, loss_source source)
 {
     const endpoint_ptr record = find(id);
     if (!record)
         return;
     record->lostUntil = until;
+    record->lossSource = source;
     ++m_revision;
 }
 
 void endpoint_registry::confirm(const std::string &id)
 {
     const endpoint_ptr record = find(id);
-    const bool isDoubted = record
-                           && (record->suspicions > 0 || record->suspectUntil != time_point{}
-                               || record->lostUntil != time_point{});
+    const bool isDoubted
+            = record && (record->suspicions > 0 || record->suspectUntil != time_point{});
     if (!isDoubted)
         return;
     record->suspicions = 0;
     record->suspectUntil = {};
-    record->lostUntil = {};
     ++m_revision;
 }
 
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -38,6 +38,12 @@
     std::int64_t startedAt = 0;        // Unix milliseconds; tells incarnations with one id apart
 };
 
+// Who has found that an endpoint is lost.
+enum class loss_source {
+    Own,
+    Peer,
+};
+
 // An endpoint with this gateway's own observations.
 struct endpoint_record
 {
@@ -48,12 +54,13 @@
     std::int64_t orders = 0;                // accepted by this incarnation, as far as is known
     std::optional<time_point> layersSeenAt; // when the engine itself stated its layers
     time_point suspectUntil{};              // not to be used before, though it may well live
-    bool isMissing = false;                 // its removal is deferred
-    time_point lostUntil{};                 // shown not to answer: its layers count as missing
-    int suspicions = 0;                     // in a row without a good answer
-    int inFlight = 0;                       // requests of this gateway
-    double tokensInFlight = 0;              // of this gateway's requests, prompt and answer
-    double peerTokens = 0;                  // the same of the other gateways, as last heard
+    loss_source lossSource = loss_source::Own;
+    bool isMissing = false;    // its removal is deferred
+    time_point lostUntil{};    // shown not to answer: its layers count as missing
+    int suspicions = 0;        // in a row without a good answer
+    int inFlight = 0;          // requests of this gateway
+    double tokensInFlight = 0; // of this gateway's requests, prompt and answer
+    double peerTokens = 0;     // the same of the other gateways, as last heard
     int peerInFlight = 0;
     duration usualFirstEvent{}; // of streams that begin here, smoothed
     double slowness = 1;        // stated time of a step over the usual one
@@ -105,9 +112,10 @@
     void suspect(const std::string &id, time_point now);
     // The same without lengthening, for endpoints of which one at most is at fault.
     void suspectBriefly(const std::string &id, time_point until);
-    // It has been shown not to answer.
-    void markLost(const std::string &id, time_point until);
-    // A call was answered well.
+    // It has been shown not to answer, or to refuse.
+    void markLost(const std::string &id, time_point until, loss_source source);
+    // A call was answered well. It ends suspicions only: an engine that leaves refuses new requests
+    // and still ends those that it has.
     void confirm(const std::string &id);
     // The endpoint itself has said which layers it holds after so many orders. Announcements that
     // arrive shortly after may be older and do not replace that.
--- a/src/fescuedeck/gateway/engine_inspector.cpp
+++ b/src/fescuedeck/gateway/engine_inspector.cpp
@@ -30,10 +30,9 @@
     if (now - last < m_settings.interval)
         return;
     last = now;
-    boost::asio::spawn(m_context.io,
-                       [this, engine, doubt](boost::asio::yield_context yield) {
-                           ask(engine, doubt, yield);
-                       });
+    boost::asio::spawn(m_context.io, [this, engine, doubt](boost::asio::yield_context yield) {
+        ask(engine, doubt, yield);
+    });
 }
 
 void engine_inspector::ask(const endpoint_ptr &engine, engine_doubt doubt,
@@ -79,7 +78,8 @@
             .field("layers", engine->entry.layers ? toString(*engine->entry.layers) : "none")
             .field("evidence", evidence);
     m_context.counters.counterOf("fescuedeck_engines_lost_total").add();
-    m_context.endpoints.markLost(engine->entry.id, steadyNow() + m_settings.lostFor);
+    m_context.endpoints.markLost(engine->entry.id, steadyNow() + m_settings.lostFor,
+                                 loss_source::Own);
     if (m_context.onEngineLost)
         m_context.onEngineLost();
 }
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -161,8 +161,8 @@
     return to;
 }
 
-// More requests than fit make engines preempt some and delay all. Requests that can still be answered
-// within their objective go first: those that cannot look for room less often.
+// More requests than fit make engines preempt some and delay all. Requests that can still be
+// answered within their objective go first: those that cannot look for room less often.
 std::optional<destination> forwarded_call::waitForRoom(std::optional<destination> to)
 {
     const duration longest = remaining() / 2;
@@ -242,8 +242,13 @@
     m_lastEndpoint = to.first->entry.id;
     const call_result result
             = m_context.client.send(to.first->entry.address, request, call, m_exchange.yield());
-    if (m_hasLeft || m_exchange.callerLeft())
+    if (m_hasLeft || m_exchange.callerLeft()) {
+        // Callers leave silent streams as well, and what silenced them must still be found.
+        const time_point lastSign = std::max(current.lastPart, current.sentAt);
+        if (!to.chain.empty() && steadyNow() - lastSign >= longestSilence)
+            doubtChain(to, current);
         return attempt_end::CallerLeft;
+    }
     return judge(to, current, result);
 }
 
@@ -257,8 +262,11 @@
     limit = std::max<duration>(limit, current.usualPause * silentFactor);
     if (isFirst)
         limit = std::max<duration>(limit, current.usualFirst * firstEventFactor);
-    // Without another attempt or another chain there is nothing to gain from giving up early.
-    if (m_runs + 1 >= m_route.maxAttempts || !current.hasAlternative)
+    // Without another attempt or another chain there is nothing to gain from giving up early, and
+    // without a retry left in the budget the stream would be broken off.
+    const bool canGoOn = m_runs + 1 < m_route.maxAttempts && current.hasAlternative
+                         && m_context.retries.available(m_service) >= 1;
+    if (!canGoOn)
         limit = longestSilence * silentFactor;
     return std::clamp<duration>(limit, shortestSilence, longestSilence * silentFactor);
 }
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -77,7 +77,6 @@
     void useConfig(const std::string &value, const char *source);
     void publishQuarantine(const std::string &fingerprint);
     void onSuspension(duration time);
-    void onPeerSuspicion(const std::string &endpoint);
     void expireForever(boost::asio::yield_context yield);
     void takeEntry(const store_record &record);
     void waitForSignal(boost::asio::signal_set &signals);
@@ -126,8 +125,7 @@
     , m_inspector(m_context)
     , m_duty(m_context, settings.id + "." + m_incarnation)
     , m_peers(m_context, m_incarnation,
-              { [this](const std::string &value) { useConfig(value, "peer"); },
-                [this](const std::string &endpoint) { onPeerSuspicion(endpoint); } })
+              { [this](const std::string &value) { useConfig(value, "peer"); } })
 {
     m_context.inspectEngine = [this](const std::string &endpoint, engine_doubt doubt) {
         m_inspector.inspect(endpoint, doubt);
@@ -209,13 +207,6 @@
     m_endpoints.refresh();
 }
 
-// A peer may be cut off from engines that live, so that whoever orders layers asks them itself.
-void gateway::onPeerSuspicion(const std::string &endpoint)
-{
-    if (m_duty.isHolder(steadyNow()))
-        m_inspector.inspect(endpoint, engine_doubt::Silent);
-}
-
 void gateway::expireForever(boost::asio::yield_context yield)
 {
     while (true) {
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -20,6 +20,9 @@
 constexpr duration digestInterval = std::chrono::milliseconds(300);
 constexpr duration digestLifetime = std::chrono::milliseconds(1500);
 constexpr duration refreshInterval = std::chrono::milliseconds(100);
+// At most one in so many endpoints is taken as lost on the word of peers.
+constexpr std::size_t believedShare = 4;
+constexpr duration heardLossTime = std::chrono::milliseconds(500);
 constexpr duration configRequestInterval = std::chrono::milliseconds(300);
 
 peer_network_settings networkSettings(const gateway_settings &settings,
@@ -142,7 +145,8 @@
     const time_point now = steadyNow();
     digest.version = m_context.config ? m_context.config->config().version : 0;
     for (const endpoint_ptr &endpoint : m_context.endpoints.all()) {
-        if (endpoint->isLost(now))
+        // What only peers say is not passed on, as it would never end.
+        if (endpoint->isLost(now) && endpoint->lossSource == loss_source::Own)
             digest.suspects.insert(endpoint->entry.id);
         if (endpoint->tokensInFlight > 0)
             digest.inFlight[endpoint->entry.id] = endpoint->tokensInFlight;
@@ -188,8 +192,7 @@
         if (isLeaving && m_context.isEndpointTableLost)
             m_context.endpoints.markLeaving(endpoint->entry.id);
     }
-    for (const std::string &endpoint : view.suspects)
-        m_hooks.onSuspicion(endpoint);
+    takeSuspicions(view.suspects, now);
     const std::int64_t version = m_context.config ? m_context.config->config().version : 0;
     const auto newer = m_directory.newerBundle(version, now);
     if (newer && m_network && now - m_lastConfigRequest >= configRequestInterval) {
@@ -198,6 +201,20 @@
     }
 }
 
+// Peers name engines that they have found lost themselves. One that is cut off names most of them,
+// and is not believed.
+void gateway_peers::takeSuspicions(const std::set<std::string> &suspects, time_point now)
+{
+    const std::size_t limit = m_context.endpoints.size() / believedShare;
+    if (suspects.size() > limit)
+        return;
+    for (const std::string &id : suspects) {
+        const endpoint_ptr endpoint = m_context.endpoints.find(id);
+        if (endpoint && !endpoint->isLost(now))
+            m_context.endpoints.markLost(id, now + heardLossTime, loss_source::Peer);
+    }
+}
+
 void gateway_peers::announceChange()
 {
     if (m_network)
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,6 @@
 {
     // Takes a configuration in the operator's own form from a peer.
     std::function<void(const std::string &value)> onConfig;
-    // A peer gets no answer from an engine.
-    std::function<void(const std::string &endpoint)> onSuspicion;
 };
 
 // Not thread-safe. Must outlive its io_context's run.
@@ -51,6 +50,7 @@
     void openNetwork();
     void refreshForever(boost::asio::yield_context yield);
     void refresh(time_point now);
+    void takeSuspicions(const std::set<std::string> &suspects, time_point now);
     peer_digest currentDigest() const;
     void onMessage(const peer_hello &peer, const peer_message &message);
 
--- a/src/fescuedeck/gateway/placement_controller.h
+++ b/src/fescuedeck/gateway/placement_controller.h
@@ -57,7 +57,7 @@
     bool isBusy = false;                // an order is under way
     std::vector<std::string> stalledOn; // addresses of engines that its requests wait for
     double pace = 1;                    // over 1: it is slower than usual by this factor
-    double cacheShare = 0; // of its KV cache that is in use
+    double cacheShare = 0;              // of its KV cache that is in use
 };
 
 struct placement_timing
