Set a retry aside for each stream that may leave a silent chain; refuse after a short wait when all chains are full

Cause on fresh-e69b: streams that fell silent together all saw a retry in the budget and only some got it; requests that waited for room were left by their callers after two seconds.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -33,7 +33,10 @@
 constexpr duration holdInterval = std::chrono::milliseconds(20);
 // A chain takes no new request beyond this share of its usable cache.
 constexpr double fullChain = 1;
-constexpr duration lateRoomInterval = std::chrono::milliseconds(150);
+// Beyond this share a request is refused after the wait, to return when there is room.
+constexpr double overfullChain = 1.3;
+// Callers leave a stream that has not begun after about two seconds.
+constexpr duration longestRoomWait = std::chrono::milliseconds(400);
 // How long a chain is left alone while its failed engine is being found.
 constexpr duration chainDoubt = std::chrono::milliseconds(300);
 // The caller gets the gateway's answer this long before it stops waiting.
@@ -71,18 +74,43 @@
     double m_tokens;
 };
 
+// Sets one retry of the budget aside while a stream runs, so that streams which fall silent
+// together do not leave their chain for retries that only some of them get.
+class retry_reservation
+{
+public:
+    retry_reservation(gateway_context &context, const std::string &service)
+        : m_reserved(context.reservedRetries[service])
+        , m_isHeld(context.retries.available(service) >= m_reserved + 1)
+    {
+        m_reserved += m_isHeld ? 1 : 0;
+    }
+    ~retry_reservation() { m_reserved -= m_isHeld ? 1 : 0; }
+    retry_reservation(const retry_reservation &) = delete;
+    retry_reservation &operator=(const retry_reservation &) = delete;
+
+    bool isHeld() const { return m_isHeld; }
+
+private:
+    int &m_reserved;
+    const bool m_isHeld;
+};
+
 } // namespace
 
 // One sending.
 struct forwarded_call::attempt
 {
-    attempt(std::optional<std::int64_t> lastEvent, endpoint_ptr firstEndpoint)
-        : events(lastEvent)
+    attempt(gateway_context &context, const std::string &service,
+            std::optional<std::int64_t> lastEvent, endpoint_ptr firstEndpoint)
+        : retry(context, service)
+        , events(lastEvent)
         , first(std::move(firstEndpoint))
         , usualFirst(first->usualFirstEvent)
     {
     }
 
+    retry_reservation retry;
     call_cancellation cancellation;
     event_splitter events;
     const endpoint_ptr first;
@@ -165,14 +193,15 @@
 // answered within their objective go first: those that cannot look for room less often.
 std::optional<destination> forwarded_call::waitForRoom(std::optional<destination> to)
 {
-    const duration longest = remaining() / 2;
-    const time_point limit = steadyNow() + longest;
+    const time_point limit = steadyNow() + std::min<duration>(longestRoomWait, remaining() / 2);
     while (to && to->fill > fullChain && steadyNow() < limit && !m_hasLeft) {
-        const bool isLate = steadyNow() - m_startedAt > m_route.objective;
-        sleepFor(isLate ? lateRoomInterval : holdInterval, m_exchange.yield());
+        sleepFor(holdInterval, m_exchange.yield());
         to = choose(m_failed);
     }
-    return to;
+    if (!to || to->fill <= overfullChain)
+        return to;
+    m_wasBusy = true;
+    return std::nullopt;
 }
 
 bool forwarded_call::hasAlternativeTo(const destination &to) const
@@ -215,7 +244,7 @@
 
 attempt_end forwarded_call::send(const destination &to)
 {
-    attempt current(m_lastEvent, to.first);
+    attempt current(m_context, m_service, m_lastEvent, to.first);
     const in_flight_guard inFlight(to, static_cast<double>(m_info.promptTokens)
                                                + expectedAnswerTokens());
     forwarding options;
@@ -264,8 +293,8 @@
         limit = std::max<duration>(limit, current.usualFirst * firstEventFactor);
     // Without another attempt or another chain there is nothing to gain from giving up early, and
     // without a retry left in the budget the stream would be broken off.
-    const bool canGoOn = m_runs + 1 < m_route.maxAttempts && current.hasAlternative
-                         && m_context.retries.available(m_service) >= 1;
+    const bool canGoOn
+            = m_runs + 1 < m_route.maxAttempts && current.hasAlternative && current.retry.isHeld();
     if (!canGoOn)
         limit = longestSilence * silentFactor;
     return std::clamp<duration>(limit, shortestSilence, longestSilence * silentFactor);
--- a/src/fescuedeck/gateway/gateway_context.cpp
+++ b/src/fescuedeck/gateway/gateway_context.cpp
@@ -4,7 +4,7 @@
 namespace {
 
 // Gateways that share the deployment's reserve of retries.
-constexpr double gatewaysSharingReserve = 8;
+constexpr double gatewaysSharingReserve = 6;
 // The share that one gateway uses stays below the deployment's, as requests are counted late.
 constexpr double retryShareMargin = 0.75;
 
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #define FESCUEDECK_GATEWAY_GATEWAY_CONTEXT_H
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -44,6 +45,7 @@
     std::shared_ptr<const config_index> config; // null before the first one
     endpoint_registry endpoints;
     retry_budget retries; // by service
+    std::map<std::string, int> reservedRetries; // set aside for running streams, by service
     crash_ledger crashes;
     // Tells the other gateways that a request has been quarantined.
     std::function<void(const std::string &fingerprint)> onQuarantine;
--- a/src/fescuedeck/gateway/retry_after.cpp
+++ b/src/fescuedeck/gateway/retry_after.cpp
@@ -7,8 +7,8 @@
 
 // Another gateway takes the request at once.
 constexpr duration toAnotherGateway = std::chrono::milliseconds(50);
-// Slots become free all the time.
-constexpr duration untilSlotFree = std::chrono::milliseconds(200);
+// Requests that run now end within about a second.
+constexpr duration untilSlotFree = std::chrono::milliseconds(800);
 // Detection of a lost engine and the load of its layers elsewhere.
 constexpr duration untilRepaired = std::chrono::milliseconds(1500);
 // A gateway without configuration cannot reach the store, whose outages last seconds.
