--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -44,7 +44,7 @@
     metrics counters;
     std::shared_ptr<const config_index> config; // null before the first one
     endpoint_registry endpoints;
-    retry_budget retries; // by service
+    retry_budget retries;                       // by service
     std::map<std::string, int> reservedRetries; // set aside for running streams, by service
     crash_ledger crashes;
     // Tells the other gateways that a request has been quarantined.
--- /dev/null
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -0,0 +1,224 @@
+// Gateways that find each other through the store and tell each other what they know.
+#include "fescuedeck/gateway/gateway_peers.h"
+
+#include <map>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/net/test_io.h"
+#include "fescuedeck/router/wait_event.h"
+
+namespace fescuedeck {
+namespace {
+
+// A table in memory. Used on the thread of the test_io only.
+class fake_table
+{
+public:
+    store_hooks hooks()
+    {
+        store_hooks store;
+        store.readNewest
+                = [this](store_table, duration, boost::asio::yield_context) { return readFrom(0); };
+        store.readFrom = [this](store_table, std::int64_t from, duration, duration,
+                                const call_cancellation &, boost::asio::yield_context yield) {
+            sleepFor(std::chrono::milliseconds(5), yield);
+            return readFrom(from);
+        };
+        store.write = [this](const store_write &wanted, duration,
+                             boost::asio::yield_context) -> std::optional<failure> {
+            if (wanted.isFirst && !m_records.empty())
+                return makeFailure(errc::LogUnavailable, "the table is not empty");
+            const auto offset = static_cast<std::int64_t>(m_records.size());
+            m_records.push_back({ wanted.key, wanted.value, offset, false });
+            return std::nullopt;
+        };
+        return store;
+    }
+
+private:
+    result<store_page> readFrom(std::int64_t from)
+    {
+        store_page page;
+        page.records.assign(m_records.begin() + from, m_records.end());
+        page.next = static_cast<std::int64_t>(m_records.size());
+        return page;
+    }
+
+    std::vector<store_record> m_records;
+};
+
+std::string freeAddress()
+{
+    boost::asio::io_context io;
+    using tcp = boost::asio::ip::tcp;
+    const tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return loopback(acceptor.local_endpoint().port());
+}
+
+gateway_settings settingsOf(const std::string &id)
+{
+    gateway_settings settings;
+    settings.id = id;
+    settings.peersAddress = freeAddress();
+    return settings;
+}
+
+gateway_wire wireOver(fake_table &table)
+{
+    gateway_wire wire;
+    wire.store = table.hooks();
+    return wire;
+}
+
+struct test_gateway
+{
+    test_gateway(test_io &io, fake_table &table, const std::string &id)
+        : client(io.context())
+        , context(settingsOf(id), wireOver(table), io.context(), client, seededRandom(id.size()))
+        , peers(context, "1", { [this](const std::string &value) { configs.push_back(value); } })
+    {
+    }
+
+    void addEndpoint(const std::string &id)
+    {
+        const endpoint_entry entry{
+            id, "model", "127.0.0.1:1", "a", 8, endpoint_phase_announced::Ready, "", std::nullopt, 1
+        };
+        context.endpoints.announce(entry, 1, steadyNow());
+    }
+
+    http_client client;
+    std::vector<std::string> configs;
+    gateway_context context;
+    gateway_peers peers;
+};
+
+class peers_fixture
+{
+public:
+    // Runs the function on the gateways' thread.
+    template <class Function>
+    auto onThread(Function function)
+    {
+        return io.run([&](boost::asio::yield_context) {
+            if constexpr (std::is_void_v<decltype(function())>) {
+                function();
+                return true;
+            } else {
+                return function();
+            }
+        });
+    }
+
+    peers_fixture()
+        : first(io, m_table, "first")
+        , second(io, m_table, "second-host")
+    {
+        onThread([this] {
+            first.peers.start();
+            second.peers.start();
+        });
+    }
+    ~peers_fixture() { io.stop(); }
+
+    test_io io{ 1 };
+
+private:
+    fake_table m_table;
+
+public:
+    test_gateway first;
+    test_gateway second;
+};
+
+} // namespace
+
+// Guards against a hello that the other side refuses: then each gateway knows only its own load.
+TEST_CASE("gateways find each other and tell each other their load", "[gateway]")
+{
+    peers_fixture gateways;
+    gateways.onThread([&] {
+        gateways.first.addEndpoint("x");
+        gateways.second.addEndpoint("x");
+        gateways.first.context.endpoints.find("x")->tokensInFlight = 1234;
+    });
+    CHECK(eventually([&] {
+        return gateways.onThread(
+                [&] { return gateways.second.context.endpoints.find("x")->peerTokens == 1234; });
+    }));
+}
+
+TEST_CASE("a gateway that the store turns away gets the newer configuration from a peer",
+          "[gateway]")
+{
+    peers_fixture gateways;
+    gateways.onThread([&] {
+        gateway_config config;
+        config.version = 7;
+        gateways.first.context.config = std::make_shared<const config_index>(config);
+        gateways.first.peers.setConfigText("text of version 7");
+    });
+    CHECK(eventually(
+            [&] { return gateways.onThread([&] { return !gateways.second.configs.empty(); }); }));
+    CHECK(gateways.onThread([&] { return gateways.second.configs.front(); })
+          == "text of version 7");
+}
+
+TEST_CASE("departures are believed while the own table cannot be read, and quarantines always",
+          "[gateway]")
+{
+    peers_fixture gateways;
+    gateways.onThread([&] {
+        for (test_gateway *gateway : { &gateways.first, &gateways.second }) {
+            gateway->addEndpoint("x");
+            gateway->addEndpoint("y");
+        }
+        gateways.second.context.isEndpointTableLost = true;
+        gateways.first.context.endpoints.remove("x", steadyNow());
+        gateways.first.context.crashes.quarantine("bad", steadyNow());
+    });
+    CHECK(eventually([&] {
+        return gateways.onThread([&] {
+            gateway_context &context = gateways.second.context;
+            return !context.endpoints.find("x")->isUsable(steadyNow())
+                   && context.crashes.isQuarantined("bad", steadyNow());
+        });
+    }));
+    CHECK(gateways.onThread(
+            [&] { return gateways.second.context.endpoints.find("y")->isUsable(steadyNow()); }));
+}
+
+// Guards against a gateway that is cut off from all engines and calls them lost: the holder of the
+// placement duty would move engines that work.
+TEST_CASE("a peer that calls most engines lost is not believed, one that names few is", "[gateway]")
+{
+    peers_fixture gateways;
+    const auto nameLost = [&](int count) {
+        gateways.onThread([&] {
+            for (int i = 0; i < count; ++i) {
+                gateways.first.context.endpoints.markLost("e" + std::to_string(i),
+                                                          steadyNow() + std::chrono::hours(1),
+                                                          loss_source::Own);
+            }
+        });
+    };
+    gateways.onThread([&] {
+        for (int i = 0; i < 12; ++i) {
+            gateways.first.addEndpoint("e" + std::to_string(i));
+            gateways.second.addEndpoint("e" + std::to_string(i));
+        }
+    });
+    const auto isLost = [&] {
+        return gateways.onThread(
+                [&] { return gateways.second.context.endpoints.find("e0")->isLost(steadyNow()); });
+    };
+    nameLost(3);
+    CHECK(eventually(isLost));
+    nameLost(12);
+    CHECK(eventually([&] { return !isLost(); }));
+}
+
+} // namespace fescuedeck
--- /dev/null
+++ b/src/fescuedeck/gateway/table_follower_test.cpp
@@ -0,0 +1,102 @@
+#include "fescuedeck/gateway/table_follower.h"
+
+#include <atomic>
+#include <mutex>
+
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/net/test_io.h"
+#include "fescuedeck/router/wait_event.h"
+
+namespace fescuedeck {
+namespace {
+
+// A store whose reads a test scripts; records what the follower tells.
+class follower_fixture
+{
+public:
+    follower_fixture()
+    {
+        m_store.readNewest = [this](store_table, duration,
+                                    boost::asio::yield_context yield) -> result<store_page> {
+            sleepFor(std::chrono::milliseconds(2), yield);
+            ++wholeReads;
+            if (isDown)
+                return makeFailure(errc::LogUnavailable, "down");
+            store_page page;
+            page.records = { { "a", "1", 4, false } };
+            page.next = 5;
+            return page;
+        };
+        m_store.readFrom = [this](store_table, std::int64_t from, duration, duration,
+                                  const call_cancellation &,
+                                  boost::asio::yield_context yield) -> result<store_page> {
+            sleepFor(std::chrono::milliseconds(2), yield);
+            if (isDown)
+                return makeFailure(errc::LogUnavailable, "down");
+            store_page page;
+            page.next = from;
+            if (hasGap.exchange(false)) {
+                page.isGap = true;
+                page.next = 40;
+                return page;
+            }
+            lastFrom = from;
+            return page;
+        };
+        table_follower_settings settings;
+        settings.name = "test";
+        settings.retry = { std::chrono::milliseconds(2), std::chrono::milliseconds(4) };
+        table_follower_hooks hooks;
+        hooks.onRecord = [this](const store_record &) { ++records; };
+        hooks.onWholeTable = [this](const std::vector<std::string> &) { ++wholeTables; };
+        hooks.onOutage = [this](bool isLost, duration) { isLost ? ++losses : ++returns; };
+        follower = std::make_unique<table_follower>(io.context(), m_store, store_table::Endpoints,
+                                                    settings, hooks, seededRandom(1));
+        follower->start();
+    }
+    ~follower_fixture() { io.stop(); }
+
+    test_io io{ 1 };
+    std::atomic<bool> isDown{ false };
+    std::atomic<bool> hasGap{ false };
+    std::atomic<int> wholeReads{ 0 }, records{ 0 }, wholeTables{ 0 }, losses{ 0 }, returns{ 0 };
+    std::atomic<std::int64_t> lastFrom{ -1 };
+    std::unique_ptr<table_follower> follower;
+
+private:
+    store_hooks m_store;
+};
+
+} // namespace
+
+TEST_CASE("a table is read whole once and then followed", "[gateway]")
+{
+    follower_fixture fixture;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    CHECK(fixture.wholeTables == 1);
+    CHECK(fixture.records == 1);
+}
+
+TEST_CASE("after dropped records the whole table is read, and reading goes on behind them",
+          "[gateway]")
+{
+    follower_fixture fixture;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    fixture.hasGap = true;
+    CHECK(eventually([&] { return fixture.lastFrom == 40; }));
+    CHECK(fixture.wholeTables == 2);
+}
+
+TEST_CASE("an outage and its end are told once each", "[gateway]")
+{
+    follower_fixture fixture;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    fixture.isDown = true;
+    CHECK(eventually([&] { return fixture.losses == 1; }));
+    fixture.isDown = false;
+    CHECK(eventually([&] { return fixture.returns == 1; }));
+    CHECK(fixture.losses == 1);
+}
+
+} // namespace fescuedeck
