--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -62,8 +62,11 @@
 bool table_follower::readOn(boost::asio::yield_context yield)
 {
     m_cancellation = call_cancellation();
-    const auto page = m_store.readFrom(m_table, *m_position, m_settings.wait,
-                                       m_settings.wait + currentTimeout(), m_cancellation, yield);
+    // After a failure the question is whether the store answers at all, so that nothing is held
+    // back.
+    const duration wait = m_failures > 0 ? duration::zero() : m_settings.wait;
+    const auto page = m_store.readFrom(m_table, *m_position, wait, wait + currentTimeout(),
+                                       m_cancellation, yield);
     if (m_cancellation.isCancelled())
         return true;
     noteRead(page.has_value(), page ? std::string() : page.error().detail);
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -29,7 +29,7 @@
     duration pause{}; // between two reads
     // Of one read, beyond wait. It doubles with each failure, for a store that is slow.
     duration timeout = std::chrono::seconds(2);
-    duration longestTimeout = std::chrono::seconds(3);
+    duration longestTimeout = std::chrono::milliseconds(1500);
     backoff_limits retry = { std::chrono::milliseconds(100), std::chrono::seconds(1) };
 };
 
--- a/src/fescuedeck/gateway/table_follower_test.cpp
+++ b/src/fescuedeck/gateway/table_follower_test.cpp
@@ -28,10 +28,12 @@
             page.next = 5;
             return page;
         };
-        m_store.readFrom = [this](store_table, std::int64_t from, duration, duration,
+        m_store.readFrom = [this](store_table, std::int64_t from, duration wait, duration,
                                   const call_cancellation &,
                                   boost::asio::yield_context yield) -> result<store_page> {
             sleepFor(std::chrono::milliseconds(2), yield);
+            heldBackWhileDown
+                    = heldBackWhileDown || (isDown && losses > 0 && wait > duration::zero());
             if (isDown)
                 return makeFailure(errc::LogUnavailable, "down");
             store_page page;
@@ -46,6 +48,7 @@
         };
         table_follower_settings settings;
         settings.name = "test";
+        settings.wait = std::chrono::seconds(1);
         settings.retry = { std::chrono::milliseconds(2), std::chrono::milliseconds(4) };
         table_follower_hooks hooks;
         hooks.onRecord = [this](const store_record &) { ++records; };
@@ -60,6 +63,7 @@
     test_io io{ 1 };
     std::atomic<bool> isDown{ false };
     std::atomic<bool> hasGap{ false };
+    std::atomic<bool> heldBackWhileDown{ false };
     std::atomic<int> wholeReads{ 0 }, records{ 0 }, wholeTables{ 0 }, losses{ 0 }, returns{ 0 };
     std::atomic<std::int64_t> lastFrom{ -1 };
     std::unique_ptr<table_follower> follower;
@@ -99,4 +103,16 @@
     CHECK(fixture.losses == 1);
 }
 
+// Guards against a return of the store that is noticed only when a held-back read ends.
+TEST_CASE("no read is held back while the store does not answer", "[gateway]")
+{
+    follower_fixture fixture;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    fixture.isDown = true;
+    CHECK(eventually([&] { return fixture.losses == 1; }));
+    fixture.isDown = false;
+    CHECK(eventually([&] { return fixture.returns == 1; }));
+    CHECK_FALSE(fixture.heldBackWhileDown);
+}
+
 } // namespace fescuedeck
