Let requests wait for the first configuration and the list of endpoints; repeat the first read of a table beside lost ones

The store returned at 37.90 s; the first configuration was read at 38.54 s, because the read of 37.45 s went to a store that never answers lost reads, and the next one waited for its time limit of 1 s.

Change: a request waits up to 1.5 s, or a third of its caller's time, for the first configuration, and as long for an endpoint until the list can be taken as complete. Until its first success a table is read again each 250 ms beside the reads that are under way.

Ruled out: faster peers (they start at the same time and know nothing either); a longer Retry-After (callers have one retry left, and wait in vain if another gateway is ready).

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -30,6 +30,8 @@
 constexpr duration longestHold = std::chrono::milliseconds(1500);
 // Share of the objective that a request which has not run may wait.
 constexpr int shortHoldShare = 8;
+// Share of the remaining time that it may wait while endpoints are still announcing themselves.
+constexpr int announcementHoldShare = 3;
 constexpr duration holdInterval = std::chrono::milliseconds(20);
 // A chain takes no new request beyond this share of its usable cache.
 constexpr double fullChain = 1;
@@ -161,6 +163,7 @@
     if (last == attempt_end::CallerLeft)
         return finish("caller_left");
     if (m_ownFailure && !m_streamBegun) {
+        m_status = m_ownFailure->status;
         m_exchange.respond(m_context.wire.passAnswer(*m_ownFailure));
         return finish("answered");
     }
@@ -168,12 +171,26 @@
 }
 
 // What has run or may have run cannot be refused as not run, so that it waits for an endpoint; so
-// does, for a moment, what would be refused only for a passing doubt.
+// does, for a moment, what would be refused only for a passing doubt, and longer what came before
+// the list of endpoints can be taken as complete.
+duration forwarded_call::patience() const
+{
+    if (m_runs > 0 || m_streamBegun)
+        return longestHold;
+    const duration usual = m_route.objective / shortHoldShare;
+    const time_point now = steadyNow();
+    const bool isListComplete = m_context.knowsEndpoints && now >= m_context.endpointsCompleteAt;
+    if (isListComplete)
+        return usual;
+    const duration left = longestHold - (now - arrivedAt);
+    return std::max(usual, std::min<duration>(left, remaining() / announcementHoldShare));
+}
+
 std::optional<destination> forwarded_call::waitForDestination()
 {
     const bool mustGoOn = m_runs > 0 || m_streamBegun;
-    const duration patience = mustGoOn ? longestHold : m_route.objective / shortHoldShare;
-    const time_point limit = steadyNow() + std::min<duration>(patience, remaining() - answerMargin);
+    const time_point limit
+            = steadyNow() + std::min<duration>(patience(), remaining() - answerMargin);
     std::optional<destination> to = choose(m_failed);
     if (to && !mustGoOn && to->fill > fullChain)
         return waitForRoom(std::move(to));
@@ -244,6 +261,10 @@
 
 attempt_end forwarded_call::send(const destination &to)
 {
+    ++m_sendings;
+    m_lastEndpoint = to.first->entry.id;
+    if (m_sendings > 1)
+        logRepetition(to);
     attempt current(m_context, m_service, m_lastEvent, to.first);
     const in_flight_guard inFlight(to, static_cast<double>(m_info.promptTokens)
                                                + expectedAnswerTokens());
@@ -267,8 +288,6 @@
         call.onBodyPart = [&](std::string_view part) { onStreamPart(current, part); };
     }
     m_cancellation = current.cancellation;
-    ++m_sendings;
-    m_lastEndpoint = to.first->entry.id;
     const call_result result
             = m_context.client.send(to.first->entry.address, request, call, m_exchange.yield());
     if (m_hasLeft || m_exchange.callerLeft()) {
@@ -281,6 +300,18 @@
     return judge(to, current, result);
 }
 
+void forwarded_call::logRepetition(const destination &to) const
+{
+    event_line("sent_again")
+            .field("request", m_info.id)
+            .field("endpoint", to.first->entry.id)
+            .field("failure_domain", to.first->entry.failureDomain)
+            .field("sending", m_sendings)
+            .field("after_event", m_lastEvent.value_or(0))
+            .field("elapsed_ms", duration(steadyNow() - arrivedAt))
+            .field("retries_left", static_cast<int>(m_context.retries.available(m_service)));
+}
+
 duration forwarded_call::silenceLimit(const attempt &current) const
 {
     const bool isFirst = current.lastPart == time_point{};
@@ -341,6 +372,7 @@
         return;
     if (!m_streamBegun) {
         m_streamBegun = true;
+        m_status = current.head.status;
         m_exchange.startStream(m_context.wire.passAnswer(current.head));
     }
     m_lastEvent = current.events.lastId();
@@ -397,8 +429,18 @@
     if (m_streamBegun)
         return attempt_end::Interrupted;
     // A failure of the endpoint itself: another one may do better.
-    if (response.status >= firstErrorStatus && isRepeatable(attempt_end::MayHaveRun)
-        && m_context.retries.available(m_service) >= 1) {
+    const bool isOwnFailure = response.status >= firstErrorStatus;
+    const bool isSentAgain = isOwnFailure && isRepeatable(attempt_end::MayHaveRun)
+                             && m_context.retries.available(m_service) >= 1;
+    if (isOwnFailure) {
+        event_line("endpoint_failed_request", event_level::Warning)
+                .field("request", m_info.id)
+                .field("endpoint", to.first->entry.id)
+                .field("sending", m_sendings)
+                .field("status", response.status)
+                .field("is_sent_again", isSentAgain);
+    }
+    if (isSentAgain) {
         m_failed.insert(to.first->entry.id);
         m_ownFailure = m_route.kind == call_kind::Stream ? current.head : response;
         return attempt_end::MayHaveRun;
@@ -465,6 +507,7 @@
 {
     if (isSuccess(response.status))
         m_context.endpoints.confirm(to.first->entry.id);
+    m_status = response.status;
     m_exchange.respond(m_context.wire.passAnswer(response));
     return attempt_end::Answered;
 }
@@ -518,7 +561,9 @@
             .field("service", m_service)
             .field("excluded", static_cast<int>(m_failed.size()))
             .field("retry_after_ms", retryAfter);
-    m_exchange.respond(m_context.wire.refuse(reason, retryAfter));
+    const http_response refusal = m_context.wire.refuse(reason, retryAfter);
+    m_status = refusal.status;
+    m_exchange.respond(refusal);
     finish(hasRun ? "failed" : "refused");
 }
 
@@ -527,6 +572,7 @@
     event_line("request_ended")
             .field("request", m_info.id)
             .field("outcome", outcome)
+            .field("status", m_status)
             .field("kind", nameOf(callKindNames, m_route.kind))
             .field("route", m_route.name)
             .field("workspace", workspace)
@@ -534,7 +580,7 @@
             .field("sendings", m_sendings)
             .field("runs", m_runs)
             .field("last_endpoint", m_lastEndpoint)
-            .field("took_ms", duration(steadyNow() - m_startedAt));
+            .field("took_ms", duration(steadyNow() - arrivedAt));
     m_context.counters
             .counterOf("fescuedeck_requests_total",
                        { { "kind", std::string(nameOf(callKindNames, m_route.kind)) },
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -33,6 +33,7 @@
 
     std::string workspace;
     std::string fingerprint; // of the request, for the crash ledger
+    time_point arrivedAt{};  // at this gateway
     time_point end{};        // the answer is due
 
     void run();
@@ -41,11 +42,13 @@
     struct attempt;
 
     std::optional<destination> waitForDestination();
+    duration patience() const;
     std::optional<destination> waitForRoom(std::optional<destination> to);
     std::optional<destination> choose(const std::set<std::string> &excluded) const;
     bool hasAlternativeTo(const destination &to) const;
     double expectedAnswerTokens() const;
     attempt_end send(const destination &to);
+    void logRepetition(const destination &to) const;
     attempt_end judge(const destination &to, attempt &current, const call_result &result);
     attempt_end judgeFailure(const destination &to, const attempt &current,
                              const call_result &result);
@@ -76,7 +79,7 @@
     int m_runs = 0;                 // sendings that may have run
     int m_sendings = 0;
     std::string m_lastEndpoint; // of the last sending
-    const time_point m_startedAt = steadyNow();
+    int m_status = 0;           // that the caller got; 0 if none
     bool m_wasBusy = false;     // an endpoint was full
     bool m_streamBegun = false; // the caller has the head of the answer
     bool m_hasLeft = false;
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -5,6 +5,7 @@
 #include "fescuedeck/base/hash.h"
 #include "fescuedeck/gateway/forwarded_call.h"
 #include "fescuedeck/gateway/retry_after.h"
+#include "fescuedeck/router/wait_event.h"
 #include "fescuedeck/telemetry/event_line.h"
 
 namespace fescuedeck {
@@ -13,6 +14,24 @@
 // A caller that states no limit waits this long at most.
 constexpr duration longestWait = std::chrono::seconds(60);
 
+// How long a request may wait for the first configuration, which arrives as soon as the store or
+// another gateway can be reached. Callers leave a stream that has not begun after about two
+// seconds, and one that is refused needs the rest of its time to come back.
+constexpr duration longestConfigWait = std::chrono::milliseconds(1500);
+constexpr int configWaitShare = 3; // of the caller's time
+constexpr duration configPollInterval = std::chrono::milliseconds(20);
+
+void waitForConfig(const gateway_context &context, http_exchange &exchange, time_point arrivedAt)
+{
+    const duration callerLimit
+            = context.wire.readCall(exchange.request()).timeLimit.value_or(longestWait);
+    const time_point limit
+            = arrivedAt + std::min<duration>(longestConfigWait, callerLimit / configWaitShare);
+    while (!context.config && steadyNow() < limit && !exchange.callerLeft()
+           && steadyNow() < context.stopsTakingAt)
+        sleepFor(configPollInterval, exchange.yield());
+}
+
 duration timeLimitOf(const call_info &info, const route_rule &route)
 {
     duration limit = route.timeout > duration::zero() ? route.timeout : longestWait;
@@ -53,6 +72,8 @@
                 .field("reason", name);
         exchange.respond(wire.refuse(reason, retryAfterFor(reason, {}, m_context.random)));
     };
+    const time_point arrivedAt = steadyNow();
+    waitForConfig(m_context, exchange, arrivedAt);
     if (steadyNow() >= m_context.stopsTakingAt)
         return refuse(refusal_reason::Stopping);
     const auto config = m_context.config;
@@ -72,7 +93,8 @@
     forwarded_call call(m_context, exchange, config, *route, info);
     call.workspace = workspace == nullptr ? std::string() : workspace->name;
     call.fingerprint = fingerprint;
-    call.end = steadyNow() + timeLimitOf(info, *route);
+    call.arrivedAt = arrivedAt;
+    call.end = arrivedAt + timeLimitOf(info, *route);
     call.run();
 }
 
--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -26,6 +26,7 @@
 
 void table_follower::run(boost::asio::yield_context yield)
 {
+    readFirst(yield);
     while (true) {
         const bool isGood = m_position ? readOn(yield) : readWhole(yield);
         if (isGood)
@@ -36,6 +37,29 @@
     }
 }
 
+// Several reads can be under way; the first success counts.
+void table_follower::readFirst(boost::asio::yield_context yield)
+{
+    const wait_event done(yield);
+    duration pause = m_settings.firstReadInterval;
+    int reads = 0;
+    do {
+        boost::asio::spawn(m_io, [this, done](boost::asio::yield_context inner) {
+            const auto page = m_store.readNewest(m_table, m_settings.longestTimeout, inner);
+            if (m_lastRead != time_point{})
+                return;
+            noteRead(page.has_value(), page ? std::string() : page.error().detail);
+            if (!page)
+                return;
+            takeWhole(page.value());
+            done.set();
+        });
+        ++reads;
+        if (reads == m_settings.quickFirstReads)
+            pause = std::max(pause, m_settings.retry.last);
+    } while (!done.waitUntil(steadyNow() + pause, yield));
+}
+
 void table_follower::refresh()
 {
     m_position.reset();
@@ -46,17 +70,21 @@
 {
     const auto page = m_store.readNewest(m_table, currentTimeout(), yield);
     noteRead(page.has_value(), page ? std::string() : page.error().detail);
-    if (!page)
-        return false;
+    if (page)
+        takeWhole(page.value());
+    return page.has_value();
+}
+
+void table_follower::takeWhole(const store_page &page)
+{
     std::vector<std::string> keys;
-    for (const store_record &record : page.value().records) {
+    for (const store_record &record : page.records) {
         m_hooks.onRecord(record);
         if (!record.isRemoval)
             keys.push_back(record.key);
     }
     m_hooks.onWholeTable(keys);
-    m_position = std::max(page.value().next, m_firstKept);
-    return true;
+    m_position = std::max(page.next, m_firstKept);
 }
 
 bool table_follower::readOn(boost::asio::yield_context yield)
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -31,6 +31,11 @@
     duration timeout = std::chrono::seconds(2);
     duration longestTimeout = std::chrono::milliseconds(1500);
     backoff_limits retry = { std::chrono::milliseconds(100), std::chrono::seconds(1) };
+    // Until the first success a further read is started after this time, whether or not the ones
+    // before have ended: a process that starts in an outage can serve nobody before that, and a
+    // read that the store has lost answers no more when the store is back.
+    duration firstReadInterval = std::chrono::milliseconds(250);
+    int quickFirstReads = 40; // further ones follow at the longest retry interval
 };
 
 struct table_follower_hooks
@@ -57,7 +62,9 @@
 
 private:
     void run(boost::asio::yield_context yield);
+    void readFirst(boost::asio::yield_context yield);
     bool readWhole(boost::asio::yield_context yield);
+    void takeWhole(const store_page &page);
     bool readOn(boost::asio::yield_context yield);
     duration currentTimeout() const;
     void noteRead(bool isGood, const std::string &detail);
--- a/src/fescuedeck/gateway/table_follower_test.cpp
+++ b/src/fescuedeck/gateway/table_follower_test.cpp
@@ -15,12 +15,15 @@
 class follower_fixture
 {
 public:
-    follower_fixture()
+    explicit follower_fixture(bool startsSilent = false)
+        : isSilent(startsSilent)
     {
         m_store.readNewest = [this](store_table, duration,
                                     boost::asio::yield_context yield) -> result<store_page> {
             sleepFor(std::chrono::milliseconds(2), yield);
             ++wholeReads;
+            if (isSilent)
+                sleepFor(std::chrono::hours(1), yield); // even after the store is back
             if (isDown)
                 return makeFailure(errc::LogUnavailable, "down");
             store_page page;
@@ -50,6 +53,7 @@
         table_follower_settings settings;
         settings.name = "test";
         settings.wait = std::chrono::seconds(1);
+        settings.firstReadInterval = std::chrono::milliseconds(5);
         settings.retry = { std::chrono::milliseconds(2), std::chrono::milliseconds(4) };
         table_follower_hooks hooks;
         hooks.onRecord = [this](const store_record &) { ++records; };
@@ -63,6 +67,7 @@
 
     test_io io{ 1 };
     std::atomic<bool> isDown{ false };
+    std::atomic<bool> isSilent;
     std::atomic<bool> hasGap{ false };
     std::atomic<bool> heldBackWhileDown{ false };
     std::atomic<int> failedReads{ 0 }; // after the loss was told
@@ -105,6 +110,16 @@
     CHECK(fixture.losses == 1);
 }
 
+// Guards against a start during an outage that waits for a read which is never answered.
+TEST_CASE("the first read is repeated beside those that the store has lost", "[gateway]")
+{
+    follower_fixture fixture(true);
+    CHECK(eventually([&] { return fixture.wholeReads >= 2; }));
+    fixture.isSilent = false;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    CHECK(fixture.wholeTables == 1);
+}
+
 // Guards against a return of the store that is noticed only when a held-back read ends.
 TEST_CASE("no read is held back while the store does not answer", "[gateway]")
 {
