Inspect engines that answer no order, and leave lost ones alone longer each time

From 21.0 s to 26.0 s the holder of the placement duty ordered the missing layers 33-42 of it once a second, each time with the outcome not_sent, and no other engine got them; requests were refused as busy (264 lines). Engines that leave during an outage were tried again by requests every two seconds for the same reason.

Change: an order that reaches nobody, or has no answer, makes the gateway ask the engine for a report, and without an answer it counts as lost, so that the next plan gives its layers to another. Losses in a row last 2, 4, 8 and 16 s, until the engine announces itself or has been in use for 16 s.

Ruled out: remembering unreachable engines in the placement controller (a second account of what the registry knows).

Tests: missing layers are loaded elsewhere if the first engine cannot be reached (fails with the inspection off: no order in 60 s); losses in a row last longer each time.

--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -10,6 +10,12 @@
 // How long other gateways are told that an endpoint has left.
 constexpr duration departureMemory = std::chrono::seconds(10);
 
+duration doubled(duration first, int times, duration longest)
+{
+    constexpr int maxDoublings = 8;
+    return std::min<duration>(first * (1 << std::min(times, maxDoublings)), longest);
+}
+
 } // namespace
 
 std::string incarnationName(const endpoint_entry &entry)
@@ -35,6 +41,7 @@
     const std::optional<layer_range> seenLayers = record->entry.layers;
     const bool mayBeOlder = record->layersSeenAt && now - *record->layersSeenAt < announcementLag;
     record->entry = entry;
+    record->losses = 0;
     record->isMissing = false;
     m_departed.erase(incarnationName(entry));
     if (mayBeOlder)
@@ -112,10 +119,7 @@
     const endpoint_ptr record = find(id);
     if (!record)
         return;
-    constexpr int maxDoublings = 8;
-    const int doublings = std::min(record->suspicions, maxDoublings);
-    const duration pause = std::min<duration>(m_policy.first * (1 << doublings), m_policy.last);
-    record->suspectUntil = now + pause;
+    record->suspectUntil = now + doubled(m_policy.first, record->suspicions, m_policy.last);
     ++record->suspicions;
     ++m_revision;
 }
@@ -129,13 +133,27 @@
     ++m_revision;
 }
 
-void endpoint_registry::markLost(const std::string &id, time_point until, loss_source source)
+void endpoint_registry::markLost(const std::string &id, time_point now)
+{
+    const endpoint_ptr record = find(id);
+    if (!record)
+        return;
+    // An endpoint that was used again for long is not the one that was lost before.
+    const bool isInRow = now - record->lostUntil < m_policy.lastLoss;
+    record->losses = isInRow ? record->losses : 0;
+    record->lostUntil = now + doubled(m_policy.firstLoss, record->losses, m_policy.lastLoss);
+    record->lossSource = loss_source::Own;
+    ++record->losses;
+    ++m_revision;
+}
+
+void endpoint_registry::markLostByPeer(const std::string &id, time_point until)
 {
     const endpoint_ptr record = find(id);
     if (!record)
         return;
     record->lostUntil = until;
-    record->lossSource = source;
+    record->lossSource = loss_source::Peer;
     ++m_revision;
 }
 
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -57,6 +57,7 @@
     loss_source lossSource = loss_source::Own;
     bool isMissing = false;    // its removal is deferred
     time_point lostUntil{};    // shown not to answer: its layers count as missing
+    int losses = 0;            // found by this gateway, in a row
     int suspicions = 0;        // in a row without a good answer
     int inFlight = 0;          // requests of this gateway
     double tokensInFlight = 0; // of this gateway's requests, prompt and answer
@@ -84,6 +85,10 @@
 {
     duration first = std::chrono::milliseconds(500); // doubles with each further suspicion
     duration last = std::chrono::seconds(4);
+    // How long an endpoint that does not answer, or refuses, is not used before it is tried again.
+    // Doubles with each further loss: while the store is away, nobody announces that it has gone.
+    duration firstLoss = std::chrono::seconds(2);
+    duration lastLoss = std::chrono::seconds(16);
 };
 
 // Not thread-safe. Records stay valid for their users after the endpoint has gone.
@@ -112,8 +117,10 @@
     void suspect(const std::string &id, time_point now);
     // The same without lengthening, for endpoints of which one at most is at fault.
     void suspectBriefly(const std::string &id, time_point until);
-    // It has been shown not to answer, or to refuse.
-    void markLost(const std::string &id, time_point until, loss_source source);
+    // This gateway has seen that it does not answer, or refuses.
+    void markLost(const std::string &id, time_point now);
+    // Another gateway has seen it.
+    void markLostByPeer(const std::string &id, time_point until);
     // A call was answered well. It ends suspicions only: an engine that leaves refuses new requests
     // and still ends those that it has.
     void confirm(const std::string &id);
--- a/src/fescuedeck/gateway/endpoint_registry_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry_test.cpp
@@ -49,6 +49,30 @@
     CHECK(registry.find("x")->isUsable(start));
 }
 
+// Guards against an engine that left during an outage of the store and is tried again, by requests
+// and by orders, every two seconds until the store is back.
+TEST_CASE("losses in a row last longer each time, until the endpoint announces itself", "[gateway]")
+{
+    endpoint_registry registry;
+    registry.announce(entryOf("x"), 1, start);
+    const endpoint_ptr endpoint = registry.find("x");
+    registry.markLost("x", start);
+    CHECK(endpoint->isLost(start + std::chrono::milliseconds(1999)));
+    CHECK_FALSE(endpoint->isLost(start + std::chrono::seconds(2)));
+    registry.markLost("x", start + std::chrono::seconds(2));
+    CHECK(endpoint->isLost(start + std::chrono::milliseconds(5999)));
+    CHECK_FALSE(endpoint->isLost(start + std::chrono::seconds(6)));
+    for (int i = 0; i < 20; ++i)
+        registry.markLost("x", start);
+    CHECK_FALSE(endpoint->isLost(start + std::chrono::seconds(16)));
+    registry.announce(entryOf("x"), 2, start);
+    registry.markLost("x", start);
+    CHECK_FALSE(endpoint->isLost(start + std::chrono::seconds(2)));
+    // Nor does a loss of long ago count.
+    registry.markLost("x", start + std::chrono::minutes(1));
+    CHECK_FALSE(endpoint->isLost(start + std::chrono::seconds(62)));
+}
+
 TEST_CASE("an announcement that may be older does not replace what the engine stated itself",
           "[gateway]")
 {
--- a/src/fescuedeck/gateway/engine_inspector.cpp
+++ b/src/fescuedeck/gateway/engine_inspector.cpp
@@ -78,8 +78,7 @@
             .field("layers", engine->entry.layers ? toString(*engine->entry.layers) : "none")
             .field("evidence", evidence);
     m_context.counters.counterOf("fescuedeck_engines_lost_total").add();
-    m_context.endpoints.markLost(engine->entry.id, steadyNow() + m_settings.lostFor,
-                                 loss_source::Own);
+    m_context.endpoints.markLost(engine->entry.id, steadyNow());
     if (m_context.onEngineLost)
         m_context.onEngineLost();
 }
--- a/src/fescuedeck/gateway/engine_inspector.h
+++ b/src/fescuedeck/gateway/engine_inspector.h
@@ -21,8 +21,6 @@
     duration timeout = std::chrono::milliseconds(400); // of one question
     // Least time between two questions to one engine, as each is priced.
     duration interval = std::chrono::milliseconds(250);
-    // How long an engine without an answer is not used before it is asked again.
-    duration lostFor = std::chrono::seconds(2);
 };
 
 // Not thread-safe. Must outlive its io_context's run.
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -211,7 +211,7 @@
     for (const std::string &id : suspects) {
         const endpoint_ptr endpoint = m_context.endpoints.find(id);
         if (endpoint && !endpoint->isLost(now))
-            m_context.endpoints.markLost(id, now + heardLossTime, loss_source::Peer);
+            m_context.endpoints.markLostByPeer(id, now + heardLossTime);
     }
 }
 
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -198,10 +198,10 @@
     peers_fixture gateways;
     const auto nameLost = [&](int count) {
         gateways.onThread([&] {
-            for (int i = 0; i < count; ++i) {
-                gateways.first.context.endpoints.markLost("e" + std::to_string(i),
-                                                          steadyNow() + std::chrono::hours(1),
-                                                          loss_source::Own);
+            constexpr int lossesInRow = 8; // a single one would end during the test
+            for (int i = 0; i < count * lossesInRow; ++i) {
+                const std::string id = "e" + std::to_string(i % count);
+                gateways.first.context.endpoints.markLost(id, steadyNow());
             }
         });
     };
--- a/src/fescuedeck/gateway/placement_duty.cpp
+++ b/src/fescuedeck/gateway/placement_duty.cpp
@@ -127,7 +127,7 @@
 {
     placement_controller &controller = m_controllers[service];
     if (!isHolder(steadyNow()))
-        return controller.answered(order, order_outcome::NotSent, steadyNow());
+        return controller.clear();
     call_options options;
     options.timeout = m_settings.orderTimeout;
     const call_result result = m_context.client.send(
@@ -145,6 +145,10 @@
             .field("outcome", nameOf(orderOutcomeNames, outcome));
     if (outcome == order_outcome::Fenced)
         giveUp();
+    // An engine that does not answer at all must not keep its layers from being loaded elsewhere.
+    const bool isSilent = outcome == order_outcome::NotSent || outcome == order_outcome::Unknown;
+    if (isSilent && m_context.inspectEngine)
+        m_context.inspectEngine(order.endpoint, engine_doubt::Silent);
     controller.answered(order, outcome, steadyNow());
 }
 
--- /dev/null
+++ b/src/fescuedeck/gateway/placement_duty_test.cpp
@@ -0,0 +1,116 @@
+// The holder of the placement duty against engines that do not answer.
+#include "fescuedeck/gateway/placement_duty.h"
+
+#include <atomic>
+
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/gateway/engine_inspector.h"
+#include "fescuedeck/net/http_server.h"
+#include "fescuedeck/net/test_io.h"
+
+namespace fescuedeck {
+namespace {
+
+// No test's process listens there.
+const std::string deadAddress = "127.0.0.1:1";
+
+// A store that gives the duty to whoever asks, and engines whose answers are empty.
+gateway_wire testWire()
+{
+    gateway_wire wire;
+    wire.store.joinDuty = [](const std::string &, duration, duration,
+                             boost::asio::yield_context) -> result<duty_grant> {
+        return duty_grant{ true, 1 };
+    };
+    wire.encodeOrder = [](const placement_order &order, std::int64_t) {
+        return http_request{ "POST", "/order", {}, toString(order.range) };
+    };
+    wire.decodeOrderAnswer = [](const http_response &) { return order_outcome::Begun; };
+    wire.encodeReportRequest = [] { return http_request{ "GET", "/report", {}, "" }; };
+    wire.decodeReport = [](const http_response &) -> result<engine_report> {
+        engine_report report;
+        report.isBusy = true;
+        return report;
+    };
+    return wire;
+}
+
+// A model of eight layers, four of which fit into one engine.
+gateway_config testConfig()
+{
+    engine_spec spec;
+    spec.layers = 8;
+    spec.layerMb = 1000;
+    spec.loadSecondsAllLayers = 80;
+    spec.kinds = { { "card", 4500, 1, 1 } };
+    gateway_config config;
+    config.services = { { "model", "", 8, spec } };
+    return config;
+}
+
+class duty_fixture
+{
+public:
+    duty_fixture()
+        : m_client(io.context())
+        , context({}, testWire(), io.context(), m_client, seededRandom(1))
+        , m_inspector(context)
+        , m_duty(context, "one")
+        , m_engine(io.context(), {}, [this](http_exchange &exchange) {
+            orders += exchange.request().method == "POST" ? 1 : 0;
+            exchange.respond({ 200, {}, "" });
+        })
+    {
+        REQUIRE_FALSE(m_engine.listen("127.0.0.1:0"));
+        context.config = std::make_shared<const config_index>(testConfig());
+        context.knowsEndpoints = true;
+        context.inspectEngine = [this](const std::string &id, engine_doubt doubt) {
+            m_inspector.inspect(id, doubt);
+        };
+    }
+    ~duty_fixture() { io.stop(); }
+
+    void add(const std::string &id, const std::string &address, std::optional<layer_range> layers)
+    {
+        const endpoint_entry entry{ id,     "model", address,
+                                    "a",    8,       endpoint_phase_announced::Ready,
+                                    "card", layers,  1 };
+        context.endpoints.announce(entry, 1, steadyNow());
+    }
+    std::string liveAddress() const { return loopback(m_engine.port()); }
+    void start()
+    {
+        boost::asio::post(io.context(), [this] { m_duty.start(); });
+    }
+
+    test_io io{ 1 };
+    std::atomic<int> orders{ 0 }; // that the live engine got
+
+private:
+    http_client m_client;
+
+public:
+    gateway_context context;
+
+private:
+    engine_inspector m_inspector;
+    placement_duty m_duty;
+    http_server m_engine;
+};
+
+} // namespace
+
+// Guards against layers that stay missing during an outage of the store, because the orders to load
+// them go again and again to an engine whose host has gone and whose announcement remains.
+TEST_CASE("missing layers are loaded elsewhere if the first engine cannot be reached", "[gateway]")
+{
+    duty_fixture fixture;
+    fixture.add("a-gone", deadAddress, std::nullopt);
+    fixture.add("b-live", fixture.liveAddress(), layer_range{ 4, 8 });
+    fixture.add("c-live", fixture.liveAddress(), layer_range{ 4, 8 });
+    fixture.start();
+    CHECK(eventually([&] { return fixture.orders > 0; }));
+}
+
+} // namespace fescuedeck
