Explain a request from the logs of several gateways; log why it was not sent again

fescuedeckctl request explain ID [FILE...] prints the lines that name a request, what gateways found shortly before, and the cause. New fields and events: gave_up, stream_broken_off, silent_stream_left, last_event and silent_ms of request_ended. A test reads the events and fields that the sources log against the table in docs/OPERATIONS.md (fails for a renamed row).

--- a/src/apps/fescuedeckctl.cpp
+++ b/src/apps/fescuedeckctl.cpp
@@ -8,6 +8,7 @@
 #include "fescuedeck/bundle/check_bundle.h"
 #include "fescuedeck/ctl/bundle_commands.h"
 #include "fescuedeck/ctl/command_line.h"
+#include "fescuedeck/ctl/explain_command.h"
 #include "fescuedeck/ctl/host_commands.h"
 #include "fescuedeck/ctl/network_hooks.h"
 #include "fescuedeck/ctl/router_status.h"
@@ -157,6 +158,9 @@
 
 command_result run(const command_line &line)
 {
+    // Needs no network and none of its flags.
+    if (line.command->name == "request explain")
+        return explainRequest(line.argument, line.files);
     const auto options = optionsFromFlags();
     if (!options)
         return failedResult(exit_status::Usage, options.error());
--- a/src/fescuedeck/ctl/command_line.cpp
+++ b/src/fescuedeck/ctl/command_line.cpp
@@ -117,7 +117,8 @@
 std::string usageLine(const command_spec &command)
 {
     return "fescuedeckctl " + command.name
-           + (command.argument.empty() ? "" : " " + command.argument);
+           + (command.argument.empty() ? "" : " " + command.argument)
+           + (command.takesFiles ? " [FILE...]" : "");
 }
 
 } // namespace
@@ -167,6 +168,13 @@
           "Shows the spans of a trace that the routers hold, as a tree.",
           { "router" },
           { "router" } },
+        { "request explain",
+          "ID",
+          "Shows from gateways' logs what happened to a request, and why it ended as it did. Reads "
+          "standard input if no file is given.",
+          {},
+          {},
+          true },
     };
     return table;
 }
@@ -191,11 +199,14 @@
     if (line.wantsHelp)
         return line;
     const std::size_t expected = line.command->argument.empty() ? 2 : 3;
-    if (words.size() != expected)
+    const bool isComplete
+            = line.command->takesFiles ? words.size() >= expected : words.size() == expected;
+    if (!isComplete)
         return usageFailure("usage: " + usageLine(*line.command));
     if (const auto checked = checkFlags(*line.command, raw.value().flags); !checked)
         return checked.error();
     line.argument = expected == 3 ? words[2] : "";
+    line.files.assign(words.begin() + static_cast<std::ptrdiff_t>(expected), words.end());
     return line;
 }
 
--- a/src/fescuedeck/ctl/command_line.h
+++ b/src/fescuedeck/ctl/command_line.h
@@ -18,6 +18,7 @@
     std::string summary;
     std::vector<std::string> flags;
     std::vector<std::string> requiredFlags; // of which one must be given
+    bool takesFiles = false;                // any number of further positional arguments
 };
 
 const std::vector<command_spec> &commands();
@@ -36,6 +37,7 @@
 {
     const command_spec *command = nullptr; // null if help on all commands is wanted
     std::string argument;
+    std::vector<std::string> files;
     bool wantsHelp = false;
 };
 
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -152,10 +152,12 @@
         const std::optional<destination> to = waitForDestination();
         if (m_hasLeft || m_exchange.callerLeft())
             return finish("caller_left");
-        if (!to)
+        if (!to) {
+            m_gaveUp = give_up_reason::NoEndpoint;
             break;
+        }
         last = send(*to);
-    } while (isRepeatable(last) && m_context.retries.takeRetry(m_service));
+    } while (goesOn(last));
     if (last == attempt_end::Answered) {
         m_context.retries.recordSuccess(m_service);
         return finish("answered");
@@ -238,6 +240,15 @@
     return chooseEndpoint(endpoints, request);
 }
 
+bool forwarded_call::goesOn(attempt_end last)
+{
+    m_gaveUp = give_up_reason::NoAttempt;
+    if (!isRepeatable(last))
+        return false;
+    m_gaveUp = give_up_reason::NoRetry;
+    return m_context.retries.takeRetry(m_service);
+}
+
 bool forwarded_call::isRepeatable(attempt_end last) const
 {
     const bool isIdempotent = isRepeatableKind();
@@ -293,8 +304,14 @@
     if (m_hasLeft || m_exchange.callerLeft()) {
         // Callers leave silent streams as well, and what silenced them must still be found.
         const time_point lastSign = std::max(current.lastPart, current.sentAt);
-        if (!to.chain.empty() && steadyNow() - lastSign >= longestSilence)
+        if (!to.chain.empty() && steadyNow() - lastSign >= longestSilence) {
+            event_line("silent_stream_left", event_level::Warning)
+                    .field("request", m_info.id)
+                    .field("endpoint", to.first->entry.id)
+                    .field("has_alternative", current.hasAlternative)
+                    .field("has_retry", current.retry.isHeld());
             doubtChain(to, current);
+        }
         return attempt_end::CallerLeft;
     }
     return judge(to, current, result);
@@ -376,6 +393,7 @@
         m_exchange.startStream(m_context.wire.passAnswer(current.head));
     }
     m_lastEvent = current.events.lastId();
+    m_lastPassed = steadyNow();
     if (!m_exchange.writeChunk(events)) {
         m_hasLeft = true;
         current.cancellation.cancel();
@@ -547,8 +565,15 @@
 
 void forwarded_call::refuseFinally(attempt_end last)
 {
-    if (m_streamBegun)
-        return finish("broken_off"); // ends without its final chunk
+    if (m_streamBegun) { // it ends without its final chunk
+        event_line("stream_broken_off", event_level::Warning)
+                .field("request", m_info.id)
+                .field("gave_up", nameOf(giveUpReasonNames, m_gaveUp))
+                .field("service", m_service)
+                .field("excluded", static_cast<int>(m_failed.size()))
+                .field("last_event", m_lastEvent.value_or(0));
+        return finish("broken_off");
+    }
     const bool hasRun = last != attempt_end::NotRun || (m_runs > 0);
     refusal_reason reason = m_wasBusy ? refusal_reason::Busy : refusal_reason::NoEndpoint;
     if (hasRun)
@@ -558,6 +583,7 @@
     event_line("request_refused", event_level::Warning)
             .field("request", m_info.id)
             .field("reason", nameOf(refusalReasonNames, reason))
+            .field("gave_up", nameOf(giveUpReasonNames, m_gaveUp))
             .field("service", m_service)
             .field("excluded", static_cast<int>(m_failed.size()))
             .field("retry_after_ms", retryAfter);
@@ -569,6 +595,8 @@
 
 void forwarded_call::finish(const char *outcome)
 {
+    const time_point now = steadyNow();
+    const time_point lastSign = std::max(arrivedAt, m_lastPassed);
     event_line("request_ended")
             .field("request", m_info.id)
             .field("outcome", outcome)
@@ -580,7 +608,9 @@
             .field("sendings", m_sendings)
             .field("runs", m_runs)
             .field("last_endpoint", m_lastEndpoint)
-            .field("took_ms", duration(steadyNow() - arrivedAt));
+            .field("last_event", m_lastEvent.value_or(0))
+            .field("silent_ms", duration(now - lastSign))
+            .field("took_ms", duration(now - arrivedAt));
     m_context.counters
             .counterOf("fescuedeck_requests_total",
                        { { "kind", std::string(nameOf(callKindNames, m_route.kind)) },
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "fescuedeck/base/name_table.h"
 #include "fescuedeck/gateway/endpoint_choice.h"
 #include "fescuedeck/gateway/event_splitter.h"
 #include "fescuedeck/gateway/gateway_context.h"
@@ -23,6 +24,19 @@
     CallerLeft,
 };
 
+// Why a request that has no good answer is not sent again.
+enum class give_up_reason {
+    NoEndpoint, // none can be used, or none has room
+    NoAttempt,  // it must not run again, or its attempts or its time are used up
+    NoRetry,    // the retry budget is spent
+};
+
+constexpr name_table<give_up_reason, 3> giveUpReasonNames = { {
+        { give_up_reason::NoEndpoint, "no_endpoint" },
+        { give_up_reason::NoAttempt, "no_attempt" },
+        { give_up_reason::NoRetry, "no_retry" },
+} };
+
 // Used by the coroutine of its exchange only.
 class forwarded_call
 {
@@ -56,6 +70,7 @@
     attempt_end passOn(const destination &to, const http_response &response);
     void onStreamHead(attempt &current, const http_response &head);
     void onStreamPart(attempt &current, std::string_view part);
+    bool goesOn(attempt_end last);
     bool isRepeatable(attempt_end last) const;
     bool isRepeatableKind() const { return m_route.kind == call_kind::Safe || m_route.isResumable; }
     void noteCrash(const destination &to);
@@ -79,7 +94,9 @@
     int m_runs = 0;                 // sendings that may have run
     int m_sendings = 0;
     std::string m_lastEndpoint; // of the last sending
+    time_point m_lastPassed{};  // when the caller last got events
     int m_status = 0;           // that the caller got; 0 if none
+    give_up_reason m_gaveUp = give_up_reason::NoEndpoint;
     bool m_wasBusy = false;     // an endpoint was full
     bool m_streamBegun = false; // the caller has the head of the answer
     bool m_hasLeft = false;
