Count the retry limit in sliding windows, and share its reserve among the gateways that are known

The budget was a bucket of 33 retries (a sixth of the reserve) that refills by 0.15 for each success, while the deployment's limit holds for each window of ten seconds: a second crowd of streams found what the first one had left.

Change: retry_allowance counts requests and retries of the last window; the reserve is divided by the gateways in the table of peers (eight until it is read), and a gateway that has just started uses a quarter of its part in its first window. The window is read from the settings. Tests: a second crowd one window later, and four gateways that retry whenever they may, checked in every window against the limit.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -84,7 +84,7 @@
 public:
     retry_reservation(gateway_context &context, const std::string &service)
         : m_reserved(context.reservedRetries[service])
-        , m_isHeld(context.retries.available(service) >= m_reserved + 1)
+        , m_isHeld(context.retries.available(service, steadyNow()) >= m_reserved + 1)
     {
         m_reserved += m_isHeld ? 1 : 0;
     }
@@ -147,6 +147,7 @@
         m_hasLeft = true;
         m_cancellation.cancel();
     });
+    m_context.retries.recordRequest(m_service, steadyNow());
     attempt_end last = attempt_end::NotRun;
     do {
         const std::optional<destination> to = waitForDestination();
@@ -158,10 +159,8 @@
         }
         last = send(*to);
     } while (goesOn(last));
-    if (last == attempt_end::Answered) {
-        m_context.retries.recordSuccess(m_service);
+    if (last == attempt_end::Answered)
         return finish("answered");
-    }
     if (last == attempt_end::CallerLeft)
         return finish("caller_left");
     if (m_ownFailure && !m_streamBegun) {
@@ -246,7 +245,7 @@
     if (!isRepeatable(last))
         return false;
     m_gaveUp = give_up_reason::NoRetry;
-    return m_context.retries.takeRetry(m_service);
+    return m_context.retries.takeRetry(m_service, steadyNow());
 }
 
 bool forwarded_call::isRepeatable(attempt_end last) const
@@ -326,7 +325,8 @@
             .field("sending", m_sendings)
             .field("after_event", m_lastEvent.value_or(0))
             .field("elapsed_ms", duration(steadyNow() - arrivedAt))
-            .field("retries_left", static_cast<int>(m_context.retries.available(m_service)));
+            .field("retries_left",
+                   static_cast<int>(m_context.retries.available(m_service, steadyNow())));
 }
 
 duration forwarded_call::silenceLimit(const attempt &current) const
@@ -449,7 +449,7 @@
     // A failure of the endpoint itself: another one may do better.
     const bool isOwnFailure = response.status >= firstErrorStatus;
     const bool isSentAgain = isOwnFailure && isRepeatable(attempt_end::MayHaveRun)
-                             && m_context.retries.available(m_service) >= 1;
+                             && m_context.retries.available(m_service, steadyNow()) >= 1;
     if (isOwnFailure) {
         event_line("endpoint_failed_request", event_level::Warning)
                 .field("request", m_info.id)
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -99,6 +99,8 @@
         m_addresses.erase(record.key);
     else
         m_addresses[record.key] = record.value;
+    // Hosts that are away count as well: they may only be cut off from here.
+    m_context.retries.setSharers(static_cast<int>(m_addresses.size()));
     openNetwork();
 }
 
--- a/src/fescuedeck/gateway/gateway_settings.h
+++ b/src/fescuedeck/gateway/gateway_settings.h
@@ -28,6 +28,7 @@
     // number in each window.
     double retryShare = 0.2;
     double retryReserve = 196;
+    duration retryWindow = std::chrono::seconds(10);
     // Engines refuse an order whose fencing token is lower than one that they have seen.
     bool enginesCheckFencing = false;
     std::string logLevel = "info";
--- /dev/null
+++ b/src/fescuedeck/gateway/retry_allowance_test.cpp
@@ -0,0 +1,102 @@
+#include "fescuedeck/gateway/retry_allowance.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "fescuedeck/base/random.h"
+
+namespace fescuedeck {
+namespace {
+
+const time_point start{ std::chrono::hours(1) };
+const time_point longAgo{};
+const retry_limits limits{ 0.2, 100, std::chrono::seconds(10) };
+
+int takeAll(retry_allowance &allowance, time_point now)
+{
+    int taken = 0;
+    while (allowance.takeRetry("s", now))
+        ++taken;
+    return taken;
+}
+
+} // namespace
+
+TEST_CASE("the reserve is shared by the gateways, and each service has its own", "[gateway]")
+{
+    retry_allowance allowance(limits, longAgo);
+    allowance.setSharers(4);
+    CHECK(takeAll(allowance, start) == 22); // nine tenths of a quarter
+    CHECK(allowance.available("other", start) > 22);
+}
+
+// Guards against a second crowd of streams that loses its engine some seconds after the first and
+// is left by its callers, because the reserve fills up slowly.
+TEST_CASE("what was used is whole again one window later", "[gateway]")
+{
+    retry_allowance allowance(limits, longAgo);
+    allowance.setSharers(4);
+    CHECK(takeAll(allowance, start) == 22);
+    CHECK(takeAll(allowance, start + std::chrono::seconds(10)) == 0);
+    CHECK(takeAll(allowance, start + std::chrono::milliseconds(11300)) == 22);
+}
+
+// Guards against gateways that end together after a crowd of retries and use the reserve again.
+TEST_CASE("a gateway that has just started uses little of the reserve", "[gateway]")
+{
+    retry_allowance allowance(limits, start);
+    allowance.setSharers(4);
+    CHECK(takeAll(allowance, start) == 5);
+    CHECK(takeAll(allowance, start + std::chrono::seconds(12)) == 22);
+}
+
+TEST_CASE("requests of the window add their share", "[gateway]")
+{
+    retry_allowance allowance(limits, longAgo);
+    allowance.setSharers(100);
+    for (int i = 0; i < 200; ++i)
+        allowance.recordRequest("s", start);
+    CHECK(takeAll(allowance, start) == 36);
+    CHECK(takeAll(allowance, start + std::chrono::seconds(12)) == 0);
+}
+
+// Guards against breaking the deployment's limit: in no window do all gateways together send more
+// again than a share of the requests in it and the reserve.
+TEST_CASE("gateways that retry whenever they may keep to the limit in every window", "[gateway]")
+{
+    const random_fn random = seededRandom(7);
+    constexpr int gateways = 4;
+    std::vector<retry_allowance> allowances(gateways, retry_allowance(limits, longAgo));
+    for (retry_allowance &allowance : allowances)
+        allowance.setSharers(gateways);
+    constexpr duration step = std::chrono::milliseconds(50);
+    constexpr int steps = 1200;
+    std::vector<int> requests(steps);
+    std::vector<int> retries(steps);
+    for (int i = 0; i < steps; ++i) {
+        const time_point now = start + i * step;
+        for (retry_allowance &allowance : allowances) {
+            const bool isRequest = uniformReal(random) < 0.8;
+            const bool isCrowd = uniformReal(random) < 0.02;
+            if (isRequest)
+                allowance.recordRequest("s", now);
+            requests[i] += isRequest ? 1 : 0;
+            retries[i] += isCrowd ? takeAll(allowance, now) : 0;
+        }
+    }
+    const auto window = static_cast<int>(limits.window / step);
+    for (int begin = 0; begin + window <= steps; ++begin) {
+        int requestsIn = 0;
+        int retriesIn = 0;
+        for (int i = begin; i < begin + window; ++i) {
+            requestsIn += requests[i];
+            retriesIn += retries[i];
+        }
+        // A window at the begin of traffic has few requests of its own.
+        REQUIRE(retriesIn <= limits.share * requestsIn + limits.reserve);
+    }
+}
+
+} // namespace fescuedeck
