Share the reserve of retries by load, let streams take one aside later, and keep the placement duty of a stopping host during an outage

Gateways that hear each other now share their parts by tokens in flight; the parts of those that are away stay unused. A stopping holder gave its duty up at once although nobody could take it over. It now keeps it, as during any outage, until the store has been told or the process ends.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -82,21 +82,31 @@
 class retry_reservation
 {
 public:
-    retry_reservation(gateway_context &context, const std::string &service)
-        : m_reserved(context.reservedRetries[service])
-        , m_isHeld(context.retries.available(service, steadyNow()) >= m_reserved + 1)
+    retry_reservation(gateway_context &context, std::string service)
+        : m_context(context)
+        , m_service(std::move(service))
     {
-        m_reserved += m_isHeld ? 1 : 0;
+        isHeld();
     }
-    ~retry_reservation() { m_reserved -= m_isHeld ? 1 : 0; }
+    ~retry_reservation() { m_context.reservedRetries[m_service] -= m_isHeld ? 1 : 0; }
     retry_reservation(const retry_reservation &) = delete;
     retry_reservation &operator=(const retry_reservation &) = delete;
 
-    bool isHeld() const { return m_isHeld; }
+    // Tries to set one aside if there was none before.
+    bool isHeld()
+    {
+        if (m_isHeld)
+            return true;
+        int &reserved = m_context.reservedRetries[m_service];
+        m_isHeld = m_context.retries.available(m_service, steadyNow()) >= reserved + 1;
+        reserved += m_isHeld ? 1 : 0;
+        return m_isHeld;
+    }
 
 private:
-    int &m_reserved;
-    const bool m_isHeld;
+    gateway_context &m_context;
+    const std::string m_service;
+    bool m_isHeld = false;
 };
 
 } // namespace
@@ -329,7 +339,7 @@
                    static_cast<int>(m_context.retries.available(m_service, steadyNow())));
 }
 
-duration forwarded_call::silenceLimit(const attempt &current) const
+duration forwarded_call::silenceLimit(attempt &current) const
 {
     const bool isFirst = current.lastPart == time_point{};
     const duration borne = isFirst ? m_route.objective : m_route.pauseObjective;
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -75,7 +75,7 @@
     bool isRepeatableKind() const { return m_route.kind == call_kind::Safe || m_route.isResumable; }
     void noteCrash(const destination &to);
     void refuseFinally(attempt_end last);
-    duration silenceLimit(const attempt &current) const;
+    duration silenceLimit(attempt &current) const;
     static void notePause(attempt &current);
     void doubtChain(const destination &to, const attempt &current);
     void blame(const destination &to, const std::string &faultAddress);
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -99,8 +99,6 @@
         m_addresses.erase(record.key);
     else
         m_addresses[record.key] = record.value;
-    // Hosts that are away count as well: they may only be cut off from here.
-    m_context.retries.setSharers(static_cast<int>(m_addresses.size()));
     openNetwork();
 }
 
@@ -194,6 +192,7 @@
         if (isLeaving && m_context.isEndpointTableLost)
             m_context.endpoints.markLeaving(endpoint->entry.id);
     }
+    shareRetries(view, now);
     takeSuspicions(view.suspects, now);
     const std::int64_t version = m_context.config ? m_context.config->config().version : 0;
     const auto newer = m_directory.newerBundle(version, now);
@@ -203,6 +202,20 @@
     }
 }
 
+void gateway_peers::shareRetries(const peer_view &view, time_point now)
+{
+    if (m_addresses.empty())
+        return;
+    reserve_sharing sharing;
+    for (const endpoint_ptr &endpoint : m_context.endpoints.all())
+        sharing.ownLoad += endpoint->tokensInFlight;
+    for (const auto &[endpoint, tokens] : view.inFlight)
+        sharing.peerLoad += tokens;
+    sharing.livePeers = livePeers(now);
+    sharing.knownGateways = static_cast<int>(m_addresses.size());
+    m_context.retries.approachPart(reservePart(sharing), refreshInterval);
+}
+
 // Peers name engines that they have found lost themselves. One that is cut off names most of them,
 // and is not believed.
 void gateway_peers::takeSuspicions(const std::set<std::string> &suspects, time_point now)
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -50,6 +50,7 @@
     void openNetwork();
     void refreshForever(boost::asio::yield_context yield);
     void refresh(time_point now);
+    void shareRetries(const peer_view &view, time_point now);
     void takeSuspicions(const std::set<std::string> &suspects, time_point now);
     peer_digest currentDigest() const;
     void onMessage(const peer_hello &peer, const peer_message &message);
--- a/src/fescuedeck/gateway/placement_duty.cpp
+++ b/src/fescuedeck/gateway/placement_duty.cpp
@@ -26,8 +26,6 @@
 
 bool placement_duty::isHolder(time_point now) const
 {
-    if (m_context.isStopping)
-        return false;
     // While the store does not answer at all, engines that check the fencing token refuse this
     // holder as soon as they have heard of another one.
     const bool isExtended = m_isStoreSilent && m_isFencingChecked && now < m_extendedUntil;
@@ -62,10 +60,24 @@
         }
         sleepFor(m_settings.renewInterval, yield);
     }
-    giveUp();
-    const auto error = m_context.wire.store.leaveDuty(m_member, m_settings.renewTimeout, yield);
-    if (error)
-        event_line("duty_not_released", event_level::Warning).field("detail", error->detail);
+    leave(yield);
+}
+
+// While the store is away nobody can take the duty over, so that it is kept until the store has
+// been told, or the process ends.
+void placement_duty::leave(boost::asio::yield_context yield)
+{
+    while (true) {
+        const time_point sentAt = steadyNow();
+        const auto error = m_context.wire.store.leaveDuty(m_member, m_settings.renewTimeout, yield);
+        if (!error)
+            return giveUp();
+        m_isStoreSilent = true;
+        event_line("duty_not_released", event_level::Warning)
+                .field("held", isHolder(sentAt))
+                .field("detail", error->detail);
+        sleepFor(m_settings.renewInterval, yield);
+    }
 }
 
 void placement_duty::planForever(boost::asio::yield_context yield)
--- a/src/fescuedeck/gateway/placement_duty.h
+++ b/src/fescuedeck/gateway/placement_duty.h
@@ -44,6 +44,7 @@
 
 private:
     void renewForever(boost::asio::yield_context yield);
+    void leave(boost::asio::yield_context yield);
     void planForever(boost::asio::yield_context yield);
     bool isSettled(const std::vector<endpoint_ptr> &endpoints, time_point now) const;
     void planService(const service_rule &service, time_point now);
--- a/src/fescuedeck/gateway/placement_duty_test.cpp
+++ b/src/fescuedeck/gateway/placement_duty_test.cpp
@@ -2,6 +2,7 @@
 #include "fescuedeck/gateway/placement_duty.h"
 
 #include <atomic>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -15,14 +16,22 @@
 // No test's process listens there.
 const std::string deadAddress = "127.0.0.1:1";
 
-// A store that gives the duty to whoever asks, and engines whose answers are empty.
-gateway_wire testWire()
+// A store that gives the duty to whoever asks while it is up, and engines whose answers are empty.
+gateway_wire testWire(const std::atomic<bool> &isStoreDown)
 {
     gateway_wire wire;
-    wire.store.joinDuty = [](const std::string &, duration, duration,
-                             boost::asio::yield_context) -> result<duty_grant> {
+    wire.store.joinDuty = [&](const std::string &, duration, duration,
+                              boost::asio::yield_context) -> result<duty_grant> {
+        if (isStoreDown)
+            return makeFailure(errc::LogUnavailable, "down");
         return duty_grant{ true, 1 };
     };
+    wire.store.leaveDuty = [&](const std::string &, duration,
+                               boost::asio::yield_context) -> std::optional<failure> {
+        if (isStoreDown)
+            return makeFailure(errc::LogUnavailable, "down");
+        return std::nullopt;
+    };
     wire.encodeOrder = [](const placement_order &order, std::int64_t) {
         return http_request{ "POST", "/order", {}, toString(order.range) };
     };
@@ -49,14 +58,30 @@
     return config;
 }
 
+gateway_settings testSettings()
+{
+    gateway_settings settings;
+    settings.enginesCheckFencing = true;
+    return settings;
+}
+
+placement_duty_settings shortTerm()
+{
+    placement_duty_settings settings;
+    settings.term = std::chrono::milliseconds(400);
+    settings.renewInterval = std::chrono::milliseconds(50);
+    settings.sendMargin = std::chrono::milliseconds(50);
+    return settings;
+}
+
 class duty_fixture
 {
 public:
     duty_fixture()
         : m_client(io.context())
-        , context({}, testWire(), io.context(), m_client, seededRandom(1))
+        , context(testSettings(), testWire(isStoreDown), io.context(), m_client, seededRandom(1))
         , m_inspector(context)
-        , m_duty(context, "one")
+        , m_duty(context, "one", shortTerm())
         , m_engine(io.context(), {}, [this](http_exchange &exchange) {
             orders += exchange.request().method == "POST" ? 1 : 0;
             exchange.respond({ 200, {}, "" });
@@ -84,7 +109,13 @@
         boost::asio::post(io.context(), [this] { m_duty.start(); });
     }
 
+    bool isHolder()
+    {
+        return io.run([this](boost::asio::yield_context) { return m_duty.isHolder(steadyNow()); });
+    }
+
     test_io io{ 1 };
+    std::atomic<bool> isStoreDown{ false };
     std::atomic<int> orders{ 0 }; // that the live engine got
 
 private:
@@ -113,4 +144,25 @@
     CHECK(eventually([&] { return fixture.orders > 0; }));
 }
 
+// Guards against a fleet that nobody repairs, from the stop of the holder's host during an outage
+// until the store is back.
+TEST_CASE("a holder that is stopped during an outage gives orders until it can hand over",
+          "[gateway]")
+{
+    duty_fixture fixture;
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isHolder(); }));
+    fixture.isStoreDown = true;
+    boost::asio::post(fixture.io.context(), [&] { fixture.context.isStopping = true; });
+    std::this_thread::sleep_for(shortTerm().term * 2);
+    CHECK(fixture.isHolder());
+    boost::asio::post(fixture.io.context(), [&] {
+        fixture.add("b-live", fixture.liveAddress(), layer_range{ 4, 8 });
+        fixture.add("c-live", fixture.liveAddress(), layer_range{ 4, 8 });
+    });
+    CHECK(eventually([&] { return fixture.orders > 0; }));
+    fixture.isStoreDown = false;
+    CHECK(eventually([&] { return !fixture.isHolder(); }));
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/retry_allowance.cpp
+++ b/src/fescuedeck/gateway/retry_allowance.cpp
@@ -12,20 +12,30 @@
 constexpr duration sliceLength = std::chrono::milliseconds(250);
 constexpr double firstWindowReserve = 0.25;
 // Until the other gateways are known.
-constexpr int assumedSharers = 8;
+constexpr double assumedPart = 1.0 / 8;
 
 } // namespace
 
+double reservePart(const reserve_sharing &sharing)
+{
+    const double heard = sharing.livePeers + 1;
+    const double pool = heard / std::max<double>(heard, sharing.knownGateways);
+    const double load = sharing.ownLoad + sharing.peerLoad;
+    return pool * (load > 0 ? sharing.ownLoad / load : 1 / heard);
+}
+
 retry_allowance::retry_allowance(retry_limits limits, time_point startedAt)
     : m_limits(limits)
     , m_startedAt(startedAt)
-    , m_sharers(assumedSharers)
+    , m_part(assumedPart)
 {
 }
 
-void retry_allowance::setSharers(int count)
+void retry_allowance::approachPart(double part, duration sinceLast)
 {
-    m_sharers = std::max(1, count);
+    const auto window = static_cast<double>(m_limits.window.count());
+    const double step = static_cast<double>(sinceLast.count()) / window;
+    m_part += (part - m_part) * std::min(1.0, step);
 }
 
 retry_allowance::slice &retry_allowance::currentSlice(const std::string &service, time_point now)
@@ -63,7 +73,7 @@
         }
     }
     const bool isFirstWindow = now - m_startedAt < m_limits.window;
-    const double reserve = m_limits.reserve / m_sharers * (isFirstWindow ? firstWindowReserve : 1);
+    const double reserve = m_limits.reserve * m_part * (isFirstWindow ? firstWindowReserve : 1);
     return (m_limits.share * requests + reserve) * usedPart - retries;
 }
 
--- a/src/fescuedeck/gateway/retry_allowance.h
+++ b/src/fescuedeck/gateway/retry_allowance.h
@@ -21,6 +21,19 @@
     duration window = std::chrono::seconds(10);
 };
 
+// What one gateway knows of those that share the reserve with it.
+struct reserve_sharing
+{
+    double ownLoad = 0;  // any unit, the same for all gateways
+    double peerLoad = 0; // of all live peers together
+    int livePeers = 0;
+    int knownGateways = 1; // with this one and those that are away
+};
+
+// Gateways that hear each other share their equal parts by load, as each may have to move all of
+// its streams at once. The parts of those that are away stay unused: they may only be cut off.
+double reservePart(const reserve_sharing &sharing);
+
 class retry_allowance
 {
 public:
@@ -28,8 +41,9 @@
     // reserve may be used in the first window.
     retry_allowance(retry_limits limits, time_point startedAt);
 
-    // Gateways that share the reserve, with this one.
-    void setSharers(int count);
+    // This gateway's part of the reserve, from 0 to 1. Changes take effect over about a window, as
+    // others may have used theirs within it.
+    void approachPart(double part, duration sinceLast);
     void recordRequest(const std::string &service, time_point now);
     // Returns false if no retry is left; the caller then answers with the last failure.
     bool takeRetry(const std::string &service, time_point now);
@@ -49,7 +63,7 @@
 
     const retry_limits m_limits;
     const time_point m_startedAt;
-    int m_sharers;
+    double m_part;
     std::unordered_map<std::string, slices> m_services;
 };
 
--- a/src/fescuedeck/gateway/retry_allowance_test.cpp
+++ b/src/fescuedeck/gateway/retry_allowance_test.cpp
@@ -27,7 +27,7 @@
 TEST_CASE("the reserve is shared by the gateways, and each service has its own", "[gateway]")
 {
     retry_allowance allowance(limits, longAgo);
-    allowance.setSharers(4);
+    allowance.approachPart(0.25, limits.window);
     CHECK(takeAll(allowance, start) == 22); // nine tenths of a quarter
     CHECK(allowance.available("other", start) > 22);
 }
@@ -37,17 +37,37 @@
 TEST_CASE("what was used is whole again one window later", "[gateway]")
 {
     retry_allowance allowance(limits, longAgo);
-    allowance.setSharers(4);
+    allowance.approachPart(0.25, limits.window);
     CHECK(takeAll(allowance, start) == 22);
     CHECK(takeAll(allowance, start + std::chrono::seconds(10)) == 0);
     CHECK(takeAll(allowance, start + std::chrono::milliseconds(11300)) == 22);
 }
 
+// Guards against streams of the busiest gateway that cannot move, while others leave their parts
+// unused, and against parts that add up to more than the reserve when gateways are cut off.
+TEST_CASE("gateways share the reserve by load, and those that are away keep their parts",
+          "[gateway]")
+{
+    CHECK(reservePart({ 30, 70, 3, 4 }) == Approx(0.3));
+    CHECK(reservePart({ 0, 0, 3, 4 }) == Approx(0.25));
+    CHECK(reservePart({ 30, 0, 0, 4 }) == Approx(0.25)); // cut off
+    CHECK(reservePart({ 30, 10, 1, 4 }) + reservePart({ 10, 30, 1, 4 }) == Approx(0.5));
+    CHECK(reservePart({ 30, 70, 3, 0 }) == Approx(0.3)); // the table is not read yet
+}
+
+TEST_CASE("a part that grows takes effect over a window", "[gateway]")
+{
+    retry_allowance allowance({ 0, 100, std::chrono::seconds(10) }, longAgo);
+    allowance.approachPart(0, std::chrono::seconds(10));
+    allowance.approachPart(1, std::chrono::seconds(1));
+    CHECK(allowance.available("s", start) == Approx(9));
+}
+
 // Guards against gateways that end together after a crowd of retries and use the reserve again.
 TEST_CASE("a gateway that has just started uses little of the reserve", "[gateway]")
 {
     retry_allowance allowance(limits, start);
-    allowance.setSharers(4);
+    allowance.approachPart(0.25, limits.window);
     CHECK(takeAll(allowance, start) == 5);
     CHECK(takeAll(allowance, start + std::chrono::seconds(12)) == 22);
 }
@@ -55,7 +75,7 @@
 TEST_CASE("requests of the window add their share", "[gateway]")
 {
     retry_allowance allowance(limits, longAgo);
-    allowance.setSharers(100);
+    allowance.approachPart(0.01, limits.window);
     for (int i = 0; i < 200; ++i)
         allowance.recordRequest("s", start);
     CHECK(takeAll(allowance, start) == 36);
@@ -70,7 +90,7 @@
     constexpr int gateways = 4;
     std::vector<retry_allowance> allowances(gateways, retry_allowance(limits, longAgo));
     for (retry_allowance &allowance : allowances)
-        allowance.setSharers(gateways);
+        allowance.approachPart(1.0 / gateways, limits.window);
     constexpr duration step = std::chrono::milliseconds(50);
     constexpr int steps = 1200;
     std::vector<int> requests(steps);
