Rename src/fescuedeck/platform to clients

The folder holds the routers' clients of the log, the host list and the weight store; the adapter of the users' platform is the folder platform/. platform_call becomes service_call, tests carry the tag [clients]. No change of behaviour.

--- a/src/fescuedeck/platform/host_list_client.h
+++ b/src/fescuedeck/clients/host_list_client.h
@@ -1,7 +1,7 @@
-// Client of the platform's list of live and leaving hosts. The list lags, so that its entries are
+// Client of the list of live and leaving hosts. The list lags, so that its entries are
 // hints: what a host reports about itself is newer.
-#ifndef FESCUEDECK_PLATFORM_HOST_LIST_CLIENT_H
-#define FESCUEDECK_PLATFORM_HOST_LIST_CLIENT_H
+#ifndef FESCUEDECK_CLIENTS_HOST_LIST_CLIENT_H
+#define FESCUEDECK_CLIENTS_HOST_LIST_CLIENT_H
 
 #include <string>
 #include <vector>
--- a/src/fescuedeck/platform/log_appender.cpp
+++ b/src/fescuedeck/clients/log_appender.cpp
@@ -1,4 +1,4 @@
-#include "fescuedeck/platform/log_appender.h"
+#include "fescuedeck/clients/log_appender.h"
 
 #include <algorithm>
 #include <deque>
--- a/src/fescuedeck/platform/log_appender.h
+++ b/src/fescuedeck/clients/log_appender.h
@@ -4,8 +4,8 @@
 // All records that wait for a stream go into one append, and a stream has at most one append in
 // flight. After a lost or slow answer the append is repeated with the same record ids; readers
 // ignore a repeated id.
-#ifndef FESCUEDECK_PLATFORM_LOG_APPENDER_H
-#define FESCUEDECK_PLATFORM_LOG_APPENDER_H
+#ifndef FESCUEDECK_CLIENTS_LOG_APPENDER_H
+#define FESCUEDECK_CLIENTS_LOG_APPENDER_H
 
 #include <cstddef>
 #include <functional>
@@ -19,8 +19,8 @@
 #include "fescuedeck/base/error.h"
 #include "fescuedeck/base/random.h"
 #include "fescuedeck/base/time.h"
+#include "fescuedeck/clients/log_client.h"
 #include "fescuedeck/net/backoff.h"
-#include "fescuedeck/platform/log_client.h"
 
 namespace fescuedeck {
 
--- a/src/fescuedeck/platform/log_appender_test.cpp
+++ b/src/fescuedeck/clients/log_appender_test.cpp
@@ -1,4 +1,4 @@
-#include "fescuedeck/platform/log_appender.h"
+#include "fescuedeck/clients/log_appender.h"
 
 #include <mutex>
 #include <set>
@@ -85,7 +85,7 @@
 
 } // namespace
 
-TEST_CASE("records that wait for a stream go into one append", "[platform]")
+TEST_CASE("records that wait for a stream go into one append", "[clients]")
 {
     std::atomic<bool> mayAnswer{ false };
     std::atomic<int> inFlight{ 0 };
@@ -121,7 +121,7 @@
     CHECK(log.appends().size() < 20);
 }
 
-TEST_CASE("an append with a lost answer is repeated with the same ids", "[platform]")
+TEST_CASE("an append with a lost answer is repeated with the same ids", "[clients]")
 {
     // Guards against a second record for one decision, which a fold could not recognise.
     std::mutex mutex;
@@ -151,7 +151,7 @@
     CHECK(storedIds == id_list{ "only", "only" });
 }
 
-TEST_CASE("a record that misses its deadline is reported truthfully", "[platform]")
+TEST_CASE("a record that misses its deadline is reported truthfully", "[clients]")
 {
     // Guards against "not run" while a claim may still land, and against sending it afterwards.
     const bool mayHaveLanded = GENERATE(false, true);
@@ -172,7 +172,7 @@
     CHECK(log.appends() == std::vector<id_list>{ { "late" }, { "next" } });
 }
 
-TEST_CASE("a deadline during an append reports that the record may land", "[platform]")
+TEST_CASE("a deadline during an append reports that the record may land", "[clients]")
 {
     std::atomic<bool> mayAnswer{ false };
     scripted_log log([&](const id_list &, boost::asio::yield_context yield) {
@@ -187,7 +187,7 @@
     mayAnswer = true;
 }
 
-TEST_CASE("a record that the log refuses does not hold up the others", "[platform]")
+TEST_CASE("a record that the log refuses does not hold up the others", "[clients]")
 {
     std::atomic<int> waiting{ 0 };
     scripted_log log([&](const id_list &ids, boost::asio::yield_context yield) {
--- a/src/fescuedeck/platform/log_client.cpp
+++ b/src/fescuedeck/clients/log_client.cpp
@@ -1,8 +1,8 @@
-#include "fescuedeck/platform/log_client.h"
+#include "fescuedeck/clients/log_client.h"
 
 #include <optional>
 
-#include "fescuedeck/platform/platform_call.h"
+#include "fescuedeck/clients/service_call.h"
 
 namespace fescuedeck {
 namespace {
--- a/src/fescuedeck/platform/log_client.h
+++ b/src/fescuedeck/clients/log_client.h
@@ -1,7 +1,7 @@
-// Client of the platform's append-only log. Use log_appender and log_follower for continuous work
+// Client of the append-only log. Use log_appender and log_follower for continuous work
 // on a stream; this class makes single calls.
-#ifndef FESCUEDECK_PLATFORM_LOG_CLIENT_H
-#define FESCUEDECK_PLATFORM_LOG_CLIENT_H
+#ifndef FESCUEDECK_CLIENTS_LOG_CLIENT_H
+#define FESCUEDECK_CLIENTS_LOG_CLIENT_H
 
 #include <cstdint>
 #include <string>
--- a/src/fescuedeck/platform/log_client_test.cpp
+++ b/src/fescuedeck/clients/log_client_test.cpp
@@ -1,21 +1,21 @@
-#include "fescuedeck/platform/log_client.h"
+#include "fescuedeck/clients/log_client.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "fescuedeck/clients/host_list_client.h"
+#include "fescuedeck/clients/service_call.h"
+#include "fescuedeck/clients/weight_store_client.h"
 #include "fescuedeck/net/http_server.h"
 #include "fescuedeck/net/test_io.h"
-#include "fescuedeck/platform/host_list_client.h"
-#include "fescuedeck/platform/platform_call.h"
-#include "fescuedeck/platform/weight_store_client.h"
 
 namespace fescuedeck {
 namespace {
 
-// A platform that gives one answer to every request and keeps the last request.
-struct one_answer_platform
+// A service that gives one answer to every request and keeps the last request.
+struct one_answer_service
 {
-    explicit one_answer_platform(http_response response)
+    explicit one_answer_service(http_response response)
         : server(io.context(), {},
                  [this, response](http_exchange &exchange) {
                      last = exchange.request();
@@ -25,7 +25,7 @@
     {
         REQUIRE_FALSE(server.listen("127.0.0.1:0"));
     }
-    ~one_answer_platform() { io.stop(); }
+    ~one_answer_service() { io.stop(); }
 
     template <class Function>
     auto run(Function function)
@@ -48,9 +48,9 @@
 
 } // namespace
 
-TEST_CASE("appends and reads have the platform's form", "[platform]")
+TEST_CASE("appends and reads have the form that the log expects", "[clients]")
 {
-    one_answer_platform appending(ok(R"({"offsets":[7,8]})"));
+    one_answer_service appending(ok(R"({"offsets":[7,8]})"));
     log_client writer(appending.client, loopback(appending.server.port()));
     const auto offsets = appending.run([&](auto yield) {
         return writer.append("control", { { "a", R"({"type":"x"})" }, { "b", "[]" } }, limit,
@@ -62,7 +62,7 @@
           == nlohmann::json::parse(
                   R"({"records":[{"id":"a","body":{"type":"x"}},{"id":"b","body":[]}]})"));
 
-    one_answer_platform reading(ok(
+    one_answer_service reading(ok(
             R"({"records":[{"offset":3,"id":"a","time_ms":5,"body":{"b":1}}],"next":4,"first":2})"));
     log_client reader(reading.client, loopback(reading.server.port()));
     const auto page = reading.run([&](auto yield) {
@@ -76,11 +76,11 @@
     CHECK(page.value().records.at(0).body == R"({"b":1})");
 }
 
-TEST_CASE("an append that the log cannot have stored is told apart", "[platform]")
+TEST_CASE("an append that the log cannot have stored is told apart", "[clients]")
 {
     // Guards against "not run" for a claim that is in the log after all.
     const auto tryAppend = [](const http_response &response, const std::string &body = "{}") {
-        one_answer_platform platform(response);
+        one_answer_service platform(response);
         log_client client(platform.client, loopback(platform.server.port()));
         return platform.run([&](auto yield) {
             return client.tryAppend("control", { { "a", body } }, limit, yield);
@@ -95,13 +95,13 @@
     CHECK(malformed.offsets.error().code == errc::InvalidRequest);
 }
 
-TEST_CASE("answers of another form are failures, not exceptions", "[platform]")
+TEST_CASE("answers of another form are failures, not exceptions", "[clients]")
 {
     const std::string answer = GENERATE(
             as<std::string>(), "", "[]", "{}", R"({"records":[1],"next":0,"first":0})",
             R"({"records":[{"offset":1,"id":2,"time_ms":3,"body":4}],"next":0,"first":0})",
             R"({"records":[],"next":"0","first":0})", std::string(100000, '['));
-    one_answer_platform platform(ok(answer));
+    one_answer_service platform(ok(answer));
     log_client client(platform.client, loopback(platform.server.port()));
     const auto page = platform.run(
             [&](auto yield) { return client.read("control", 0, 1, duration(0), limit, yield); });
@@ -110,9 +110,9 @@
     CHECK_FALSE(parseHostList(answer));
 }
 
-TEST_CASE("the host list leaves out entries of unknown kinds", "[platform]")
+TEST_CASE("the host list leaves out entries of unknown kinds", "[clients]")
 {
-    one_answer_platform platform(ok(R"({"hosts":[
+    one_answer_service platform(ok(R"({"hosts":[
         {"host":"h1","address":"127.0.0.1:1","role":"router","state":"leaving","incarnation":"i"},
         {"host":"h2","address":"127.0.0.1:2","role":"cache","state":"live","incarnation":"i"}]})"));
     host_list_client client(platform.client, loopback(platform.server.port()));
@@ -124,9 +124,9 @@
     CHECK_FALSE(parseHostList(R"({"hosts":[{"host":"h1"}]})"));
 }
 
-TEST_CASE("the weight store's rate limit is passed on", "[platform]")
+TEST_CASE("the weight store's rate limit is passed on", "[clients]")
 {
-    one_answer_platform platform({ 429, { { "Retry-After", "3" } }, "" });
+    one_answer_service platform({ 429, { { "Retry-After", "3" } }, "" });
     weight_store_client client(platform.client, loopback(platform.server.port()));
     const auto answer = platform.run([&](auto yield) {
         return client.fetch("a/b", "1", { 0, 4 }, limit, yield);
--- a/src/fescuedeck/platform/log_follower.cpp
+++ b/src/fescuedeck/clients/log_follower.cpp
@@ -1,4 +1,4 @@
-#include "fescuedeck/platform/log_follower.h"
+#include "fescuedeck/clients/log_follower.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/fescuedeck/platform/log_follower.h
+++ b/src/fescuedeck/clients/log_follower.h
@@ -1,7 +1,7 @@
 // Reads one stream of the log for ever, from an offset on. Use one for each stream that a router
 // folds; the hooks apply the records.
-#ifndef FESCUEDECK_PLATFORM_LOG_FOLLOWER_H
-#define FESCUEDECK_PLATFORM_LOG_FOLLOWER_H
+#ifndef FESCUEDECK_CLIENTS_LOG_FOLLOWER_H
+#define FESCUEDECK_CLIENTS_LOG_FOLLOWER_H
 
 #include <cstdint>
 #include <functional>
@@ -14,8 +14,8 @@
 #include "fescuedeck/base/error.h"
 #include "fescuedeck/base/random.h"
 #include "fescuedeck/base/time.h"
+#include "fescuedeck/clients/log_client.h"
 #include "fescuedeck/net/backoff.h"
-#include "fescuedeck/platform/log_client.h"
 
 namespace fescuedeck {
 
--- a/src/fescuedeck/platform/log_follower_test.cpp
+++ b/src/fescuedeck/clients/log_follower_test.cpp
@@ -1,4 +1,4 @@
-#include "fescuedeck/platform/log_follower.h"
+#include "fescuedeck/clients/log_follower.h"
 
 #include <mutex>
 
@@ -94,7 +94,7 @@
 
 } // namespace
 
-TEST_CASE("records are passed on once, in order", "[platform]")
+TEST_CASE("records are passed on once, in order", "[clients]")
 {
     // The second page overlaps the first, as after a repeated read.
     followed_script log({ page({ 2, 3 }, 4), page({ 3, 4 }, 5) });
@@ -103,14 +103,14 @@
     CHECK(log.follower().isCaughtUp());
 }
 
-TEST_CASE("a gap is reported", "[platform]")
+TEST_CASE("a gap is reported", "[clients]")
 {
     // Guards against folding a stream whose start the log no longer keeps as if it were complete.
     followed_script log({ page({ 5 }, 6, 5), page({ 8 }, 9, 5) });
     CHECK(log.eventsFrom(1) == events{ "gap 1-5", "5", "gap 6-8", "8" });
 }
 
-TEST_CASE("an outage is survived without loss", "[platform]")
+TEST_CASE("an outage is survived without loss", "[clients]")
 {
     const failure down = makeFailure(errc::LogUnavailable, "scripted");
     // A page that ends before the position comes from a log that has lost records or lags.
@@ -118,7 +118,7 @@
     CHECK(log.eventsFrom(0) == events{ "0", "down", "up", "1", "down", "up" });
 }
 
-TEST_CASE("the age of the last successful read grows during an outage", "[platform]")
+TEST_CASE("the age of the last successful read grows during an outage", "[clients]")
 {
     test_io io;
     std::atomic<int> reads{ 0 };
--- a/src/fescuedeck/platform/platform_call.cpp
+++ b/src/fescuedeck/clients/service_call.cpp
@@ -1,4 +1,4 @@
-#include "fescuedeck/platform/platform_call.h"
+#include "fescuedeck/clients/service_call.h"
 
 #include "fescuedeck/base/hash.h"
 
--- a/src/fescuedeck/platform/platform_call.h
+++ b/src/fescuedeck/clients/service_call.h
@@ -1,6 +1,6 @@
-// One call to a platform service with a JSON answer. Shared by the clients of this module.
-#ifndef FESCUEDECK_PLATFORM_PLATFORM_CALL_H
-#define FESCUEDECK_PLATFORM_PLATFORM_CALL_H
+// Parts of a call to an outside service with a JSON answer, shared by the clients of this module.
+#ifndef FESCUEDECK_CLIENTS_SERVICE_CALL_H
+#define FESCUEDECK_CLIENTS_SERVICE_CALL_H
 
 #include <string>
 #include <string_view>
--- a/src/fescuedeck/platform/weight_store_client.cpp
+++ b/src/fescuedeck/clients/weight_store_client.cpp
@@ -1,8 +1,8 @@
-#include "fescuedeck/platform/weight_store_client.h"
+#include "fescuedeck/clients/weight_store_client.h"
 
 #include <charconv>
 
-#include "fescuedeck/platform/platform_call.h"
+#include "fescuedeck/clients/service_call.h"
 
 namespace fescuedeck {
 namespace {
--- a/src/fescuedeck/platform/weight_store_client.h
+++ b/src/fescuedeck/clients/weight_store_client.h
@@ -1,6 +1,6 @@
-// Client of the platform's weight store, which limits the rate of its answers.
-#ifndef FESCUEDECK_PLATFORM_WEIGHT_STORE_CLIENT_H
-#define FESCUEDECK_PLATFORM_WEIGHT_STORE_CLIENT_H
+// Client of the weight store, which limits the rate of its answers.
+#ifndef FESCUEDECK_CLIENTS_WEIGHT_STORE_CLIENT_H
+#define FESCUEDECK_CLIENTS_WEIGHT_STORE_CLIENT_H
 
 #include <string>
 
--- a/src/fescuedeck/ctl/network_hooks.cpp
+++ b/src/fescuedeck/ctl/network_hooks.cpp
@@ -5,7 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "fescuedeck/platform/log_client.h"
+#include "fescuedeck/clients/log_client.h"
 
 namespace fescuedeck {
 namespace {
--- a/src/fescuedeck/router/claim_partitions.h
+++ b/src/fescuedeck/router/claim_partitions.h
@@ -10,7 +10,7 @@
 
 #include "fescuedeck/base/guarded.h"
 #include "fescuedeck/claims/claim_table.h"
-#include "fescuedeck/platform/log_client.h"
+#include "fescuedeck/clients/log_client.h"
 #include "fescuedeck/router/router_context.h"
 #include "fescuedeck/router/wait_event.h"
 
--- a/src/fescuedeck/router/control_follower.h
+++ b/src/fescuedeck/router/control_follower.h
@@ -6,8 +6,8 @@
 #include <set>
 #include <string>
 
+#include "fescuedeck/clients/log_client.h"
 #include "fescuedeck/control/checkpoint_scheduler.h"
-#include "fescuedeck/platform/log_client.h"
 #include "fescuedeck/router/draft_admission.h"
 #include "fescuedeck/router/router_context.h"
 
--- a/src/fescuedeck/router/fleet_monitor.h
+++ b/src/fescuedeck/router/fleet_monitor.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "fescuedeck/base/guarded.h"
-#include "fescuedeck/platform/host_list_client.h"
+#include "fescuedeck/clients/host_list_client.h"
 #include "fescuedeck/router/router_context.h"
 
 namespace fescuedeck {
--- a/src/fescuedeck/router/keyed_calls.h
+++ b/src/fescuedeck/router/keyed_calls.h
@@ -13,8 +13,8 @@
 
 #include "fescuedeck/base/guarded.h"
 #include "fescuedeck/claims/idempotent_call.h"
+#include "fescuedeck/clients/log_appender.h"
 #include "fescuedeck/net/http_server.h"
-#include "fescuedeck/platform/log_appender.h"
 #include "fescuedeck/router/claim_partitions.h"
 #include "fescuedeck/router/pause_detector.h"
 #include "fescuedeck/router/router_context.h"
--- a/src/fescuedeck/router/router.cpp
+++ b/src/fescuedeck/router/router.cpp
@@ -10,10 +10,10 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "fescuedeck/clients/log_appender.h"
+#include "fescuedeck/clients/log_client.h"
 #include "fescuedeck/control/control_record.h"
 #include "fescuedeck/net/http_server.h"
-#include "fescuedeck/platform/log_appender.h"
-#include "fescuedeck/platform/log_client.h"
 #include "fescuedeck/router/caller_server.h"
 #include "fescuedeck/router/completions_handler.h"
 #include "fescuedeck/router/control_follower.h"
