--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
+#include "fescuedeck/gateway/event_timing.h"
 #include "fescuedeck/gateway/retry_after.h"
+#include "fescuedeck/gateway/sending_guards.h"
 #include "fescuedeck/router/wait_event.h"
 #include "fescuedeck/telemetry/event_line.h"
 
@@ -15,16 +17,6 @@
 constexpr int extraSendings = 2;
 // A host that is up accepts a connection much sooner.
 constexpr duration connectTimeout = std::chrono::milliseconds(400);
-// A chain that gives no event for this share of the pause that callers bear has most likely lost an
-// engine; the rest of the pause is needed to go on at another chain.
-constexpr double silentShareOfPause = 0.6;
-// The same for the first event, as a share of the objective.
-constexpr double silentShareOfObjective = 0.5;
-// Chains under load are slower: a pause counts only if it is several times the stream's usual one.
-constexpr int silentFactor = 4;
-constexpr int firstEventFactor = 3;
-constexpr duration longestSilence = std::chrono::milliseconds(900);
-constexpr duration shortestSilence = std::chrono::milliseconds(100);
 // How long a request that may have run waits for an endpoint. Callers leave a stream after a gap
 // of about two seconds.
 constexpr duration longestHold = std::chrono::milliseconds(1500);
@@ -49,66 +41,6 @@
     return status >= 200 && status < 300;
 }
 
-// Counts a request as in flight at the endpoints of its destination.
-class in_flight_guard
-{
-public:
-    in_flight_guard(const destination &to, double tokens)
-        : m_stages(to.stages)
-        , m_tokens(tokens)
-    {
-        for (const endpoint_ptr &stage : m_stages) {
-            ++stage->inFlight;
-            stage->tokensInFlight += m_tokens;
-        }
-    }
-    ~in_flight_guard()
-    {
-        for (const endpoint_ptr &stage : m_stages) {
-            --stage->inFlight;
-            stage->tokensInFlight -= m_tokens;
-        }
-    }
-    in_flight_guard(const in_flight_guard &) = delete;
-    in_flight_guard &operator=(const in_flight_guard &) = delete;
-
-private:
-    std::vector<endpoint_ptr> m_stages;
-    double m_tokens;
-};
-
-// Sets one retry of the budget aside while a stream runs, so that streams which fall silent
-// together do not leave their chain for retries that only some of them get.
-class retry_reservation
-{
-public:
-    retry_reservation(gateway_context &context, std::string service)
-        : m_context(context)
-        , m_service(std::move(service))
-    {
-        isHeld();
-    }
-    ~retry_reservation() { m_context.reservedRetries[m_service] -= m_isHeld ? 1 : 0; }
-    retry_reservation(const retry_reservation &) = delete;
-    retry_reservation &operator=(const retry_reservation &) = delete;
-
-    // Tries to set one aside if there was none before.
-    bool isHeld()
-    {
-        if (m_isHeld)
-            return true;
-        int &reserved = m_context.reservedRetries[m_service];
-        m_isHeld = m_context.retries.available(m_service, steadyNow()) >= reserved + 1;
-        reserved += m_isHeld ? 1 : 0;
-        return m_isHeld;
-    }
-
-private:
-    gateway_context &m_context;
-    const std::string m_service;
-    bool m_isHeld = false;
-};
-
 } // namespace
 
 // One sending.
@@ -119,7 +51,7 @@
         : retry(context, service)
         , events(lastEvent)
         , first(std::move(firstEndpoint))
-        , usualFirst(first->usualFirstEvent)
+        , timing(steadyNow(), first->usualFirstEvent)
     {
     }
 
@@ -128,10 +60,7 @@
     event_splitter events;
     const endpoint_ptr first;
     http_response head;
-    time_point lastPart{};
-    const time_point sentAt = steadyNow();
-    duration usualPause{};       // between events, smoothed
-    duration usualFirst{};       // until the first event, of the chain's recent requests
+    event_timing timing;
     bool hasAlternative = false; // another chain could take the request over
     bool isStream = false;       // the head of a stream of events has arrived
     bool isBroken = false;       // the answer cannot be passed on
@@ -286,8 +215,8 @@
     if (m_sendings > 1)
         logRepetition(to);
     attempt current(m_context, m_service, m_lastEvent, to.first);
-    const in_flight_guard inFlight(to, static_cast<double>(m_info.promptTokens)
-                                               + expectedAnswerTokens());
+    const in_flight_guard inFlight(to.stages, static_cast<double>(m_info.promptTokens)
+                                                      + expectedAnswerTokens());
     forwarding options;
     options.endpoint = to.first->entry.id;
     options.workspace = workspace;
@@ -312,8 +241,7 @@
             = m_context.client.send(to.first->entry.address, request, call, m_exchange.yield());
     if (m_hasLeft || m_exchange.callerLeft()) {
         // Callers leave silent streams as well, and what silenced them must still be found.
-        const time_point lastSign = std::max(current.lastPart, current.sentAt);
-        if (!to.chain.empty() && steadyNow() - lastSign >= longestSilence) {
+        if (!to.chain.empty() && steadyNow() - current.timing.lastSign() >= longestSilence) {
             event_line("silent_stream_left", event_level::Warning)
                     .field("request", m_info.id)
                     .field("endpoint", to.first->entry.id)
@@ -339,37 +267,24 @@
                    static_cast<int>(m_context.retries.available(m_service, steadyNow())));
 }
 
+// Without another attempt or another chain there is nothing to gain from giving up early, and
+// without a retry the stream would be broken off.
 duration forwarded_call::silenceLimit(attempt &current) const
 {
-    const bool isFirst = current.lastPart == time_point{};
-    const duration borne = isFirst ? m_route.objective : m_route.pauseObjective;
-    const double share = isFirst ? silentShareOfObjective : silentShareOfPause;
-    duration limit = borne > duration::zero() ? std::chrono::duration_cast<duration>(borne * share)
-                                              : longestSilence;
-    limit = std::max<duration>(limit, current.usualPause * silentFactor);
-    if (isFirst)
-        limit = std::max<duration>(limit, current.usualFirst * firstEventFactor);
-    // Without another attempt or another chain there is nothing to gain from giving up early, and
-    // without a retry left in the budget the stream would be broken off.
     const bool canGoOn
             = m_runs + 1 < m_route.maxAttempts && current.hasAlternative && current.retry.isHeld();
-    if (!canGoOn)
-        limit = longestSilence * silentFactor;
-    return std::clamp<duration>(limit, shortestSilence, longestSilence * silentFactor);
+    return current.timing.limit({ m_route.objective, m_route.pauseObjective }, canGoOn);
 }
 
-void forwarded_call::notePause(attempt &current)
+void forwarded_call::noteEvents(attempt &current)
 {
     constexpr int smoothing = 4;
     const time_point now = steadyNow();
-    if (current.lastPart == time_point{}) {
+    if (!current.timing.hasBegun()) {
         duration &usual = current.first->usualFirstEvent;
-        usual += (now - current.sentAt - usual) / smoothing;
-    } else {
-        const duration pause = now - current.lastPart;
-        current.usualPause += (pause - current.usualPause) / smoothing;
+        usual += (now - current.timing.sentAt() - usual) / smoothing;
     }
-    current.lastPart = now;
+    current.timing.noteEvent(now);
 }
 
 void forwarded_call::onStreamHead(attempt &current, const http_response &head)
@@ -388,7 +303,7 @@
         current.head.body += part; // of a failure, to be passed on whole
         return;
     }
-    notePause(current);
+    noteEvents(current);
     current.events.feed(part);
     const std::string events = current.events.take();
     if (current.events.isBroken()) {
@@ -559,10 +474,10 @@
 void forwarded_call::doubtChain(const destination &to, const attempt &current)
 {
     // A late first event is a weak sign, which load explains as well: the chain gets more time.
-    const bool isWeak = current.lastPart == time_point{};
+    const bool isWeak = !current.timing.hasBegun();
     if (isWeak) {
         duration &usual = to.first->usualFirstEvent;
-        usual = std::max<duration>(usual, steadyNow() - current.sentAt);
+        usual = std::max<duration>(usual, steadyNow() - current.timing.sentAt());
     }
     for (const endpoint_ptr &stage : to.stages) {
         m_failed.insert(stage->entry.id);
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -76,7 +76,7 @@
     void noteCrash(const destination &to);
     void refuseFinally(attempt_end last);
     duration silenceLimit(attempt &current) const;
-    static void notePause(attempt &current);
+    static void noteEvents(attempt &current);
     void doubtChain(const destination &to, const attempt &current);
     void blame(const destination &to, const std::string &faultAddress);
     duration remaining() const { return end - steadyNow(); }
