Read the settings file again on SIGHUP and each five seconds

The platform changes the file with and without a signal; settings were read at the start only. Limits of retries, times and the check of fencing tokens take effect at once; other changes are logged with need_restart, a wrong file with settings_unusable while the settings before stay in force.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "fescuedeck/gateway/gateway_peers.h"
 #include "fescuedeck/gateway/placement_duty.h"
 #include "fescuedeck/gateway/request_forwarder.h"
+#include "fescuedeck/gateway/settings_reload.h"
 #include "fescuedeck/gateway/suspension_watch.h"
 #include "fescuedeck/gateway/table_follower.h"
 #include "fescuedeck/net/http_server.h"
@@ -44,6 +45,8 @@
 constexpr duration shortestLapse = std::chrono::milliseconds(2500);
 constexpr duration sweepInterval = std::chrono::milliseconds(200);
 constexpr duration quarantineTimeout = std::chrono::seconds(2);
+// A change without a signal is not urgent.
+constexpr duration settingsInterval = std::chrono::seconds(5);
 constexpr duration logFlushInterval = std::chrono::milliseconds(250);
 constexpr duration bodyTimeout = std::chrono::seconds(20);
 // After SIGTERM: until the balancer has seen that the gateway is not ready any more.
@@ -65,7 +68,8 @@
 class gateway
 {
 public:
-    gateway(const gateway_settings &settings, const make_wire_fn &makeWire);
+    gateway(const gateway_settings &settings, const make_wire_fn &makeWire,
+            read_settings_fn readSettings);
 
     int run();
 
@@ -79,6 +83,8 @@
     void onSuspension(duration time);
     void expireForever(boost::asio::yield_context yield);
     void takeEntry(const store_record &record);
+    void reloadSettings(const char *trigger);
+    void reloadForever(boost::asio::yield_context yield);
     void waitForSignal(boost::asio::signal_set &signals);
     void shutDown(boost::asio::yield_context yield);
     table_follower_hooks configHooks();
@@ -86,6 +92,9 @@
     table_follower_hooks quarantineHooks();
 
     boost::asio::io_context m_io{ 1 };
+    const read_settings_fn m_readSettings;
+    std::string m_settingsToRestart; // that differ from the file
+    bool m_hasBadSettings = false;   // told once until they can be read again
     http_client m_client;
     gateway_context m_context;
     const std::string m_incarnation;
@@ -101,8 +110,10 @@
     gateway_peers m_peers;
 };
 
-gateway::gateway(const gateway_settings &settings, const make_wire_fn &makeWire)
-    : m_client(m_io, clientLimits())
+gateway::gateway(const gateway_settings &settings, const make_wire_fn &makeWire,
+                 read_settings_fn readSettings)
+    : m_readSettings(std::move(readSettings))
+    , m_client(m_io, clientLimits())
     , m_context(settings, makeWire(m_client), m_io, m_client, systemRandom())
     , m_incarnation(randomHex(incarnationBytes, m_context.random))
     , m_forwarder(m_context)
@@ -306,13 +317,47 @@
            && open(m_operators, "operators", m_context.settings.operatorsAddress);
 }
 
+void gateway::reloadSettings(const char *trigger)
+{
+    const auto fresh = m_readSettings();
+    if (!fresh) {
+        if (!m_hasBadSettings)
+            event_line("settings_unusable", event_level::Error)
+                    .field("trigger", trigger)
+                    .field("detail", fresh.error().message());
+        m_hasBadSettings = true;
+        return;
+    }
+    m_hasBadSettings = false;
+    const settings_change change = applySettings(m_context.settings, fresh.value());
+    const gateway_settings &settings = m_context.settings;
+    m_context.retries.setLimits(
+            { settings.retryShare, settings.retryReserve, settings.retryWindow });
+    if (change.applied.empty() && change.needRestart == m_settingsToRestart)
+        return;
+    m_settingsToRestart = change.needRestart;
+    event_line("settings_reloaded")
+            .field("trigger", trigger)
+            .field("applied", change.applied)
+            .field("need_restart", change.needRestart);
+}
+
+// The file may change without a signal.
+void gateway::reloadForever(boost::asio::yield_context yield)
+{
+    while (true) {
+        sleepFor(settingsInterval, yield);
+        reloadSettings("interval");
+    }
+}
+
 void gateway::waitForSignal(boost::asio::signal_set &signals)
 {
     signals.async_wait([this, &signals](const boost::system::error_code &error, int number) {
         if (error)
             return;
         if (number == SIGHUP) {
-            event_line("settings_signal").field("outcome", "unchanged");
+            reloadSettings("signal");
             waitForSignal(signals);
             return;
         }
@@ -353,6 +398,7 @@
     });
     watchForSuspension(m_io, [this](duration time) { onSuspension(time); });
     boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { expireForever(yield); });
+    boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { reloadForever(yield); });
     m_config.start();
     m_endpoints.start();
     m_quarantine.start();
@@ -364,11 +410,12 @@
 
 } // namespace
 
-int runGateway(const gateway_settings &settings, const make_wire_fn &makeWire)
+int runGateway(const gateway_settings &settings, const make_wire_fn &makeWire,
+               const read_settings_fn &readSettings)
 {
     // Not destroyed: coroutines that the end cuts refer to parts that would be destroyed before the
     // io_context unwinds them. The process ends here.
-    return (new gateway(settings, makeWire))->run();
+    return (new gateway(settings, makeWire, readSettings))->run();
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -36,7 +36,7 @@
                     boost::asio::io_context &ioContext, http_client &httpClient,
                     random_fn randomFn);
 
-    const gateway_settings settings;
+    gateway_settings settings; // some change when the settings file does
     const gateway_wire wire;
     boost::asio::io_context &io;
     http_client &client;
--- a/src/fescuedeck/gateway/placement_duty.cpp
+++ b/src/fescuedeck/gateway/placement_duty.cpp
@@ -12,7 +12,6 @@
     : m_context(context)
     , m_member(std::move(member))
     , m_settings(settings)
-    , m_isFencingChecked(context.settings.enginesCheckFencing)
 {
 }
 
@@ -28,7 +27,8 @@
 {
     // While the store does not answer at all, engines that check the fencing token refuse this
     // holder as soon as they have heard of another one.
-    const bool isExtended = m_isStoreSilent && m_isFencingChecked && now < m_extendedUntil;
+    const bool isExtended
+            = m_isStoreSilent && m_context.settings.enginesCheckFencing && now < m_extendedUntil;
     return isExtended || now + m_settings.sendMargin < m_holdsUntil;
 }
 
--- a/src/fescuedeck/gateway/placement_duty.h
+++ b/src/fescuedeck/gateway/placement_duty.h
@@ -57,7 +57,6 @@
     const std::string m_member;
     const placement_duty_settings m_settings;
     std::map<std::string, placement_controller> m_controllers; // by service
-    const bool m_isFencingChecked;
     time_point m_holdsUntil{};
     time_point m_extendedUntil{};
     bool m_isStoreSilent = false; // the last renewal got no answer
--- a/src/fescuedeck/gateway/retry_allowance.h
+++ b/src/fescuedeck/gateway/retry_allowance.h
@@ -44,6 +44,7 @@
     // This gateway's part of the reserve, from 0 to 1. Changes take effect over about a window, as
     // others may have used theirs within it.
     void approachPart(double part, duration sinceLast);
+    void setLimits(retry_limits limits) { m_limits = limits; }
     void recordRequest(const std::string &service, time_point now);
     // Returns false if no retry is left; the caller then answers with the last failure.
     bool takeRetry(const std::string &service, time_point now);
@@ -61,7 +62,7 @@
 
     slice &currentSlice(const std::string &service, time_point now);
 
-    const retry_limits m_limits;
+    retry_limits m_limits;
     const time_point m_startedAt;
     double m_part;
     std::unordered_map<std::string, slices> m_services;
