--- a/src/fescuedeck/gateway/placement_duty.cpp
+++ b/src/fescuedeck/gateway/placement_duty.cpp
@@ -142,8 +142,9 @@
         return controller.clear();
     call_options options;
     options.timeout = m_settings.orderTimeout;
+    const std::int64_t fencingToken = m_fencingToken; // a renewal can change it meanwhile
     const call_result result = m_context.client.send(
-            order.address, m_context.wire.encodeOrder(order, m_fencingToken), options, yield);
+            order.address, m_context.wire.encodeOrder(order, fencingToken), options, yield);
     order_outcome outcome
             = result.mayHaveBeenSent ? order_outcome::Unknown : order_outcome::NotSent;
     if (result.response)
@@ -153,7 +154,7 @@
             .field("layers", toString(order.range))
             .field("closes_gap", order.closesGap)
             .field("expected_orders", order.expectedOrders)
-            .field("fencing_token", m_fencingToken)
+            .field("fencing_token", fencingToken)
             .field("outcome", nameOf(orderOutcomeNames, outcome));
     if (outcome == order_outcome::Fenced)
         giveUp();
