--- a/src/fescuedeck/ctl/request_history.cpp
+++ b/src/fescuedeck/ctl/request_history.cpp
@@ -81,6 +81,10 @@
         if (event->name == "sending_refused")
             return "; endpoint " + endpoint
                    + " refused, at fault: " + textOf(event->fields, "at_fault");
+        if (event->name == "silent_stream_left")
+            return "; " + endpoint + " had fallen silent; another chain: "
+                   + textOf(event->fields, "has_alternative")
+                   + ", retry left: " + textOf(event->fields, "has_retry");
         if (event->name == "answer_unusable")
             return "; the answer of " + endpoint + " was not usable";
     }
--- a/src/fescuedeck/ctl/request_history_test.cpp
+++ b/src/fescuedeck/ctl/request_history_test.cpp
@@ -20,6 +20,8 @@
 {"time_ms":29000,"event":"sending_failed","request":"dd","endpoint":"e3","sending":1,"may_have_run":true,"begun":false,"cause":"connection_closed"}
 {"time_ms":29001,"event":"request_refused","request":"dd","reason":"failed","gave_up":"no_attempt","service":"desk","excluded":1,"retry_after_ms":900}
 {"time_ms":29002,"event":"request_ended","request":"dd","outcome":"failed","status":502,"took_ms":4}
+{"time_ms":29100,"event":"silent_stream_left","request":"ff","endpoint":"e4","has_alternative":true,"has_retry":false}
+{"time_ms":29101,"event":"request_ended","request":"ff","outcome":"caller_left","last_event":9,"silent_ms":2002,"took_ms":4000}
 {"time_ms":29500,"event":"sent_again","request":"ee","endpoint":"e1\u001b[2J","sending":2}
 {"time_ms":"soon","event":"request_ended","request":"ee"}
 {"time_ms":)";
@@ -40,7 +42,7 @@
     CHECK(first.size() == 6);
     CHECK(first[0].gateway == "front-a");
     const auto second = parseLog(secondLog, "gateway-2.log");
-    CHECK(second.size() == 5);
+    CHECK(second.size() == 7);
     CHECK(second[0].gateway == "gateway-2.log");
 }
 
@@ -65,6 +67,9 @@
     CHECK_THAT(unknown, Catch::Contains("may have run"));
     CHECK_THAT(unknown, Catch::Contains("sending 1 to e3 failed: connection_closed"));
     CHECK(historyOf("bb", bothLogs()).cause == "answered with status 200");
+    CHECK(historyOf("ff", bothLogs()).cause
+          == "the caller left after 4000 ms, 2002 ms after event 9; e4 had fallen silent; another "
+             "chain: true, retry left: false");
     CHECK(historyOf("zz", bothLogs()).own.empty());
 }
 
