Latency histograms and gauges of the gateway's state on the metrics address

Histograms with fixed buckets add up between processes, which the summaries do not: time of requests, to the first event, and the longest pause of a stream.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -256,6 +256,8 @@
 
 void forwarded_call::logRepetition(const destination &to) const
 {
+    m_context.counters.counterOf("fescuedeck_repeated_sendings_total", { { "service", m_service } })
+            .add();
     event_line("sent_again")
             .field("request", m_info.id)
             .field("endpoint", to.first->entry.id)
@@ -280,6 +282,10 @@
 {
     constexpr int smoothing = 4;
     const time_point now = steadyNow();
+    if (m_lastPassed == time_point{})
+        m_context.counters.histogramOf("fescuedeck_first_event_seconds").observe(now - arrivedAt);
+    else
+        m_longestPause = std::max<duration>(m_longestPause, now - m_lastPassed);
     if (!current.timing.hasBegun()) {
         duration &usual = current.first->usualFirstEvent;
         usual += (now - current.timing.sentAt() - usual) / smoothing;
@@ -512,6 +518,10 @@
             .field("service", m_service)
             .field("excluded", static_cast<int>(m_failed.size()))
             .field("retry_after_ms", retryAfter);
+    m_context.counters
+            .counterOf("fescuedeck_refused_requests_total",
+                       { { "reason", std::string(nameOf(refusalReasonNames, reason)) } })
+            .add();
     const http_response refusal = m_context.wire.refuse(reason, retryAfter);
     m_status = refusal.status;
     m_exchange.respond(refusal);
@@ -536,11 +546,14 @@
             .field("last_event", m_lastEvent.value_or(0))
             .field("silent_ms", duration(now - lastSign))
             .field("took_ms", duration(now - arrivedAt));
-    m_context.counters
-            .counterOf("fescuedeck_requests_total",
-                       { { "kind", std::string(nameOf(callKindNames, m_route.kind)) },
-                         { "outcome", outcome } })
+    const std::string kind(nameOf(callKindNames, m_route.kind));
+    metrics &counters = m_context.counters;
+    counters.counterOf("fescuedeck_requests_total", { { "kind", kind }, { "outcome", outcome } })
             .add();
+    counters.histogramOf("fescuedeck_request_seconds", { { "kind", kind } })
+            .observe(now - arrivedAt);
+    if (m_streamBegun)
+        counters.histogramOf("fescuedeck_longest_pause_seconds").observe(m_longestPause);
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -76,7 +76,7 @@
     void noteCrash(const destination &to);
     void refuseFinally(attempt_end last);
     duration silenceLimit(attempt &current) const;
-    static void noteEvents(attempt &current);
+    void noteEvents(attempt &current);
     void doubtChain(const destination &to, const attempt &current);
     void blame(const destination &to, const std::string &faultAddress);
     duration remaining() const { return end - steadyNow(); }
@@ -95,6 +95,7 @@
     int m_sendings = 0;
     std::string m_lastEndpoint; // of the last sending
     time_point m_lastPassed{};  // when the caller last got events
+    duration m_longestPause{};  // between two events that the caller got
     int m_status = 0;           // that the caller got; 0 if none
     give_up_reason m_gaveUp = give_up_reason::NoEndpoint;
     bool m_wasBusy = false;     // an endpoint was full
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -77,6 +77,7 @@
     bool listen();
     bool isReady() const;
     http_response operatorsAnswer(const http_request &request) const;
+    void registerGauges();
     void takeConfig(const store_record &record);
     void useConfig(const std::string &value, const char *source);
     void publishQuarantine(const std::string &fingerprint);
@@ -144,6 +145,7 @@
     m_context.onEngineLost = [this] { m_peers.announceChange(); };
     m_context.onQuarantine
             = [this](const std::string &fingerprint) { publishQuarantine(fingerprint); };
+    registerGauges();
     const auto log = [this](const std::string &what) {
         m_context.counters.counterOf("fescuedeck_handler_exceptions_total").add();
         event_line("handler_failed", event_level::Error).field("detail", what);
@@ -151,6 +153,30 @@
     m_callers.onHandlerException(log);
 }
 
+void gateway::registerGauges()
+{
+    metrics &counters = m_context.counters;
+    const auto ageOf = [](const table_follower &table) {
+        return std::chrono::duration<double>(steadyNow() - table.lastRead()).count();
+    };
+    counters.setGauge("fescuedeck_ready", {}, [this] { return isReady() ? 1.0 : 0.0; });
+    counters.setGauge("fescuedeck_config_version", {}, [this] {
+        return m_context.config ? static_cast<double>(m_context.config->config().version) : 0.0;
+    });
+    counters.setGauge("fescuedeck_table_age_seconds", { { "table", "configuration" } },
+                      [this, ageOf] { return ageOf(m_config); });
+    counters.setGauge("fescuedeck_table_age_seconds", { { "table", "endpoints" } },
+                      [this, ageOf] { return ageOf(m_endpoints); });
+    counters.setGauge("fescuedeck_endpoints", {},
+                      [this] { return static_cast<double>(m_context.endpoints.size()); });
+    counters.setGauge("fescuedeck_live_peers", {},
+                      [this] { return static_cast<double>(m_peers.livePeers(steadyNow())); });
+    counters.setGauge("fescuedeck_placement_duty", {},
+                      [this] { return m_duty.isHolder(steadyNow()) ? 1.0 : 0.0; });
+    counters.setGauge("fescuedeck_open_requests", {},
+                      [this] { return static_cast<double>(m_callers.openExchanges()); });
+}
+
 table_follower_hooks gateway::configHooks()
 {
     table_follower_hooks hooks;
--- a/src/fescuedeck/gateway/placement_duty.cpp
+++ b/src/fescuedeck/gateway/placement_duty.cpp
@@ -156,6 +156,10 @@
             .field("expected_orders", order.expectedOrders)
             .field("fencing_token", fencingToken)
             .field("outcome", nameOf(orderOutcomeNames, outcome));
+    m_context.counters
+            .counterOf("fescuedeck_orders_total",
+                       { { "outcome", std::string(nameOf(orderOutcomeNames, outcome)) } })
+            .add();
     if (outcome == order_outcome::Fenced)
         giveUp();
     // An engine that does not answer at all must not keep its layers from being loaded elsewhere.
--- a/src/fescuedeck/telemetry/metrics.cpp
+++ b/src/fescuedeck/telemetry/metrics.cpp
@@ -68,6 +68,22 @@
     std::string m_last;
 };
 
+void writeHistogram(std::ostringstream &out, const std::string &name, const std::string &labels,
+                    const histogram &value)
+{
+    constexpr double millisPerSecond = 1000;
+    const std::string separator = labels.empty() ? "" : ",";
+    for (std::size_t index = 0; index < histogramBoundsMs.size(); ++index) {
+        out << name << "_bucket{" << labels << separator << "le=\""
+            << histogramBoundsMs[index] / millisPerSecond << "\"} " << value.countUpTo(index)
+            << '\n';
+    }
+    const std::uint64_t count = value.countUpTo(histogramBoundsMs.size());
+    out << name << "_bucket{" << labels << separator << "le=\"+Inf\"} " << count << '\n';
+    out << withLabels(name + "_sum", labels) << ' ' << value.sumSeconds() << '\n';
+    out << withLabels(name + "_count", labels) << ' ' << count << '\n';
+}
+
 } // namespace
 
 struct summary::accumulators
@@ -110,6 +126,31 @@
     return acc::quantile(m_accumulators->values, acc::quantile_probability = probability);
 }
 
+void histogram::observe(duration value)
+{
+    std::size_t index = 0;
+    while (index < histogramBoundsMs.size()
+           && value > std::chrono::milliseconds(histogramBoundsMs[index]))
+        ++index;
+    m_buckets[index].fetch_add(1, std::memory_order_relaxed);
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+    m_sumMicros.fetch_add(micros, std::memory_order_relaxed);
+}
+
+std::uint64_t histogram::countUpTo(std::size_t bound) const
+{
+    std::uint64_t count = 0;
+    for (std::size_t index = 0; index <= bound && index < m_buckets.size(); ++index)
+        count += m_buckets[index].load(std::memory_order_relaxed);
+    return count;
+}
+
+double histogram::sumSeconds() const
+{
+    constexpr double microsPerSecond = 1e6;
+    return static_cast<double>(m_sumMicros.load(std::memory_order_relaxed)) / microsPerSecond;
+}
+
 counter &metrics::counterOf(const std::string &name, const metric_labels &labels)
 {
     const std::lock_guard lock(m_mutex);
@@ -128,6 +169,15 @@
     return *entry;
 }
 
+histogram &metrics::histogramOf(const std::string &name, const metric_labels &labels)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &entry = m_histograms[{ name, rendered(labels) }];
+    if (!entry)
+        entry = std::make_unique<histogram>();
+    return *entry;
+}
+
 void metrics::setGauge(const std::string &name, const metric_labels &labels,
                        std::function<double()> read)
 {
@@ -141,6 +191,7 @@
     // takes locks of its own.
     std::vector<std::pair<series_key, const counter *>> counters;
     std::vector<std::pair<series_key, const summary *>> summaries;
+    std::vector<std::pair<series_key, const histogram *>> histograms;
     std::map<series_key, std::function<double()>> gauges;
     {
         const std::lock_guard lock(m_mutex);
@@ -148,6 +199,8 @@
             counters.emplace_back(key, value.get());
         for (const auto &[key, value] : m_summaries)
             summaries.emplace_back(key, value.get());
+        for (const auto &[key, value] : m_histograms)
+            histograms.emplace_back(key, value.get());
         gauges = m_gauges;
     }
     std::ostringstream out;
@@ -170,6 +223,10 @@
         out << withLabels(key.first + "_sum", key.second) << ' ' << value->sumSeconds() << '\n';
         out << withLabels(key.first + "_count", key.second) << ' ' << value->count() << '\n';
     }
+    for (const auto &[key, value] : histograms) {
+        types.write(key.first, "histogram");
+        writeHistogram(out, key.first, key.second, *value);
+    }
     return out.str();
 }
 
--- a/src/fescuedeck/telemetry/metrics.h
+++ b/src/fescuedeck/telemetry/metrics.h
@@ -6,7 +6,9 @@
 #ifndef FESCUEDECK_TELEMETRY_METRICS_H
 #define FESCUEDECK_TELEMETRY_METRICS_H
 
+#include <array>
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -55,12 +57,31 @@
     std::unique_ptr<accumulators> m_accumulators;
 };
 
+// Upper bounds of the buckets of every histogram, in milliseconds; one more bucket takes the rest.
+constexpr std::array<int, 12> histogramBoundsMs
+        = { 5, 10, 25, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 20000 };
+
+// Counts of a time by buckets, which add up between processes. Thread-safe.
+class histogram
+{
+public:
+    void observe(duration value);
+    // Not more than the bound with the given index; with the index past the last one, all.
+    std::uint64_t countUpTo(std::size_t bound) const;
+    double sumSeconds() const;
+
+private:
+    std::array<std::atomic<std::uint64_t>, histogramBoundsMs.size() + 1> m_buckets{};
+    std::atomic<std::int64_t> m_sumMicros{ 0 };
+};
+
 // Thread-safe.
 class metrics
 {
 public:
     counter &counterOf(const std::string &name, const metric_labels &labels = {});
     summary &summaryOf(const std::string &name, const metric_labels &labels = {});
+    histogram &histogramOf(const std::string &name, const metric_labels &labels = {});
     // read is called at each export, without any lock held.
     void setGauge(const std::string &name, const metric_labels &labels,
                   std::function<double()> read);
@@ -73,6 +94,7 @@
     mutable ranked_mutex m_mutex{ lock_rank::Telemetry };
     std::map<series_key, std::unique_ptr<counter>> m_counters;
     std::map<series_key, std::unique_ptr<summary>> m_summaries;
+    std::map<series_key, std::unique_ptr<histogram>> m_histograms;
     std::map<series_key, std::function<double()>> m_gauges;
 };
 
