--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -282,10 +282,6 @@
 {
     constexpr int smoothing = 4;
     const time_point now = steadyNow();
-    if (m_lastPassed == time_point{})
-        m_context.counters.histogramOf("fescuedeck_first_event_seconds").observe(now - arrivedAt);
-    else
-        m_longestPause = std::max<duration>(m_longestPause, now - m_lastPassed);
     if (!current.timing.hasBegun()) {
         duration &usual = current.first->usualFirstEvent;
         usual += (now - current.timing.sentAt() - usual) / smoothing;
@@ -293,6 +289,15 @@
     current.timing.noteEvent(now);
 }
 
+void forwarded_call::notePassed(time_point now)
+{
+    if (m_lastPassed == time_point{})
+        m_context.counters.histogramOf("fescuedeck_first_event_seconds").observe(now - arrivedAt);
+    else
+        m_longestPause = std::max<duration>(m_longestPause, now - m_lastPassed);
+    m_lastPassed = now;
+}
+
 void forwarded_call::onStreamHead(attempt &current, const http_response &head)
 {
     const answer_info answer = m_context.wire.readAnswer(head);
@@ -324,7 +329,7 @@
         m_exchange.startStream(m_context.wire.passAnswer(current.head));
     }
     m_lastEvent = current.events.lastId();
-    m_lastPassed = steadyNow();
+    notePassed(steadyNow());
     if (!m_exchange.writeChunk(events)) {
         m_hasLeft = true;
         current.cancellation.cancel();
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -76,7 +76,8 @@
     void noteCrash(const destination &to);
     void refuseFinally(attempt_end last);
     duration silenceLimit(attempt &current) const;
-    void noteEvents(attempt &current);
+    static void noteEvents(attempt &current);
+    void notePassed(time_point now);
     void doubtChain(const destination &to, const attempt &current);
     void blame(const destination &to, const std::string &faultAddress);
     duration remaining() const { return end - steadyNow(); }
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <string>
 
 #include <boost/asio/signal_set.hpp>
@@ -157,6 +158,8 @@
 {
     metrics &counters = m_context.counters;
     const auto ageOf = [](const table_follower &table) {
+        if (table.lastRead() == time_point{})
+            return std::numeric_limits<double>::infinity();
         return std::chrono::duration<double>(steadyNow() - table.lastRead()).count();
     };
     counters.setGauge("fescuedeck_ready", {}, [this] { return isReady() ? 1.0 : 0.0; });
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -23,6 +23,8 @@
 
 void waitForConfig(const gateway_context &context, http_exchange &exchange, time_point arrivedAt)
 {
+    if (context.config)
+        return;
     const duration callerLimit
             = context.wire.readCall(exchange.request()).timeLimit.value_or(longestWait);
     const time_point limit
