--- a/tests/process/stream_group.cpp
+++ b/tests/process/stream_group.cpp
@@ -108,6 +108,8 @@
         REQUIRE(each.stream.waitForEnd());
         const auto events = each.stream.events();
         REQUIRE(!events.empty());
+        INFO("last events: " << (events.size() > 1 ? events[events.size() - 2] : "") << " "
+                             << events.back());
         CHECK(each.stream.text() == m_fleet.expectedText(each.prompt, standins::maxDraftTokens));
         CHECK(each.stream.outcome() == "ran");
         CHECK(events.back() == "[DONE]");
