Wait for refused leaves instead of sleeping in the test of a stopping holder

The test slept for twice the term, which says nothing on a machine that does not run the duty meanwhile; it now waits for as many refused leaves as outlast the term. With the mechanism off (a stopping gateway is no holder) it fails at the check after them.

--- a/src/fescuedeck/gateway/placement_duty_test.cpp
+++ b/src/fescuedeck/gateway/placement_duty_test.cpp
@@ -2,7 +2,6 @@
 #include "fescuedeck/gateway/placement_duty.h"
 
 #include <atomic>
-#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -17,7 +16,7 @@
 const std::string deadAddress = "127.0.0.1:1";
 
 // A store that gives the duty to whoever asks while it is up, and engines whose answers are empty.
-gateway_wire testWire(const std::atomic<bool> &isStoreDown)
+gateway_wire testWire(const std::atomic<bool> &isStoreDown, std::atomic<int> &refusedLeaves)
 {
     gateway_wire wire;
     wire.store.joinDuty = [&](const std::string &, duration, duration,
@@ -28,8 +27,10 @@
     };
     wire.store.leaveDuty = [&](const std::string &, duration,
                                boost::asio::yield_context) -> std::optional<failure> {
-        if (isStoreDown)
+        if (isStoreDown) {
+            ++refusedLeaves;
             return makeFailure(errc::LogUnavailable, "down");
+        }
         return std::nullopt;
     };
     wire.encodeOrder = [](const placement_order &order, std::int64_t) {
@@ -79,7 +80,8 @@
 public:
     duty_fixture()
         : m_client(io.context())
-        , context(testSettings(), testWire(isStoreDown), io.context(), m_client, seededRandom(1))
+        , context(testSettings(), testWire(isStoreDown, refusedLeaves), io.context(), m_client,
+                  seededRandom(1))
         , m_inspector(context)
         , m_duty(context, "one", shortTerm())
         , m_engine(io.context(), {}, [this](http_exchange &exchange) {
@@ -116,6 +118,7 @@
 
     test_io io{ 1 };
     std::atomic<bool> isStoreDown{ false };
+    std::atomic<int> refusedLeaves{ 0 };
     std::atomic<int> orders{ 0 }; // that the live engine got
 
 private:
@@ -154,7 +157,9 @@
     REQUIRE(eventually([&] { return fixture.isHolder(); }));
     fixture.isStoreDown = true;
     boost::asio::post(fixture.io.context(), [&] { fixture.context.isStopping = true; });
-    std::this_thread::sleep_for(shortTerm().term * 2);
+    // So many refused leaves, with the interval between them, outlast the term.
+    const int enough = static_cast<int>(2 * shortTerm().term / shortTerm().renewInterval);
+    REQUIRE(eventually([&] { return fixture.refusedLeaves >= enough; }));
     CHECK(fixture.isHolder());
     boost::asio::post(fixture.io.context(), [&] {
         fixture.add("b-live", fixture.liveAddress(), layer_range{ 4, 8 });
