Close a gap with less cache room, and load only the gap first

A gap of 9 layers was closed by a load of 16. Change: a group that cannot hold all layers beside 96 requests is planned with room for 80, 64, 48 and 32, and engines next to a gap extend their range. A live group loads the gap alone; the engine extends its range afterwards.

--- a/src/fescuedeck/gateway/layer_placement.cpp
+++ b/src/fescuedeck/gateway/layer_placement.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double bytesPerMb = 1e6;
+// Step in which the number of requests is lowered for a group that cannot hold all layers.
+constexpr int requestsStep = 16;
 
 struct planned_engine
 {
@@ -26,12 +28,20 @@
         , m_engines(std::move(engines))
         , m_holders(static_cast<std::size_t>(layers))
     {
-        for (const planned_engine &engine : m_engines)
+        for (const planned_engine &engine : m_engines) {
             count(engine.range, 1);
+            m_hasHolders = m_hasHolders || engine.range;
+        }
     }
 
-    void closeGaps(std::vector<placement_decision> &decisions);
-    void useEmptyEngines(std::vector<placement_decision> &decisions);
+    // Assigns engines to the layers that no engine holds. Returns whether every layer is held then.
+    bool closeGaps();
+    // Like closeGaps(), and engines whose range is next to a gap may extend it.
+    bool closeGapsByExtension();
+    void useEmptyEngines();
+    // Extends the ranges of engines that have memory left.
+    void extendRanges();
+    const std::vector<placement_decision> &decisions() const { return m_decisions; }
 
 private:
     int &holders(int layer) { return m_holders[static_cast<std::size_t>(layer)]; }
@@ -41,15 +51,18 @@
     std::optional<layer_range> firstGap(int from) const;
     bool isMovable(const planned_engine &engine) const;
     planned_engine *bestEngineFor(const layer_range &gap);
+    planned_engine *bestNeighbourOf(const layer_range &gap);
+    int sizeToLoad(const planned_engine &engine, const layer_range &gap) const;
     layer_range windowAround(const layer_range &gap, int capacity) const;
     double redundancyGain(const layer_range &window) const;
     layer_range mostUsefulWindow(int capacity) const;
-    void assign(planned_engine &engine, const layer_range &range, bool closesGap,
-                std::vector<placement_decision> &decisions);
+    void assign(planned_engine &engine, const layer_range &range, bool closesGap);
 
-    const int m_layers;
+    int m_layers;
     std::vector<planned_engine> m_engines;
     std::vector<int> m_holders; // by layer
+    bool m_hasHolders = false;  // some engine of the group holds layers
+    std::vector<placement_decision> m_decisions;
 };
 
 void group_plan::count(const std::optional<layer_range> &range, int change)
@@ -172,29 +185,83 @@
     return best;
 }
 
-void group_plan::assign(planned_engine &engine, const layer_range &range, bool closesGap,
-                        std::vector<placement_decision> &decisions)
+void group_plan::assign(planned_engine &engine, const layer_range &range, bool closesGap)
 {
     count(engine.range, -1);
     engine.range = range;
     engine.isAssigned = true;
     count(engine.range, 1);
-    decisions.push_back({ engine.engine->id, range, closesGap });
+    m_decisions.push_back({ engine.engine->id, range, closesGap });
 }
 
-void group_plan::closeGaps(std::vector<placement_decision> &decisions)
+// Requests wait for the gaps of a group that has served before, so only the gap is loaded there.
+int group_plan::sizeToLoad(const planned_engine &engine, const layer_range &gap) const
 {
-    std::optional<layer_range> gap = firstGap(0);
-    while (gap) {
+    return m_hasHolders ? std::min(engine.capacity, gap.size()) : engine.capacity;
+}
+
+bool group_plan::closeGaps()
+{
+    for (std::optional<layer_range> gap = firstGap(0); gap; gap = firstGap(0)) {
         planned_engine *engine = bestEngineFor(*gap);
         if (engine == nullptr)
-            return;
-        assign(*engine, windowAround(*gap, engine->capacity), true, decisions);
-        gap = firstGap(0);
+            return false;
+        assign(*engine, windowAround(*gap, sizeToLoad(*engine, *gap)), true);
+    }
+    return true;
+}
+
+// Returns the engine next to the gap that can extend its range furthest into it; null if there is
+// none.
+planned_engine *group_plan::bestNeighbourOf(const layer_range &gap)
+{
+    planned_engine *best = nullptr;
+    const auto spare
+            = [](const planned_engine &engine) { return engine.capacity - engine.range->size(); };
+    for (planned_engine &engine : m_engines) {
+        const bool isFree = engine.range && !engine.isAssigned && !engine.engine->isBusy;
+        if (!isFree || (engine.range->end != gap.begin && engine.range->begin != gap.end))
+            continue;
+        if (spare(engine) > 0 && (best == nullptr || spare(engine) > spare(*best)))
+            best = &engine;
     }
+    return best;
 }
 
-void group_plan::useEmptyEngines(std::vector<placement_decision> &decisions)
+bool group_plan::closeGapsByExtension()
+{
+    for (std::optional<layer_range> gap = firstGap(0); gap; gap = firstGap(0)) {
+        if (planned_engine *neighbour = bestNeighbourOf(*gap)) {
+            const layer_range &held = *neighbour->range;
+            const int added = std::min(neighbour->capacity - held.size(), gap->size());
+            const bool isBelow = held.end == gap->begin;
+            assign(*neighbour,
+                   isBelow ? layer_range{ held.begin, held.end + added }
+                           : layer_range{ held.begin - added, held.end },
+                   true);
+            continue;
+        }
+        planned_engine *engine = bestEngineFor(*gap);
+        if (engine == nullptr)
+            return false;
+        assign(*engine, windowAround(*gap, sizeToLoad(*engine, *gap)), true);
+    }
+    return true;
+}
+
+void group_plan::extendRanges()
+{
+    for (planned_engine &engine : m_engines) {
+        const bool isFree = engine.range && !engine.isAssigned && !engine.engine->isBusy;
+        if (!isFree || engine.capacity <= engine.range->size())
+            continue;
+        const layer_range extended = windowAround(*engine.range, engine.capacity);
+        if (extended != *engine.range)
+            assign(engine, extended, false);
+    }
+}
+
+void group_plan::useEmptyEngines()
 {
     std::vector<planned_engine *> empty;
     for (planned_engine &engine : m_engines) {
@@ -207,20 +274,19 @@
         return a->engine->id < b->engine->id;
     });
     for (planned_engine *engine : empty)
-        assign(*engine, mostUsefulWindow(engine->capacity), false, decisions);
+        assign(*engine, mostUsefulWindow(engine->capacity), false);
 }
 
-int capacityOf(const engine_spec &spec, const placement_engine &engine,
-               const placement_policy &policy)
+int capacityOf(const engine_spec &spec, const placement_engine &engine, int concurrentRequests)
 {
     const accelerator_kind *kind = spec.findKind(engine.accelerator);
-    return kind == nullptr ? 0 : layerCapacity(spec, *kind, policy);
+    return kind == nullptr ? 0 : layerCapacity(spec, *kind, concurrentRequests);
 }
 
 std::vector<planned_engine> enginesOfGroup(const engine_spec &spec,
                                            const std::vector<placement_engine> &engines,
                                            const std::map<std::string, std::string> &groups,
-                                           const std::string &group, const placement_policy &policy)
+                                           const std::string &group, int concurrentRequests)
 {
     std::vector<planned_engine> members;
     for (const placement_engine &engine : engines) {
@@ -228,7 +294,7 @@
             continue;
         planned_engine member;
         member.engine = &engine;
-        member.capacity = capacityOf(spec, engine, policy);
+        member.capacity = capacityOf(spec, engine, concurrentRequests);
         member.range = engine.range;
         if (const accelerator_kind *kind = spec.findKind(engine.accelerator))
             member.stepFactor = kind->stepFactor;
@@ -237,15 +303,43 @@
     return members;
 }
 
+// Plans one group with room for as many requests as allow it to hold all layers. If it cannot hold
+// them at all, it holds as many as fit beside the preferred number of requests.
+std::vector<placement_decision> planGroup(const engine_spec &spec,
+                                          const std::vector<placement_engine> &engines,
+                                          const std::map<std::string, std::string> &groups,
+                                          const std::string &group, const placement_policy &policy)
+{
+    const auto planFor = [&](int concurrentRequests) {
+        return group_plan(spec.layers,
+                          enginesOfGroup(spec, engines, groups, group, concurrentRequests));
+    };
+    group_plan preferred = planFor(policy.concurrentRequests);
+    if (preferred.closeGaps()) {
+        preferred.useEmptyEngines();
+        preferred.extendRanges();
+        return preferred.decisions();
+    }
+    for (int requests = policy.concurrentRequests; requests >= policy.minConcurrentRequests;
+         requests -= requestsStep) {
+        group_plan plan = planFor(requests);
+        if (!plan.closeGapsByExtension())
+            continue;
+        plan.useEmptyEngines();
+        return plan.decisions();
+    }
+    preferred.useEmptyEngines();
+    return preferred.decisions();
+}
+
 } // namespace
 
-int layerCapacity(const engine_spec &spec, const accelerator_kind &kind,
-                  const placement_policy &policy)
+int layerCapacity(const engine_spec &spec, const accelerator_kind &kind, int concurrentRequests)
 {
     if (spec.layers <= 0 || spec.layerMb <= 0)
         return 0;
     const double tokens = static_cast<double>(spec.usualPromptTokens + spec.usualAnswerTokens)
-                          * policy.concurrentRequests;
+                          * concurrentRequests;
     const double cacheMbPerLayer = tokens * spec.cacheBytesPerToken / spec.layers / bytesPerMb;
     const int withCache = static_cast<int>(kind.memoryMb / (spec.layerMb + cacheMbPerLayer));
     // One layer is planned even if the policy's requests do not fit, but only if some memory is
@@ -268,7 +362,7 @@
 {
     std::map<std::string, int> capacities;
     for (const placement_engine &engine : engines)
-        capacities[engine.failureDomain] += capacityOf(spec, engine, policy);
+        capacities[engine.failureDomain] += capacityOf(spec, engine, policy.minConcurrentRequests);
     int pooled = 0;
     std::string largest;
     for (const auto &[domain, capacity] : capacities) {
@@ -299,13 +393,12 @@
         names.push_back(group);
     std::sort(names.begin(), names.end());
     names.erase(std::unique(names.begin(), names.end()), names.end());
-    std::vector<group_plan> plans;
-    for (const std::string &name : names)
-        plans.emplace_back(spec.layers, enginesOfGroup(spec, engines, groups, name, policy));
-    for (group_plan &plan : plans)
-        plan.closeGaps(decisions);
-    for (group_plan &plan : plans)
-        plan.useEmptyEngines(decisions);
+    for (const std::string &name : names) {
+        const auto groupDecisions = planGroup(spec, engines, groups, name, policy);
+        decisions.insert(decisions.end(), groupDecisions.begin(), groupDecisions.end());
+    }
+    std::stable_partition(decisions.begin(), decisions.end(),
+                          [](const placement_decision &decision) { return decision.closesGap; });
     return decisions;
 }
 
--- a/src/fescuedeck/gateway/layer_placement.h
+++ b/src/fescuedeck/gateway/layer_placement.h
@@ -3,9 +3,12 @@
 //
 // Engines are planned in groups. A failure domain that can hold a whole chain is a group of its
 // own, because sending activations between domains is expensive. The other domains form one group
-// together if they can hold a chain; otherwise they join the group of the largest domain. An engine
-// gets another range only in two cases: it holds no layers, or every layer that it holds is also
-// held by another engine of the group. Ranges that no engine holds are assigned first.
+// together if they can hold a chain; otherwise they join the group of the largest domain. Ranges
+// that no engine holds are assigned first, to engines that hold no layers or only layers that
+// another engine of the group also holds. If these engines do not suffice, the group is planned
+// with room for fewer requests, and engines next to a missing range extend theirs. A missing range
+// is loaded alone, because that takes least time; later the engine extends it as far as its memory
+// allows.
 #ifndef FESCUEDECK_GATEWAY_LAYER_PLACEMENT_H
 #define FESCUEDECK_GATEWAY_LAYER_PLACEMENT_H
 
@@ -34,6 +37,8 @@
     // Number of requests of usual size whose KV cache must fit into an engine in addition to its
     // layers.
     int concurrentRequests = 96;
+    // The same if a group cannot hold a whole chain otherwise.
+    int minConcurrentRequests = 32;
 };
 
 struct placement_decision
@@ -43,10 +48,9 @@
     bool closesGap = false; // no engine of the group held some of these layers
 };
 
-// Returns the largest number of layers that leaves room for the KV cache of the policy's requests;
-// at least 1 if one layer fits at all, 0 otherwise.
-int layerCapacity(const engine_spec &spec, const accelerator_kind &kind,
-                  const placement_policy &policy);
+// Returns the largest number of layers that leaves room for the KV cache of this many requests of
+// usual size; at least 1 if one layer fits at all, 0 otherwise.
+int layerCapacity(const engine_spec &spec, const accelerator_kind &kind, int concurrentRequests);
 
 // Returns the number of tokens whose KV cache fits into an engine that holds heldLayers layers and
 // runs runLayers of them.
