Spread requests before a cache is full, and cross domains if none is whole

Each domain sent all streams through its fastest engine, because a full engine cost three times its idle cost and the slower ones cost five times as much; requests then waited at the gateway for its cache. Separately, requests were refused when no domain held all layers, though the engines together did. Change: a cache beyond 0.6 adds a cost that exceeds any detour over engines with free caches. Domains are tried one by one, and if none holds a whole chain, the chain with the fewest changes of domain is used. Ruled out: the chains' speed (8 to 15 ms a token against gaps of 200 ms).

--- a/src/fescuedeck/gateway/chain_finder.cpp
+++ b/src/fescuedeck/gateway/chain_finder.cpp
@@ -8,12 +8,13 @@
 
 constexpr double unreachable = std::numeric_limits<double>::infinity();
 
-// Last step of the cheapest path that runs all layers before one boundary.
+// Last step of the cheapest path that runs all layers before one boundary and ends in one domain.
 struct boundary_state
 {
-    double cost = unreachable;          // of the whole path
-    int from = -1;                      // previous boundary
-    const chain_stage *stage = nullptr; // runs layers [from, this boundary)
+    double cost = unreachable;                // of the whole path
+    const boundary_state *previous = nullptr; // null at the first layer
+    const chain_stage *stage = nullptr; // runs the layers from the previous boundary to this one
+    int layer = 0;                      // the boundary
 };
 
 // Returns the layers at which some stage begins or ends, in order. There is always a cheapest chain
@@ -30,25 +31,93 @@
     return boundaries;
 }
 
-// Extends the cheapest path to layer from by a part of the stage that ends before layer to, if that
-// is the cheapest path to layer to so far.
-void extend(std::vector<boundary_state> &states, const chain_stage &stage, int from, int to,
-            double partCost)
+std::vector<std::string> domainsOf(const std::vector<chain_stage> &stages)
 {
-    const double cost = states[static_cast<std::size_t>(from)].cost + partCost
-                        + stage.costPerLayer * (to - from);
-    boundary_state &target = states[static_cast<std::size_t>(to)];
-    if (cost < target.cost)
-        target = { cost, from, &stage };
+    std::vector<std::string> domains;
+    for (const chain_stage &stage : stages)
+        domains.push_back(stage.failureDomain);
+    std::sort(domains.begin(), domains.end());
+    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
+    return domains;
 }
 
-std::vector<chain_part> partsOf(const std::vector<boundary_state> &states, int layers)
+// The cheapest paths to each boundary and domain.
+class path_table
+{
+public:
+    path_table(int layers, const std::vector<chain_stage> &stages, const chain_costs &costs)
+        : m_costs(costs)
+        , m_domains(domainsOf(stages))
+        , m_states((static_cast<std::size_t>(layers) + 1) * m_domains.size())
+    {
+    }
+
+    std::size_t domainOf(const chain_stage &stage) const
+    {
+        const auto found
+                = std::lower_bound(m_domains.begin(), m_domains.end(), stage.failureDomain);
+        return static_cast<std::size_t>(found - m_domains.begin());
+    }
+
+    // Starts a path with the stage, which is in the given domain.
+    void begin(const chain_stage &stage, std::size_t domain, int to)
+    {
+        improve(stage, domain, to, partCost(stage, to), nullptr);
+    }
+
+    // Extends the paths that end at a boundary by a part of the stage that ends at another one.
+    void extend(const chain_stage &stage, std::size_t domain, int from, int to)
+    {
+        const double cost = partCost(stage, to - from);
+        for (std::size_t last = 0; last < m_domains.size(); ++last) {
+            const boundary_state &before = state(from, last);
+            if (before.cost == unreachable)
+                continue;
+            const double changeCost = last == domain ? 0 : m_costs.domainChange;
+            improve(stage, domain, to, before.cost + cost + changeCost, &before);
+        }
+    }
+
+    const boundary_state &cheapestTo(int layer)
+    {
+        const boundary_state *best = &state(layer, 0);
+        for (std::size_t domain = 1; domain < m_domains.size(); ++domain) {
+            if (state(layer, domain).cost < best->cost)
+                best = &state(layer, domain);
+        }
+        return *best;
+    }
+
+private:
+    double partCost(const chain_stage &stage, int layers) const
+    {
+        return stage.costPerLayer * layers + stage.costPerUse + m_costs.part;
+    }
+
+    boundary_state &state(int layer, std::size_t domain)
+    {
+        return m_states[static_cast<std::size_t>(layer) * m_domains.size() + domain];
+    }
+
+    void improve(const chain_stage &stage, std::size_t domain, int to, double cost,
+                 const boundary_state *previous)
+    {
+        boundary_state &target = state(to, domain);
+        if (cost < target.cost)
+            target = { cost, previous, &stage, to };
+    }
+
+    const chain_costs m_costs;
+    const std::vector<std::string> m_domains; // sorted
+    std::vector<boundary_state> m_states;     // by layer and domain
+};
+
+std::vector<chain_part> partsOf(const boundary_state &end)
 {
     std::vector<chain_part> parts;
-    for (int at = layers; at > 0;) {
-        const boundary_state &state = states[static_cast<std::size_t>(at)];
-        parts.push_back({ state.stage->endpoint, state.stage->address, { state.from, at } });
-        at = state.from;
+    for (const boundary_state *state = &end; state != nullptr; state = state->previous) {
+        const int from = state->previous == nullptr ? 0 : state->previous->layer;
+        parts.push_back({ state->stage->endpoint, state->stage->address, { from, state->layer } });
     }
     std::reverse(parts.begin(), parts.end());
     return parts;
@@ -73,31 +142,33 @@
 } // namespace
 
 std::optional<layer_chain> findChain(const std::vector<chain_stage> &stages, int layers,
-                                     double partCost, int maxParts)
+                                     const chain_costs &costs)
 {
-    if (layers <= 0)
+    if (layers <= 0 || stages.empty())
         return std::nullopt;
     const std::vector<int> boundaries = boundariesOf(stages, layers);
-    std::vector<boundary_state> states(static_cast<std::size_t>(boundaries.back()) + 1);
-    states[0].cost = 0;
+    path_table paths(std::max(layers, boundaries.back()), stages, costs);
     for (const int from : boundaries) {
-        if (states[static_cast<std::size_t>(from)].cost == unreachable)
-            continue;
         for (const chain_stage &stage : stages) {
             if (from < stage.heldLayers.begin || from >= stage.heldLayers.end)
                 continue;
+            const std::size_t domain = paths.domainOf(stage);
             for (const int to : boundaries) {
-                if (to > from && to <= stage.heldLayers.end && to <= layers)
-                    extend(states, stage, from, to, partCost);
+                if (to <= from || to > stage.heldLayers.end || to > layers)
+                    continue;
+                if (from == 0)
+                    paths.begin(stage, domain, to);
+                else
+                    paths.extend(stage, domain, from, to);
             }
         }
     }
-    const double cost = states[static_cast<std::size_t>(layers)].cost;
-    if (cost == unreachable)
+    const boundary_state &end = paths.cheapestTo(layers);
+    if (end.cost == unreachable)
         return std::nullopt;
-    layer_chain chain{ partsOf(states, layers), cost };
+    layer_chain chain{ partsOf(end), end.cost };
     mergeRepeatedEngines(chain.parts);
-    if (static_cast<int>(chain.parts.size()) > maxParts)
+    if (static_cast<int>(chain.parts.size()) > costs.maxParts)
         return std::nullopt;
     return chain;
 }
--- a/src/fescuedeck/gateway/chain_finder.h
+++ b/src/fescuedeck/gateway/chain_finder.h
@@ -17,6 +17,16 @@
     std::string address;
     layer_range heldLayers;
     double costPerLayer = 0; // in any unit, the same for all stages
+    std::string failureDomain;
+    double costPerUse = 0; // in addition, independent of the number of layers
+};
+
+// What a chain costs in addition to its layers, and its longest length.
+struct chain_costs
+{
+    double part = 0;         // of each part, in the unit of the stages
+    double domainChange = 0; // between two parts in different failure domains
+    int maxParts = 1;
 };
 
 // The layers that one engine runs for a request.
@@ -38,11 +48,10 @@
     double cost = 0;
 };
 
-// Returns the cheapest chain over layers [0, layers). Each part costs partCost in addition to its
-// layers. Each engine appears at most once. Empty if no stage holds some layer, or if the cheapest
-// chain has more than maxParts parts.
+// Returns the cheapest chain over layers [0, layers). Each engine appears at most once. Empty if no
+// stage holds some layer, or if the cheapest chain has too many parts.
 std::optional<layer_chain> findChain(const std::vector<chain_stage> &stages, int layers,
-                                     double partCost, int maxParts);
+                                     const chain_costs &costs);
 
 } // namespace fescuedeck
 
--- a/src/fescuedeck/gateway/endpoint_choice.cpp
+++ b/src/fescuedeck/gateway/endpoint_choice.cpp
@@ -19,12 +19,17 @@
 constexpr double usableCacheShare = 0.8;
 // A chain that takes this long for each token comes too close to the gaps that callers accept.
 constexpr double slowTokenMs = 60;
-// Cost of each part of a chain in milliseconds per token, for the hop between two engines.
-constexpr double partCostMs = 0.2;
+// In milliseconds per token. A request can name at most 32 engines. The cost of a change of domains
+// exceeds that of any chain, because the activations of a whole prompt then share the link between
+// the domains with those of other requests.
+constexpr chain_costs chainCosts{ 0.2, 1000, 32 };
+// Beyond this used share of the usable cache, requests go to other engines that hold the same
+// layers.
+constexpr double comfortableFill = 0.6;
+// Cost of an engine whose usable cache is full, in milliseconds per token.
+constexpr double fullCacheCostMs = 100;
 // The cost of an engine whose slots are full is this many times its cost when idle.
 constexpr double fullSlotsCostFactor = 3;
-// A request can name at most this many engines.
-constexpr int maxChainParts = 32;
 
 double loadOf(const endpoint_record &endpoint)
 {
@@ -50,6 +55,24 @@
     return room > 0 ? used / room : 1;
 }
 
+// In milliseconds per token. An engine whose cache fills up costs more than any detour over slower
+// engines with free caches: the requests that it cannot hold wait or preempt others.
+double costOfFullCache(double fill)
+{
+    return std::max(0.0, fill - comfortableFill) * fullCacheCostMs / (1 - comfortableFill);
+}
+
+} // namespace
+
+double cacheFill(const engine_spec &spec, const endpoint_record &endpoint)
+{
+    if (!endpoint.entry.layers)
+        return 0;
+    return fillOf(spec, endpoint, { {}, {}, { 0, endpoint.entry.layers->size() } });
+}
+
+namespace {
+
 // In milliseconds per token.
 double costPerLayer(const engine_spec &spec, const endpoint_record &endpoint)
 {
@@ -57,33 +80,24 @@
     const double factor = kind == nullptr ? 1 : kind->stepFactor;
     const double busy = static_cast<double>(endpoint.inFlight + endpoint.peerInFlight)
                         / std::max(1, spec.slots);
-    double fill = 0;
-    if (endpoint.entry.layers) {
-        const int layers = endpoint.entry.layers->size();
-        fill = fillOf(spec, endpoint, { {}, {}, { 0, layers } });
-    }
+    const double fill = cacheFill(spec, endpoint);
     const double loadFactor
             = 1 + (fullSlotsCostFactor - 1) * std::min(1.0, std::max(busy, fill * fill));
     return spec.stepMs * factor * endpoint.slowdown * loadFactor / std::max(1, spec.layers);
 }
 
 std::map<std::string, std::vector<chain_stage>>
-stagesByGroup(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints,
-              const choice_request &request)
+stagesByDomain(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints,
+               const choice_request &request)
 {
-    std::vector<placement_engine> engines;
-    for (const endpoint_ptr &endpoint : endpoints) {
-        engines.push_back({ endpoint->entry.id, endpoint->entry.failureDomain,
-                            endpoint->entry.accelerator, endpoint->entry.layers, false });
-    }
-    const auto groups = placementGroups(spec, engines, placement_policy{});
     std::map<std::string, std::vector<chain_stage>> stages;
     for (const endpoint_ptr &endpoint : endpoints) {
         if (!endpoint->entry.layers || !isCandidate(endpoint, request))
             continue;
-        stages[groups.at(endpoint->entry.failureDomain)].push_back(
-                { endpoint->entry.id, endpoint->entry.address, *endpoint->entry.layers,
-                  costPerLayer(spec, *endpoint) });
+        const endpoint_entry &entry = endpoint->entry;
+        stages[entry.failureDomain].push_back({ entry.id, entry.address, *entry.layers,
+                                                costPerLayer(spec, *endpoint), entry.failureDomain,
+                                                costOfFullCache(cacheFill(spec, *endpoint)) });
     }
     return stages;
 }
@@ -120,16 +134,44 @@
 
 namespace {
 
-destination destinationOf(const std::vector<endpoint_ptr> &endpoints, layer_chain chain)
+destination destinationOf(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints,
+                          layer_chain chain)
 {
     destination chosen;
-    for (const chain_part &part : chain.parts)
-        chosen.stages.push_back(findIn(endpoints, part.endpoint));
+    for (const chain_part &part : chain.parts) {
+        const endpoint_ptr stage = findIn(endpoints, part.endpoint);
+        chosen.stages.push_back(stage);
+        chosen.fill = std::max(chosen.fill, fillOf(spec, *stage, part));
+    }
     chosen.first = chosen.stages.front();
     chosen.chain = std::move(chain.parts);
     return chosen;
 }
 
+std::optional<destination>
+chooseChainAcrossDomains(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints,
+                         const std::map<std::string, std::vector<chain_stage>> &stages)
+{
+    std::vector<chain_stage> all;
+    for (const auto &[domain, domainStages] : stages)
+        all.insert(all.end(), domainStages.begin(), domainStages.end());
+    std::optional<layer_chain> chain = findChain(all, spec.layers, chainCosts);
+    if (!chain)
+        return std::nullopt;
+    return destinationOf(spec, endpoints, std::move(*chain));
+}
+
+// Expected time of one token in milliseconds.
+double tokenMsOf(const engine_spec &spec, const destination &chain)
+{
+    double total = 0;
+    for (std::size_t i = 0; i < chain.stages.size(); ++i) {
+        total += costPerLayer(spec, *chain.stages[i]) * chain.chain[i].layers.size()
+                 + chainCosts.part;
+    }
+    return total;
+}
+
 // Grows slowly while a chain has capacity, and steeply when its caches are almost full or its steps
 // are slow.
 double crowdingOf(double fill, double tokenMs)
@@ -144,28 +186,23 @@
                                        const std::vector<endpoint_ptr> &endpoints,
                                        const choice_request &request)
 {
+    const auto stages = stagesByDomain(spec, endpoints, request);
     std::optional<destination> best;
     double bestCrowding = 0;
-    for (const auto &[group, stages] : stagesByGroup(spec, endpoints, request)) {
-        std::optional<layer_chain> chain
-                = findChain(stages, spec.layers, partCostMs, maxChainParts);
+    for (const auto &[domain, domainStages] : stages) {
+        std::optional<layer_chain> chain = findChain(domainStages, spec.layers, chainCosts);
         if (!chain)
             continue;
-        const double tokenMs = chain->cost;
-        destination candidate = destinationOf(endpoints, std::move(*chain));
-        for (std::size_t i = 0; i < candidate.stages.size(); ++i) {
-            const double fill = fillOf(spec, *candidate.stages[i], candidate.chain[i]);
-            candidate.fill = std::max(candidate.fill, fill);
-        }
-        double crowding = crowdingOf(candidate.fill, tokenMs);
-        if (group != request.failureDomain)
+        destination candidate = destinationOf(spec, endpoints, std::move(*chain));
+        double crowding = crowdingOf(candidate.fill, tokenMsOf(spec, candidate));
+        if (domain != request.failureDomain)
             crowding += otherDomainCrowdingPenalty;
         if (!best || crowding < bestCrowding) {
             best = std::move(candidate);
             bestCrowding = crowding;
         }
     }
-    return best;
+    return best ? best : chooseChainAcrossDomains(spec, endpoints, stages);
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/endpoint_choice.h
+++ b/src/fescuedeck/gateway/endpoint_choice.h
@@ -32,14 +32,19 @@
     double fill = 0;
 };
 
+// Returns the used share of the usable cache of an engine for requests that run all layers it
+// holds, by what this gateway and its peers have in flight there. May exceed 1; 0 if it holds no
+// layers.
+double cacheFill(const engine_spec &spec, const endpoint_record &endpoint);
+
 // Returns the endpoint with the least load. Prefers endpoints in the failure domain of the gateway
 // unless they are much busier than those in other domains. Empty if no endpoint is usable.
 std::optional<destination> chooseEndpoint(const std::vector<endpoint_ptr> &endpoints,
                                           const choice_request &request);
 
-// Returns the cheapest chain of the least crowded group of failure domains. A group is one domain,
-// or several that were planned together because none of them has room for all layers. Prefers the
-// domain of the gateway while it has capacity. Empty if there is no complete chain.
+// Returns the cheapest chain of the least crowded failure domain. Prefers the domain of the gateway
+// while it has capacity. If no domain holds all layers, returns the cheapest chain across domains,
+// which changes domains as rarely as possible. Empty if there is no complete chain.
 std::optional<destination> chooseChain(const engine_spec &spec,
                                        const std::vector<endpoint_ptr> &endpoints,
                                        const choice_request &request);
