Judge a stall by the events of all streams on the chain; keep busy engines

Engines that refused for lack of memory, or while they loaded other layers, were declared lost to all gateways for two seconds and were planned again; their reports are older than the requests of a burst. A stall was measured from the last byte, so that a byte now and then, or a comment, kept a stalled stream open, and an event without end filled the memory. An engine that executes an order or has many requests in flight is not lost when it refuses, and is not suspected by others.

--- a/src/fescuedeck/gateway/chain_progress.cpp
+++ b/src/fescuedeck/gateway/chain_progress.cpp
@@ -7,9 +7,8 @@
 
 bool haveAllProgressedSince(const std::vector<endpoint_ptr> &stages, time_point since)
 {
-    return std::all_of(stages.begin(), stages.end(), [since](const endpoint_ptr &stage) {
-        return stage->lastEventAt > since;
-    });
+    return std::all_of(stages.begin(), stages.end(),
+                       [since](const endpoint_ptr &stage) { return stage->lastEventAt > since; });
 }
 
 } // namespace
--- a/src/fescuedeck/gateway/chain_progress.h
+++ b/src/fescuedeck/gateway/chain_progress.h
@@ -1,5 +1,5 @@
-// Tells a chain that has lost an engine from a chain that is only busy, by the events of all streams
-// of this gateway that run through the same engines.
+// Tells a chain that has lost an engine from a chain that is only busy, by the events of all
+// streams of this gateway that run through the same engines.
 //
 // A stream that gets no event for a while may wait for a lost engine, or for its turn while the
 // engines read the prompts of others. In the second case other streams through the same engines
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -63,6 +63,7 @@
     double tokensInFlight = 0;     // of this gateway's requests, prompt and answer
     double peerTokensInFlight = 0; // of the other gateways' requests, as last reported
     int peerInFlight = 0;
+    time_point lastEventAt{};        // of any stream of this gateway that runs through the engine
     duration usualFirstEventDelay{}; // smoothed, of streams whose first stage runs here
     double slowdown = 1;             // reported step time divided by the usual one
 
--- a/src/fescuedeck/gateway/engine_inspector.cpp
+++ b/src/fescuedeck/gateway/engine_inspector.cpp
@@ -1,5 +1,8 @@
 #include "fescuedeck/gateway/engine_inspector.h"
 
+#include <algorithm>
+
+#include "fescuedeck/gateway/endpoint_choice.h"
 #include "fescuedeck/telemetry/event_line.h"
 
 namespace fescuedeck {
@@ -9,7 +12,9 @@
 // have gone do not accumulate.
 constexpr std::size_t maxTrackedEngines = 1024;
 // An engine whose KV cache is filled beyond this share may refuse requests because it lacks memory.
-constexpr double fullCacheShare = 0.85;
+// The share that an engine reports is older than the requests of a burst, so that requests in
+// flight are counted as well.
+constexpr double scarceCacheShare = 0.5;
 
 } // namespace
 
@@ -52,19 +57,29 @@
         applyReport(engine, suspicion, report.value());
 }
 
+// Whether an engine that refuses requests is shutting down: it answers, executes no order, has free
+// memory and holds its announced layers.
+bool engine_inspector::refusesWithoutCause(const endpoint_record &engine,
+                                           const engine_report &report) const
+{
+    const service_rule *service
+            = m_context.config ? m_context.config->findService(engine.entry.service) : nullptr;
+    const double fill
+            = service != nullptr && service->engine ? cacheFill(*service->engine, engine) : 0;
+    return !report.isBusy && engine.entry.layers == report.layers
+           && std::max(report.cacheShare, fill) < scarceCacheShare;
+}
+
 void engine_inspector::applyReport(const endpoint_ptr &engine, engine_suspicion suspicion,
                                    const engine_report &report)
 {
     engine->slowdown = report.slowdown;
-    const bool hasAnnouncedLayers = engine->entry.layers == report.layers;
+    const bool isLeaving
+            = suspicion == engine_suspicion::Refused && refusesWithoutCause(*engine, report);
     m_context.endpoints.observeLayers(engine->entry.id, report.layers, report.orders, steadyNow());
-    // The engine answers, has free memory and holds its announced layers, but refuses requests:
-    // it is shutting down.
-    const bool isLeaving = suspicion == engine_suspicion::Refused && hasAnnouncedLayers
-                           && report.cacheShare < fullCacheShare;
     if (isLeaving)
         markLost(engine, "refuses_its_part");
-    else
+    else if (!report.isBusy)
         m_context.endpoints.clearSuspicion(engine->entry.id);
     for (const std::string &address : report.stalledOn) {
         const endpoint_ptr stalled = m_context.endpoints.findByAddress(address);
--- a/src/fescuedeck/gateway/engine_inspector.h
+++ b/src/fescuedeck/gateway/engine_inspector.h
@@ -32,13 +32,15 @@
 
     // Requests a report from the engine to learn whether it still answers and which other engines
     // it waits for. Marks those engines as lost, and the engine itself if it does not answer, or if
-    // it refuses requests although it has free memory and its announced layers. Returns at once;
+    // it refuses requests although it executes no order and has free memory and its announced
+    // layers. Returns at once;
     // does nothing if the engine is unknown, already lost, or was asked less than minInterval ago.
     void inspect(const std::string &id, engine_suspicion suspicion);
 
 private:
     void fetchReport(const endpoint_ptr &engine, engine_suspicion suspicion,
                      boost::asio::yield_context yield);
+    bool refusesWithoutCause(const endpoint_record &engine, const engine_report &report) const;
     void applyReport(const endpoint_ptr &engine, engine_suspicion suspicion,
                      const engine_report &report);
     void markLost(const endpoint_ptr &engine, const char *evidence);
--- a/src/fescuedeck/gateway/event_splitter.cpp
+++ b/src/fescuedeck/gateway/event_splitter.cpp
@@ -41,6 +41,20 @@
     return std::nullopt;
 }
 
+// Whether the block has no field. Endpoints may send comments to keep a connection open.
+bool isComment(std::string_view block)
+{
+    constexpr std::string_view lineEnds = "\r\n";
+    bool isLineStart = true;
+    for (const char character : block) {
+        const bool isLineEnd = lineEnds.find(character) != std::string_view::npos;
+        if (isLineStart && !isLineEnd && character != ':')
+            return false;
+        isLineStart = isLineEnd;
+    }
+    return true;
+}
+
 } // namespace
 
 event_splitter::event_splitter(std::optional<std::int64_t> lastId)
@@ -57,7 +71,7 @@
 {
     std::string taken;
     std::size_t used = 0;
-    while (!m_hasInvalidId) {
+    while (!m_isInvalid) {
         const std::string_view rest = std::string_view(m_pending).substr(used);
         const std::size_t size = firstEventSize(rest);
         if (size == 0)
@@ -66,21 +80,25 @@
         used += size;
     }
     m_pending.erase(0, used);
+    m_isInvalid = m_isInvalid || m_pending.size() > maxEventBytes;
     return taken;
 }
 
 void event_splitter::takeEvent(std::string_view event, std::string &taken)
 {
+    if (isComment(event))
+        return;
     const std::optional<std::int64_t> id = idOf(event);
     if (!id) {
-        m_hasInvalidId = true;
+        m_isInvalid = true;
         return;
     }
+    ++m_completeEvents;
     if (m_lastId && *id <= *m_lastId)
         return;
     // Events are missing before this one. To relay it would hide the loss from the caller.
     if (m_lastId && *id != *m_lastId + 1) {
-        m_hasInvalidId = true;
+        m_isInvalid = true;
         return;
     }
     m_lastId = id;
--- a/src/fescuedeck/gateway/event_splitter_test.cpp
+++ b/src/fescuedeck/gateway/event_splitter_test.cpp
@@ -14,7 +14,7 @@
     CHECK(splitter.take() == "id: 2\ndata: b\n\n");
     CHECK_FALSE(splitter.hasPartialEvent());
     CHECK(splitter.lastId() == 2);
-    CHECK_FALSE(splitter.hasInvalidId());
+    CHECK_FALSE(splitter.isInvalid());
 }
 
 TEST_CASE("a stream split between any two bytes gives the same events", "[gateway]")
@@ -36,7 +36,7 @@
     event_splitter splitter(4);
     splitter.feed("id: 3\n\nid: 4\n\nid: 5\n\n");
     CHECK(splitter.take() == "id: 5\n\n");
-    CHECK_FALSE(splitter.hasInvalidId());
+    CHECK_FALSE(splitter.isInvalid());
 }
 
 TEST_CASE("an event whose id skips one, cannot be parsed or is absent is not taken", "[gateway]")
@@ -45,9 +45,37 @@
         event_splitter splitter(4);
         splitter.feed(damaged);
         CHECK(splitter.take().empty());
-        CHECK(splitter.hasInvalidId());
+        CHECK(splitter.isInvalid());
         CHECK(splitter.lastId() == 4);
     }
 }
 
+// Guards against cutting a sound stream whose endpoint sends comments to keep the connection open.
+TEST_CASE("comments are dropped and are no progress", "[gateway]")
+{
+    event_splitter splitter;
+    splitter.feed(": keep-alive\n\n:\r\n\r\n");
+    CHECK(splitter.take().empty());
+    CHECK(splitter.completeEvents() == 0);
+    CHECK_FALSE(splitter.isInvalid());
+    splitter.feed(": note\nid: 1\ndata: x\n\n");
+    CHECK(splitter.take() == ": note\nid: 1\ndata: x\n\n");
+    CHECK(splitter.completeEvents() == 1);
+}
+
+// Guards against filling the memory of the host with bytes that never end an event.
+TEST_CASE("an event without end makes the stream invalid", "[gateway]")
+{
+    event_splitter splitter;
+    const std::string part(64 * 1024, 'x');
+    std::size_t fed = 0;
+    while (!splitter.isInvalid() && fed <= 2 * maxEventBytes) {
+        splitter.feed(part);
+        CHECK(splitter.take().empty());
+        fed += part.size();
+    }
+    CHECK(splitter.isInvalid());
+    CHECK(fed <= maxEventBytes + part.size());
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fescuedeck/gateway/attempt_guards.h"
+#include "fescuedeck/gateway/chain_progress.h"
 #include "fescuedeck/gateway/event_timing.h"
 #include "fescuedeck/gateway/retry_after.h"
 #include "fescuedeck/router/wait_event.h"
@@ -37,6 +38,10 @@
 constexpr duration maxCapacityWait = std::chrono::milliseconds(400);
 // How long new requests avoid a suspect chain while its failed engine is being identified.
 constexpr duration chainSuspicionDuration = std::chrono::milliseconds(300);
+// An engine whose usable cache is filled beyond this share refuses requests because it lacks
+// memory. That says nothing about later requests, and often no other engine of the domain has its
+// layers.
+constexpr double scarceCacheFill = 0.7;
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
 constexpr duration answerMargin = std::chrono::milliseconds(30);
 
@@ -51,10 +56,11 @@
 struct forwarded_call::attempt
 {
     attempt(gateway_context &context, const std::string &service,
-            std::optional<std::int64_t> lastEventId, endpoint_ptr firstEndpoint)
+            std::optional<std::int64_t> lastEventId, const destination &to)
         : retry(context, service)
         , events(lastEventId)
-        , first(std::move(firstEndpoint))
+        , first(to.first)
+        , stages(to.stages)
         , timing(steadyNow(), first->usualFirstEventDelay)
     {
     }
@@ -63,6 +69,7 @@
     call_cancellation cancellation;
     event_splitter events;
     const endpoint_ptr first;
+    const std::vector<endpoint_ptr> stages;
     http_response head;
     event_timing timing;
     bool hasAlternative = false; // another destination could resume the request
@@ -215,7 +222,7 @@
     m_lastEndpoint = to.first->entry.id;
     if (m_attempts > 1)
         logRetry(to);
-    attempt current(m_context, m_service, m_lastEventId, to.first);
+    attempt current(m_context, m_service, m_lastEventId, to);
     const in_flight_guard inFlight(to.stages, static_cast<double>(m_info.promptTokens)
                                                       + expectedAnswerTokens());
     forward_options options;
@@ -232,7 +239,7 @@
     call.cancellation = current.cancellation;
     if (m_route.kind == call_kind::Stream) {
         current.hasAlternative = hasAlternativeTo(to);
-        call.silenceTimeout = [this, &current] { return stallLimit(current); };
+        call.timeUntilStall = [this, &current] { return timeUntilStall(current); };
         call.collectsBody = false;
         call.onHead = [&](const http_response &head) { onStreamHead(current, head); };
         call.onBodyPart = [&](std::string_view part) { onStreamPart(current, part); };
@@ -274,12 +281,14 @@
 
 // Cancelling early helps only if the request can continue: it needs another attempt, another
 // destination and a retry of the budget. Without the retry the stream would be aborted.
-duration forwarded_call::stallLimit(attempt &current) const
+duration forwarded_call::timeUntilStall(attempt &current) const
 {
     const bool canContinue = m_possibleRuns + 1 < m_route.maxAttempts && current.hasAlternative
                              && current.retry.tryReserve();
-    return current.timing.stallLimit({ m_route.latencyObjective, m_route.gapObjective },
-                                     canContinue);
+    const duration limit = current.timing.stallLimit(
+            { m_route.latencyObjective, m_route.gapObjective }, canContinue);
+    return fescuedeck::timeUntilStall(current.stages, current.timing.lastActivityAt(), limit,
+                                      steadyNow());
 }
 
 void forwarded_call::recordReceivedEvents(attempt &current)
@@ -291,6 +300,7 @@
         usual += (now - current.timing.sentAt() - usual) / smoothing;
     }
     current.timing.recordEvent(now);
+    recordProgress(current.stages, now);
 }
 
 void forwarded_call::recordRelayedEvents(time_point now)
@@ -318,10 +328,14 @@
         current.head.body += part; // of a failure, which is relayed as a whole
         return;
     }
-    recordReceivedEvents(current);
+    const std::size_t eventsBefore = current.events.completeEvents();
     current.events.feed(part);
     const std::string events = current.events.take();
-    if (current.events.hasInvalidId()) {
+    // Bytes that complete no event are no progress. An endpoint that sends one now and then has
+    // stalled.
+    if (current.events.completeEvents() > eventsBefore)
+        recordReceivedEvents(current);
+    if (current.events.isInvalid()) {
         current.isUnusable = true;
         current.cancellation.cancel();
     }
@@ -362,9 +376,11 @@
                 .field("sending", m_attempts)
                 .field("status", response.status)
                 .field("at_fault", answer.faultAddress);
-        const bool isFull = !answer.isMisdirected && answer.faultAddress.empty();
+        const endpoint_ptr fault = stageAt(to, answer.faultAddress);
+        const bool isFull
+                = !answer.isMisdirected && (answer.faultAddress.empty() || isShortOfMemory(*fault));
         if (isFull)
-            m_failedEndpoints.insert(to.first->entry.id);
+            m_failedEndpoints.insert(fault->entry.id);
         else
             suspectEndpoint(to, answer.faultAddress);
         return attempt_outcome::NotRun;
@@ -471,13 +487,24 @@
     return attempt_outcome::Answered;
 }
 
-void forwarded_call::suspectEndpoint(const destination &to, const std::string &faultAddress)
+endpoint_ptr forwarded_call::stageAt(const destination &to, const std::string &address)
 {
-    endpoint_ptr fault = to.first;
     for (const endpoint_ptr &stage : to.stages) {
-        if (!faultAddress.empty() && stage->entry.address == faultAddress)
-            fault = stage;
+        if (stage->entry.address == address)
+            return stage;
     }
+    return to.first;
+}
+
+bool forwarded_call::isShortOfMemory(const endpoint_record &engine) const
+{
+    return m_rule != nullptr && m_rule->engine
+           && cacheFill(*m_rule->engine, engine) >= scarceCacheFill;
+}
+
+void forwarded_call::suspectEndpoint(const destination &to, const std::string &faultAddress)
+{
+    const endpoint_ptr fault = stageAt(to, faultAddress);
     m_failedEndpoints.insert(fault->entry.id);
     m_context.endpoints.suspect(fault->entry.id, steadyNow());
     if (!to.chain.empty() && !faultAddress.empty() && m_context.inspectEngine)
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -101,14 +101,17 @@
     void recordCrash(const destination &to);
     // Ends the request without a good answer: refuses it, or aborts a stream that has started.
     void giveUp(attempt_outcome last);
-    // How long the stream may produce nothing before the attempt is cancelled.
-    duration stallLimit(attempt &current) const;
+    // Time until the attempt is cancelled if the stream produces no event.
+    duration timeUntilStall(attempt &current) const;
     static void recordReceivedEvents(attempt &current);
     void recordRelayedEvents(time_point now);
     // Handles a stalled or broken chain, any engine of which may have failed. This request avoids
     // the whole chain from then on. If the evidence is strong, other requests avoid it for
     // chainSuspicionDuration. Meanwhile the first engine is asked which engine it waits for.
     void suspectChain(const destination &to, const attempt &current);
+    // The stage with the address, or the first one if no stage has it.
+    static endpoint_ptr stageAt(const destination &to, const std::string &address);
+    bool isShortOfMemory(const endpoint_record &engine) const;
     // Makes this request, and for a while all others, avoid the endpoint at fault: the stage with
     // faultAddress, or the first one if no stage has that address. If an engine refused its part of
     // a chain, asks it for a report.
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -280,6 +280,7 @@
     void readHead(error_code &error);
     void readBody(error_code &error);
     void limitNextStep(duration limit);
+    void watchForStall();
     bool mayRetry() const;
     bool isAborted() const;
     failure describe(errc kind, const std::string &what) const;
@@ -333,9 +334,22 @@
 void http_call::limitNextStep(duration limit)
 {
     const duration left = m_end - steadyNow();
+    m_deadline.onExpiry({});
     m_deadline.start(limit > duration::zero() ? std::min(limit, left) : left);
 }
 
+// Limits the next wait to the time that is left until the call counts as stalled.
+void http_call::watchForStall()
+{
+    if (!m_options.timeUntilStall || !m_options.onBodyPart)
+        return;
+    const auto timeLeft = [this] {
+        return std::min<duration>(m_options.timeUntilStall(), m_end - steadyNow());
+    };
+    m_deadline.onExpiry(timeLeft);
+    m_deadline.start(timeLeft());
+}
+
 std::optional<failure> http_call::connect(const tcp::endpoint &endpoint)
 {
     error_code error;
@@ -378,8 +392,7 @@
 result<http_response> http_call::readResponse()
 {
     error_code error;
-    if (m_options.silenceTimeout && m_options.onBodyPart)
-        limitNextStep(m_options.silenceTimeout());
+    watchForStall();
     do {
         readHead(error);
     } while (!error && m_parser->get().result() == http::status::continue_);
@@ -413,8 +426,7 @@
     m_parser->eager(false);
     std::size_t delivered = 0;
     while (!error && !m_parser->is_done()) {
-        if (m_options.silenceTimeout)
-            limitNextStep(m_options.silenceTimeout());
+        watchForStall();
         http::async_read_some(m_socket, m_buffer, *m_parser, m_yield[error]);
         std::string &body = m_parser->get().body();
         if (body.size() > delivered)
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -46,9 +46,11 @@
 {
     duration timeout = std::chrono::seconds(10); // of the whole call, connecting included
     duration connectTimeout{};                   // a shorter limit within it; zero sets none
-    // A shorter limit of the wait for the response's head and for each part of its body, asked for
-    // before each wait. It applies only if onBodyPart is set.
-    std::function<duration()> silenceTimeout;
+    // Time that is left until the call counts as stalled. It is asked for before each wait for the
+    // response's head or a part of its body, and again when that time has passed. The call fails
+    // with Timeout once it is zero or less. It applies only if onBodyPart is set. The owner decides
+    // what counts as progress, so received bytes alone do not extend the time.
+    std::function<duration()> timeUntilStall;
     // Opens a new connection instead of reusing an idle one.
     bool freshConnection = false;
     // A call that fails on a reused connection before any byte of the response is sent once more on
--- a/src/fescuedeck/net/tcp_socket.cpp
+++ b/src/fescuedeck/net/tcp_socket.cpp
@@ -100,6 +100,10 @@
         wakeUp = time_point::max();
         if (socket == nullptr || deadline == time_point::max())
             return;
+        const duration extra
+                = extension && steadyNow() >= deadline ? extension() : duration::zero();
+        if (extra > duration::zero())
+            deadline = steadyNow() + extra;
         if (steadyNow() < deadline) {
             arm();
             return;
@@ -116,6 +120,7 @@
     time_point wakeUp = time_point::max(); // expiry of the pending wait, max if there is none
     std::uint64_t generation = 0;
     bool hasExpired = false;
+    std::function<duration()> extension;
 };
 
 socket_deadline::socket_deadline(const asio::any_io_executor &strand, tcp::socket &socket)
@@ -138,6 +143,11 @@
         m_state->arm();
 }
 
+void socket_deadline::onExpiry(std::function<duration()> extension)
+{
+    m_state->extension = std::move(extension);
+}
+
 void socket_deadline::stop()
 {
     m_state->deadline = time_point::max();
--- a/src/fescuedeck/net/tcp_socket.h
+++ b/src/fescuedeck/net/tcp_socket.h
@@ -3,6 +3,7 @@
 #ifndef FESCUEDECK_NET_TCP_SOCKET_H
 #define FESCUEDECK_NET_TCP_SOCKET_H
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -46,6 +47,9 @@
 
     // Replaces the running deadline.
     void start(duration timeout);
+    // Sets a function that is asked when a deadline has passed. The socket is closed if it returns
+    // zero or less, otherwise the deadline is extended by the returned time.
+    void onExpiry(std::function<duration()> extension);
     void stop();
     bool hasExpired() const;
 
