Exchange state by failure domain, and read the store less often at size

Until the peers are known each gateway took an eighth of the fixed retries. Change: gateways connect to all gateways of their failure domain and to two in each other one, to which they send the load of their domain once a second. The first three live gateways of a domain read often and ask for the lease. The others wait 20 s in the store, learn from the offset and the version in their peers' digests that they are behind, and then read at once. Pauses between reads grow with the number of gateways, waits with the limits in the settings. A gateway has no fixed retries until it knows how many gateways there are. The text of a gateway's address in the table of peers now has its domain; a gateway without one is connected to by all, as before.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -30,19 +30,26 @@
 constexpr int statusNotFound = 404;
 constexpr int incarnationBytes = 4;
 
-// The store holds a read of the configuration open for up to configWait. A stalled connection hides
-// changes until its read times out, and a change must be in force within two seconds. Therefore
-// configWait and readTimeout together stay below two seconds.
-constexpr duration configWait = std::chrono::milliseconds(1200);
+// The store holds a read of a table open until there is a new record. A stalled connection hides
+// changes until its read times out, and a change must be in force within a limit of the settings.
+// Therefore the wait, readTimeout and readMargin together stay within that limit. This applies to a
+// few gateways of each failure domain. The others learn from these, within readMargin, that there
+// are records which they have not read, so that they can wait longer.
 constexpr duration readTimeout = std::chrono::milliseconds(500);
+constexpr duration readMargin = std::chrono::milliseconds(300);
+constexpr duration minReadWait = std::chrono::milliseconds(300);
+constexpr duration longReadWait = std::chrono::seconds(20);
+constexpr int frequentReadersPerDomain = 3;
 // Reads of the quarantine table may wait long, because quarantined requests are rare and gateways
 // also tell each other about them.
 constexpr duration quarantineWait = std::chrono::seconds(20);
 // Endpoints write an announcement whenever it changes. The interval between two reads limits the
-// load on the store while many announcements change. It is far shorter than drainLimit, after which
-// a leaving endpoint must get no more requests.
-constexpr duration endpointsWait = std::chrono::milliseconds(1200);
-constexpr duration endpointsReadInterval = std::chrono::milliseconds(100);
+// load on the store while many announcements change, and grows with the number of gateways that
+// share the store. It stays far shorter than drainLimit, after which a leaving endpoint must get no
+// more requests.
+constexpr duration minEndpointsReadInterval = std::chrono::milliseconds(100);
+constexpr int gatewaysPerReadInterval = 12;
+constexpr int drainLimitDivisor = 8;
 // Announcements that expired during an outage of the store are written again within this time after
 // the store returns.
 constexpr duration reannouncementTime = std::chrono::milliseconds(2300);
@@ -100,6 +107,9 @@
     table_follower_hooks configHooks();
     table_follower_hooks endpointHooks();
     table_follower_hooks quarantineHooks();
+    read_pace configPace() const;
+    read_pace endpointsPace() const;
+    duration readWait(duration limit) const;
 
     boost::asio::io_context m_io{ 1 };
     const read_settings_fn m_readSettings;
@@ -139,18 +149,25 @@
                            exchange.respond(statusResponse(exchange.request()));
                        })
     , m_configTable(m_io, m_context.adapter.store, store_table::Configuration,
-                    { "configuration", configWait, {}, readTimeout }, configHooks(),
-                    m_context.random)
+                    { "configuration", [this] { return configPace(); }, readTimeout },
+                    configHooks(), m_context.random)
     , m_endpointTable(m_io, m_context.adapter.store, store_table::Endpoints,
-                      { "endpoints", endpointsWait, endpointsReadInterval, readTimeout },
+                      { "endpoints", [this] { return endpointsPace(); }, readTimeout },
                       endpointHooks(), m_context.random)
     , m_quarantineTable(m_io, m_context.adapter.store, store_table::Quarantine,
-                        { "quarantine", quarantineWait, {} }, quarantineHooks(), m_context.random)
+                        { "quarantine",
+                          [] {
+                              return read_pace{ quarantineWait, {} };
+                          } },
+                        quarantineHooks(), m_context.random)
     , m_inspector(m_context)
     , m_placementLease(m_context, settings.id + "." + m_incarnation)
     , m_peers(m_context, m_incarnation,
-              { [this](const std::string &value) { applyConfig(value, "peer"); } })
+              { [this](const std::string &value) { applyConfig(value, "peer"); },
+                [this] { return m_endpointTable.position(); },
+                [this] { m_endpointTable.restartRead(); } })
 {
+    m_context.isAmongFirst = [this](int count) { return m_peers.isAmongFirst(count, steadyNow()); };
     m_context.inspectEngine = [this](const std::string &endpoint, engine_suspicion suspicion) {
         m_inspector.inspect(endpoint, suspicion);
     };
@@ -191,6 +208,28 @@
                       [this] { return static_cast<double>(m_callerServer.openExchanges()); });
 }
 
+// Returns how long a read may wait for a new record that must be known within the limit.
+duration gateway::readWait(duration limit) const
+{
+    if (!m_peers.isAmongFirst(frequentReadersPerDomain, steadyNow()))
+        return longReadWait;
+    return std::max<duration>(limit - readTimeout - readMargin, minReadWait);
+}
+
+read_pace gateway::configPace() const
+{
+    return { readWait(m_context.settings.configApplyLimit), {} };
+}
+
+read_pace gateway::endpointsPace() const
+{
+    const duration limit = m_context.settings.drainLimit;
+    const duration interval
+            = minEndpointsReadInterval * m_peers.knownGateways() / gatewaysPerReadInterval;
+    return { readWait(limit), std::max(minEndpointsReadInterval,
+                                       std::min<duration>(interval, limit / drainLimitDivisor)) };
+}
+
 table_follower_hooks gateway::configHooks()
 {
     table_follower_hooks hooks;
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -55,6 +55,10 @@
     std::function<void(const std::string &endpoint, engine_suspicion)> inspectEngine;
     // Called after an engine has been marked as lost.
     std::function<void()> onEngineLost;
+    // Whether this gateway is among the first live gateways of its failure domain, in the order of
+    // their hosts. Work that a few gateways can do for all is left to these. A gateway that reaches
+    // no other one is always among them.
+    std::function<bool(int count)> isAmongFirst = [](int) { return true; };
     bool hasEndpointList = false; // the endpoint table has been read at least once
     // After this time an endpoint that is not in the endpoint table has really gone. Before it, an
     // endpoint may be missing because its announcement expired during an outage of the store.
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -19,22 +19,41 @@
 // The load that peers report decides which failure domain gets a request, so it must be recent.
 constexpr duration digestInterval = std::chrono::milliseconds(300);
 constexpr duration digestLifetime = std::chrono::milliseconds(1500);
+// Requests rarely leave the domain of their gateway, and links between domains are expensive.
+constexpr duration otherDomainDigestInterval = std::chrono::seconds(1);
+constexpr duration otherDomainDigestLifetime = std::chrono::seconds(4);
+// All gateways register when the deployment starts, so that many records follow each other.
+constexpr duration peersReadDelay = std::chrono::milliseconds(500);
+// The pauses between the reads of the endpoint table differ between gateways. One that is behind
+// for longer waits for an answer that is lost.
+constexpr duration maxTableLag = std::chrono::seconds(1);
+// Fraction of the fixed retries of a gateway that does not exchange state with others, whose number
+// is therefore unknown.
+constexpr double unsharedRetryFraction = 1.0 / 8;
+// The cell of gateways without a failure domain. Cells have a name on the wire.
+constexpr const char *unknownCell = "-";
 constexpr duration refreshInterval = std::chrono::milliseconds(100);
 // The suspicions of peers are ignored if they name more than one endpoint in this many.
 constexpr std::size_t endpointsPerSuspect = 4;
 constexpr duration peerSuspicionDuration = std::chrono::milliseconds(500);
 constexpr duration configRequestInterval = std::chrono::milliseconds(300);
 
+std::string cellOf(const gateway_settings &settings)
+{
+    return settings.failureDomain.empty() ? unknownCell : settings.failureDomain;
+}
+
 peer_network_settings networkSettings(const gateway_settings &settings,
                                       const std::string &incarnation, const std::string &secret)
 {
     peer_network_settings network;
     network.identity.deployment = "gateways";
-    network.identity.cell = "0";
+    network.identity.cell = cellOf(settings);
     network.identity.router = settings.id;
     network.identity.incarnation = incarnation;
     network.secret = secret;
     network.digestInterval = digestInterval;
+    network.otherCellDigestInterval = otherDomainDigestInterval;
     return network;
 }
 
@@ -45,19 +64,26 @@
     : m_context(context)
     , m_incarnation(std::move(incarnation))
     , m_hooks(std::move(hooks))
-    , m_table(context.io, context.adapter.store, store_table::Peers, { "peers", tableWait, {} },
+    , m_table(context.io, context.adapter.store, store_table::Peers,
+              { "peers",
+                [] {
+                    return read_pace{ tableWait, peersReadDelay };
+                } },
               { [this](const store_record &record) { onPeerRecord(record); },
                 [this](const std::vector<std::string> &) { openNetwork(); },
                 {} },
               context.random)
-    , m_directory(digestLifetime)
+    , m_cell(cellOf(context.settings))
+    , m_ownDomain(digestLifetime)
 {
 }
 
 void gateway_peers::start()
 {
-    if (m_context.settings.peersAddress.empty())
+    if (m_context.settings.peersAddress.empty()) {
+        m_context.retryBudget.adjustFraction(unsharedRetryFraction, {});
         return;
+    }
     boost::asio::spawn(m_context.io,
                        [this](boost::asio::yield_context yield) { registerWithStore(yield); });
     boost::asio::spawn(m_context.io,
@@ -78,8 +104,10 @@
                               randomHex(secretBytes, m_context.random), true };
     // The store usually refuses this write, because there already is a secret.
     m_context.adapter.store.write(secret, storeTimeout, yield);
-    const store_write own{ store_table::Peers, m_context.settings.id,
-                           m_context.settings.peersAddress, false };
+    const store_write own{
+        store_table::Peers, m_context.settings.id,
+        toText({ m_context.settings.peersAddress, m_context.settings.failureDomain }), false
+    };
     auto error = m_context.adapter.store.write(own, storeTimeout, yield);
     while (error) {
         event_line("introduction_failed", event_level::Warning).field("detail", error->detail);
@@ -97,9 +125,9 @@
         return;
     }
     if (record.isRemoval)
-        m_addresses.erase(record.key);
+        m_locations.erase(record.key);
     else
-        m_addresses[record.key] = record.value;
+        m_locations[record.key] = parseLocation(record.value);
     openNetwork();
 }
 
@@ -109,7 +137,7 @@
         return;
     if (!m_network) {
         peer_network_hooks hooks;
-        hooks.currentDigest = [this] { return currentDigest(); };
+        hooks.currentDigest = [this](const std::string &cell) { return currentDigest(cell); };
         hooks.onPeerUp
                 = [](const peer_hello &peer) { event_line("peer_up").field("peer", peer.router); };
         hooks.onPeerDown = [](const peer_hello &peer) {
@@ -132,19 +160,29 @@
                     .field("detail", error.message());
         }
     }
-    std::vector<std::string> addresses;
-    for (const auto &[host, address] : m_addresses) {
-        if (host != m_context.settings.id)
-            addresses.push_back(address);
-    }
-    m_network->setPeers(addresses);
+    m_network->setPeers(
+            choosePeers(m_context.settings.id, m_context.settings.failureDomain, m_locations));
+}
+
+// What the gateways of a domain tell those of another one is never passed on to a third.
+peer_digest gateway_peers::currentDigest(const std::string &cell) const
+{
+    peer_digest digest = ownDigest();
+    if (cell == m_cell)
+        return digest;
+    const peer_view domain = m_ownDomain.merged(steadyNow());
+    for (const auto &[endpoint, tokens] : domain.inFlight)
+        digest.inFlight[endpoint] += tokens;
+    digest.suspects.insert(domain.suspects.begin(), domain.suspects.end());
+    return digest;
 }
 
-peer_digest gateway_peers::currentDigest() const
+peer_digest gateway_peers::ownDigest() const
 {
     peer_digest digest;
     const time_point now = steadyNow();
     digest.version = m_context.config ? m_context.config->config().version : 0;
+    digest.offset = m_hooks.endpointOffset ? m_hooks.endpointOffset() : 0;
     for (const endpoint_ptr &endpoint : m_context.endpoints.all()) {
         // A loss that only peers have reported is not passed on. Otherwise gateways would keep
         // confirming it to each other, and it would never expire.
@@ -165,7 +203,12 @@
     if (const auto *digest = std::get_if<peer_digest>(&message)) {
         for (const std::string &fingerprint : digest->quarantined)
             m_context.crashes.quarantine(fingerprint, steadyNow());
-        m_directory.onDigest(peer.router, *digest, steadyNow());
+        if (peer.cell == m_cell) {
+            m_ownDomain.onDigest(peer.router, *digest, steadyNow());
+        } else {
+            m_otherDomains.try_emplace(peer.cell, otherDomainDigestLifetime)
+                    .first->second.onDigest(peer.router, *digest, steadyNow());
+        }
     } else if (const auto *request = std::get_if<bundle_request>(&message)) {
         const std::int64_t version = m_context.config ? m_context.config->config().version : 0;
         if (version >= request->version && !m_configText.empty())
@@ -183,10 +226,25 @@
     }
 }
 
+peer_view gateway_peers::mergedView(time_point now) const
+{
+    peer_view view = m_ownDomain.merged(now);
+    for (const auto &[cell, directory] : m_otherDomains) {
+        const peer_view other = directory.mergedSummaries(now);
+        for (const auto &[endpoint, tokens] : other.inFlight)
+            view.inFlight[endpoint] += tokens;
+        view.suspects.insert(other.suspects.begin(), other.suspects.end());
+        view.leaving.insert(other.leaving.begin(), other.leaving.end());
+    }
+    return view;
+}
+
 void gateway_peers::applyPeerView(time_point now)
 {
-    m_directory.expire(now);
-    const peer_view view = m_directory.merged(now);
+    m_ownDomain.expire(now);
+    for (auto &[cell, directory] : m_otherDomains)
+        directory.expire(now);
+    const peer_view view = mergedView(now);
     for (const endpoint_ptr &endpoint : m_context.endpoints.all()) {
         const auto load = view.inFlight.find(endpoint->entry.id);
         endpoint->peerTokensInFlight = load == view.inFlight.end() ? 0 : load->second;
@@ -194,30 +252,70 @@
         if (isLeaving && m_context.isEndpointTableUnavailable)
             m_context.endpoints.markLeaving(endpoint->entry.id);
     }
-    updateRetryBudgetShare(view, now);
+    updateRetryBudgetShare(m_ownDomain.merged(now), now);
     applyPeerSuspicions(view.suspects, now);
+    requestNewerConfig(now);
+    checkEndpointOffset(now);
+}
+
+void gateway_peers::requestNewerConfig(time_point now)
+{
     const std::int64_t version = m_context.config ? m_context.config->config().version : 0;
-    const auto newer = m_directory.newerBundle(version, now);
-    if (newer && m_network && now - m_lastConfigRequest >= configRequestInterval) {
+    auto newest = m_ownDomain.newerBundle(version, now);
+    for (const auto &[cell, directory] : m_otherDomains) {
+        const auto newer = directory.newerBundle(version, now);
+        if (newer && (!newest || newer->version > newest->version))
+            newest = newer;
+    }
+    if (newest && m_network && now - m_lastConfigRequest >= configRequestInterval) {
         m_lastConfigRequest = now;
-        m_network->send(newer->router, bundle_request{ newer->version });
+        m_network->send(newest->router, bundle_request{ newest->version });
+    }
+}
+
+void gateway_peers::checkEndpointOffset(time_point now)
+{
+    if (!m_hooks.endpointOffset || !m_hooks.onEndpointTableBehind)
+        return;
+    std::int64_t greatest = m_ownDomain.greatestOffset(now);
+    for (const auto &[cell, directory] : m_otherDomains)
+        greatest = std::max(greatest, directory.greatestOffset(now));
+    if (m_hooks.endpointOffset() >= greatest) {
+        m_behindSince = {};
+        return;
     }
+    if (m_behindSince == time_point{})
+        m_behindSince = now;
+    if (now - m_behindSince < maxTableLag)
+        return;
+    m_behindSince = now;
+    m_hooks.onEndpointTableBehind();
 }
 
-void gateway_peers::updateRetryBudgetShare(const peer_view &view, time_point now)
+// The fixed retries are shared within each domain, because a gateway does not know the loads of the
+// gateways of other domains. The parts of the domains add up to no more than all fixed retries.
+void gateway_peers::updateRetryBudgetShare(const peer_view &ownDomain, time_point now)
 {
-    if (m_addresses.empty())
+    if (m_locations.empty())
         return;
     retry_sharing_state sharing;
     for (const endpoint_ptr &endpoint : m_context.endpoints.all())
         sharing.ownLoad += endpoint->tokensInFlight;
-    for (const auto &[endpoint, tokens] : view.inFlight)
+    for (const auto &[endpoint, tokens] : ownDomain.inFlight)
         sharing.peerLoad += tokens;
-    sharing.livePeers = livePeers(now);
-    sharing.knownGateways = static_cast<int>(m_addresses.size());
+    sharing.livePeers = static_cast<int>(m_ownDomain.livePeers(now).size());
+    sharing.knownGateways = knownGateways();
     m_context.retryBudget.adjustFraction(sharedBudgetFraction(sharing), refreshInterval);
 }
 
+bool gateway_peers::isAmongFirst(int count, time_point now) const
+{
+    int before = 0;
+    for (const std::string &host : m_ownDomain.livePeers(now))
+        before += host < m_context.settings.id ? 1 : 0;
+    return before < count;
+}
+
 // Marks engines as lost that peers have found lost themselves. A gateway that is cut off from the
 // engines reports most of them, so a large number of suspects is ignored.
 void gateway_peers::applyPeerSuspicions(const std::set<std::string> &suspects, time_point now)
@@ -240,7 +338,10 @@
 
 int gateway_peers::livePeers(time_point now) const
 {
-    return static_cast<int>(m_directory.livePeers(now).size());
+    std::size_t live = m_ownDomain.livePeers(now).size();
+    for (const auto &[cell, directory] : m_otherDomains)
+        live += directory.livePeers(now).size();
+    return static_cast<int>(live);
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -2,12 +2,18 @@
 // store.
 //
 // Each gateway tells its peers its load, its configuration version, the endpoints that it knows to
-// be leaving, the endpoints that it has found lost, and the requests that crash endpoints. A
-// gateway that cannot reach the store learns of changes from gateways that can. Gateways read each
-// other's addresses and the shared secret that authenticates them from a table of the store.
+// be leaving, the endpoints that it has found lost, the requests that crash endpoints, and how far
+// it has read the table of endpoints. A gateway that cannot reach the store learns of changes from
+// gateways that can. Gateways read each other's addresses and the shared secret that authenticates
+// them from a table of the store.
+//
+// Gateways of one failure domain tell each other their own load. To the gateways of other domains,
+// of which each is connected to a few, they tell the load of their whole domain.
 #ifndef FESCUEDECK_GATEWAY_GATEWAY_PEERS_H
 #define FESCUEDECK_GATEWAY_GATEWAY_PEERS_H
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +24,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "fescuedeck/gateway/gateway_context.h"
+#include "fescuedeck/gateway/peer_topology.h"
 #include "fescuedeck/gateway/table_follower.h"
 #include "fescuedeck/net/peer_network.h"
 #include "fescuedeck/peer/peer_directory.h"
@@ -28,6 +35,10 @@
 {
     // Called with the text of a configuration, as the operator wrote it, that a peer has sent.
     std::function<void(const std::string &value)> onConfig;
+    // Offset up to which this gateway has read the table of endpoints.
+    std::function<std::int64_t()> endpointOffset;
+    // Called while peers have read the table of endpoints further for a while.
+    std::function<void()> onEndpointTableBehind;
 };
 
 // Not thread-safe. It must not be destroyed while the io_context of the gateway runs.
@@ -45,6 +56,11 @@
     void announceChange();
     // Returns the number of other gateways that were heard from recently.
     int livePeers(time_point now) const;
+    // Returns the number of gateways in the store's table, at least 1.
+    int knownGateways() const { return std::max(1, static_cast<int>(m_locations.size())); }
+    // Whether this gateway is among the first live gateways of its failure domain, in the order of
+    // their hosts.
+    bool isAmongFirst(int count, time_point now) const;
 
 private:
     void registerWithStore(boost::asio::yield_context yield);
@@ -52,9 +68,13 @@
     void openNetwork();
     void runRefreshLoop(boost::asio::yield_context yield);
     void applyPeerView(time_point now);
-    void updateRetryBudgetShare(const peer_view &view, time_point now);
+    void updateRetryBudgetShare(const peer_view &ownDomain, time_point now);
     void applyPeerSuspicions(const std::set<std::string> &suspects, time_point now);
-    peer_digest currentDigest() const;
+    void requestNewerConfig(time_point now);
+    void checkEndpointOffset(time_point now);
+    peer_view mergedView(time_point now) const;
+    peer_digest currentDigest(const std::string &cell) const;
+    peer_digest ownDigest() const;
     void onMessage(const peer_hello &peer, const peer_message &message);
 
     gateway_context &m_context;
@@ -62,9 +82,13 @@
     const gateway_peers_hooks m_hooks;
     table_follower m_table;
     std::string m_secret;
-    std::map<std::string, std::string> m_addresses; // of all gateways, by host
+    const std::string m_cell;      // the name of the failure domain on connections to peers
+    gateway_locations m_locations; // of all gateways
     std::unique_ptr<peer_network> m_network;
-    peer_directory m_directory;
+    peer_directory m_ownDomain;
+    std::map<std::string, peer_directory> m_otherDomains; // by cell
+    time_point m_behindSince{}; // when peers had read the endpoint table further; zero if they have
+                                // not
     std::string m_configText;
     time_point m_lastConfigRequest{};
 };
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -58,10 +58,11 @@
     return loopback(acceptor.local_endpoint().port());
 }
 
-gateway_settings settingsOf(const std::string &id)
+gateway_settings settingsOf(const std::string &id, const std::string &domain)
 {
     gateway_settings settings;
     settings.id = id;
+    settings.failureDomain = domain;
     settings.peersAddress = freeAddress();
     return settings;
 }
@@ -75,10 +76,14 @@
 
 struct test_gateway
 {
-    test_gateway(test_io &io, fake_table &table, const std::string &id)
+    test_gateway(test_io &io, fake_table &table, const std::string &id,
+                 const std::string &domain = "")
         : client(io.context())
-        , context(settingsOf(id), adapterWith(table), io.context(), client, seededRandom(id.size()))
-        , peers(context, "1", { [this](const std::string &value) { configs.push_back(value); } })
+        , context(settingsOf(id, domain), adapterWith(table), io.context(), client,
+                  seededRandom(id.size()))
+        , peers(context, "1",
+                { [this](const std::string &value) { configs.push_back(value); },
+                  [this] { return endpointOffset; }, [this] { ++timesBehind; } })
     {
     }
 
@@ -92,6 +97,8 @@
 
     http_client client;
     std::vector<std::string> configs;
+    std::int64_t endpointOffset = 0;
+    int timesBehind = 0;
     gateway_context context;
     gateway_peers peers;
 };
@@ -222,4 +229,62 @@
     CHECK(eventually([&] { return !isLost(); }));
 }
 
+// Guards against gateways that see only their own domain: requests would be sent to another domain
+// whose caches are full.
+TEST_CASE("a gateway tells other domains the load of its whole domain", "[gateway]")
+{
+    test_io io{ 1 };
+    fake_table table;
+    test_gateway near(io, table, "a-1", "a");
+    test_gateway neighbour(io, table, "a-2", "a");
+    test_gateway far(io, table, "b-1", "b");
+    const auto all = { &near, &neighbour, &far };
+    const auto peerLoadOf = [&](test_gateway &gateway) {
+        return io.run([&](boost::asio::yield_context) {
+            return gateway.context.endpoints.find("x")->peerTokensInFlight;
+        });
+    };
+    io.run([&](boost::asio::yield_context) {
+        double tokens = 100;
+        for (test_gateway *gateway : all) {
+            gateway->addEndpoint("x");
+            gateway->context.endpoints.find("x")->tokensInFlight = tokens;
+            gateway->peers.start();
+            tokens *= 10;
+        }
+        return true;
+    });
+    // Both gateways of domain a report their sum, which counts once.
+    CHECK(eventually([&] { return peerLoadOf(far) == 1100; }));
+    CHECK(eventually([&] { return peerLoadOf(near) == 11000; }));
+    CHECK(eventually([&] { return peerLoadOf(neighbour) == 10100; }));
+    io.run([&](boost::asio::yield_context) {
+        CHECK(near.peers.isAmongFirst(1, steadyNow()));
+        CHECK_FALSE(neighbour.peers.isAmongFirst(1, steadyNow()));
+        CHECK(neighbour.peers.isAmongFirst(2, steadyNow()));
+        CHECK(far.peers.isAmongFirst(1, steadyNow()));
+        return true;
+    });
+    io.stop();
+}
+
+// Guards against a gateway that waits for an answer of the store which is lost, and misses that an
+// endpoint leaves.
+TEST_CASE("a gateway notices that a peer has read the endpoint table further", "[gateway]")
+{
+    peers_fixture gateways;
+    gateways.onThread([&] {
+        gateways.first.endpointOffset = 12;
+        gateways.second.endpointOffset = 12;
+    });
+    CHECK(eventually([&] {
+        return gateways.onThread([&] { return gateways.second.peers.livePeers(steadyNow()) == 1; });
+    }));
+    CHECK(gateways.onThread([&] { return gateways.second.timesBehind; }) == 0);
+    gateways.onThread([&] { gateways.first.endpointOffset = 13; });
+    CHECK(eventually(
+            [&] { return gateways.onThread([&] { return gateways.second.timesBehind > 0; }); }));
+    CHECK(gateways.onThread([&] { return gateways.first.timesBehind; }) == 0);
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/gateway_retry_budget.cpp
+++ b/src/fescuedeck/gateway/gateway_retry_budget.cpp
@@ -12,8 +12,6 @@
 constexpr duration sliceLength = std::chrono::milliseconds(250);
 // Fraction of the fixed retries that is available in the first window of a process.
 constexpr double firstWindowFraction = 0.25;
-// Fraction of the fixed retries until the other gateways are known.
-constexpr double initialFraction = 1.0 / 8;
 
 } // namespace
 
@@ -28,15 +26,18 @@
 gateway_retry_budget::gateway_retry_budget(retry_budget_limits limits, time_point startedAt)
     : m_limits(limits)
     , m_startedAt(startedAt)
-    , m_fraction(initialFraction)
 {
 }
 
 void gateway_retry_budget::adjustFraction(double fraction, duration sinceLast)
 {
+    if (!m_fraction) {
+        m_fraction = fraction;
+        return;
+    }
     const auto window = static_cast<double>(m_limits.window.count());
     const double step = static_cast<double>(sinceLast.count()) / window;
-    m_fraction += (fraction - m_fraction) * std::min(1.0, step);
+    *m_fraction += (fraction - *m_fraction) * std::min(1.0, step);
 }
 
 gateway_retry_budget::slice &gateway_retry_budget::currentSlice(const std::string &service,
@@ -75,8 +76,8 @@
         }
     }
     const bool isFirstWindow = now - m_startedAt < m_limits.window;
-    const double sharedRetries
-            = m_limits.sharedRetries * m_fraction * (isFirstWindow ? firstWindowFraction : 1);
+    const double sharedRetries = m_limits.sharedRetries * m_fraction.value_or(0)
+                                 * (isFirstWindow ? firstWindowFraction : 1);
     return (m_limits.share * requests + sharedRetries) * usableFraction - retries;
 }
 
--- a/src/fescuedeck/gateway/gateway_retry_budget.h
+++ b/src/fescuedeck/gateway/gateway_retry_budget.h
@@ -9,6 +9,7 @@
 #define FESCUEDECK_GATEWAY_GATEWAY_RETRY_BUDGET_H
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -48,7 +49,8 @@
 
     // Moves this gateway's fraction of the fixed retries towards the given one, which is from 0
     // to 1. sinceLast is the time since the last call. A change takes effect over about one window,
-    // because other gateways may have used their parts within it.
+    // because other gateways may have used their parts within it. Before the first call the
+    // fraction is 0, because the number of gateways is not known; the first call sets it at once.
     void adjustFraction(double fraction, duration sinceLast);
     void setLimits(retry_budget_limits limits) { m_limits = limits; }
     void recordRequest(const std::string &service, time_point now);
@@ -73,7 +75,7 @@
 
     retry_budget_limits m_limits;
     const time_point m_startedAt;
-    double m_fraction;
+    std::optional<double> m_fraction;
     std::unordered_map<std::string, slices> m_services;
 };
 
--- a/src/fescuedeck/gateway/gateway_retry_budget_test.cpp
+++ b/src/fescuedeck/gateway/gateway_retry_budget_test.cpp
@@ -58,6 +58,19 @@
     CHECK(sharedBudgetFraction({ 30, 70, 3, 0 }) == Approx(0.3));
 }
 
+// Guards against a start of hundreds of gateways that each take a fixed part of the retries before
+// they know how many they are.
+TEST_CASE("gateways that start together share the fixed retries from the first moment", "[gateway]")
+{
+    for (const int gateways : { 4, 35, 118, 640 }) {
+        gateway_retry_budget budget({ 0, 774, std::chrono::seconds(10) }, longAgo);
+        CHECK(budget.available("s", start) <= 0);
+        budget.adjustFraction(sharedBudgetFraction({ 0, 0, 0, gateways }), limits.window / 100);
+        CHECK(budget.available("s", start) * gateways <= 774);
+        CHECK(budget.available("s", start) > 0);
+    }
+}
+
 TEST_CASE("a larger fraction takes effect over one window", "[gateway]")
 {
     gateway_retry_budget budget({ 0, 100, std::chrono::seconds(10) }, longAgo);
--- a/src/fescuedeck/gateway/gateway_settings.h
+++ b/src/fescuedeck/gateway/gateway_settings.h
@@ -22,6 +22,8 @@
     duration gracePeriod = std::chrono::seconds(8);
     // A draining endpoint gets no new request later than this after its announcement.
     duration drainLimit = std::chrono::seconds(2);
+    // A configuration is in force on every gateway this long after the operator has written it.
+    duration configApplyLimit = std::chrono::seconds(2);
     // The time after which an engine that waits for another engine gives up.
     duration stallLimit = std::chrono::milliseconds(2500);
     // The retry budget for each service, of all gateways together. In each retryWindow, the number
--- a/src/fescuedeck/gateway/placement_lease.cpp
+++ b/src/fescuedeck/gateway/placement_lease.cpp
@@ -38,37 +38,55 @@
     m_extendedUntil = {};
 }
 
+// A holder stays a candidate, so that a gateway that returns does not take the lease from it.
+bool placement_lease::isCandidate() const
+{
+    return isHolder(steadyNow()) || m_context.isAmongFirst(m_settings.candidatesPerDomain);
+}
+
 void placement_lease::renewForever(boost::asio::yield_context yield)
 {
     while (!m_context.isStopping) {
-        // The lease duration counts from when the renewal is sent, because the store may have
-        // started it then.
-        const time_point sentAt = steadyNow();
-        const bool wasHolder = isHolder(sentAt);
-        const auto grant = m_context.adapter.store.joinLease(m_member, m_settings.leaseDuration,
-                                                             m_settings.renewTimeout, yield);
-        m_isStoreUnavailable = !grant;
-        if (grant) {
-            m_extendedUntil
-                    = grant.value().isHolder ? sentAt + m_settings.maxExtension : time_point{};
-            m_expiresAt = grant.value().isHolder ? sentAt + m_settings.leaseDuration : time_point{};
-            m_fencingToken = grant.value().fencingToken;
-            if (grant.value().isHolder != wasHolder) {
-                event_line(wasHolder ? "duty_lost" : "duty_taken")
-                        .field("duty", "placement")
-                        .field("fencing_token", m_fencingToken);
-            }
+        if (isCandidate()) {
+            renew(yield);
+        } else if (m_isMember) {
+            m_isMember
+                    = m_context.adapter.store.leaveLease(m_member, m_settings.renewTimeout, yield)
+                              .has_value();
         }
         sleepFor(m_settings.renewInterval, yield);
     }
     release(yield);
 }
 
+void placement_lease::renew(boost::asio::yield_context yield)
+{
+    // The lease duration counts from when the renewal is sent, because the store may have started
+    // it then.
+    const time_point sentAt = steadyNow();
+    const bool wasHolder = isHolder(sentAt);
+    m_isMember = true;
+    const auto grant = m_context.adapter.store.joinLease(m_member, m_settings.leaseDuration,
+                                                         m_settings.renewTimeout, yield);
+    m_isStoreUnavailable = !grant;
+    if (!grant)
+        return;
+    const bool isGranted = grant.value().isHolder;
+    m_extendedUntil = isGranted ? sentAt + m_settings.maxExtension : time_point{};
+    m_expiresAt = isGranted ? sentAt + m_settings.leaseDuration : time_point{};
+    m_fencingToken = grant.value().fencingToken;
+    if (isGranted != wasHolder) {
+        event_line(wasHolder ? "duty_lost" : "duty_taken")
+                .field("duty", "placement")
+                .field("fencing_token", m_fencingToken);
+    }
+}
+
 // Releases the lease in the store. While the store is unavailable no other gateway can take the
 // lease over, so this one keeps it until the store accepts the release or the process ends.
 void placement_lease::release(boost::asio::yield_context yield)
 {
-    while (true) {
+    while (m_isMember) {
         const time_point sentAt = steadyNow();
         const auto error
                 = m_context.adapter.store.leaveLease(m_member, m_settings.renewTimeout, yield);
--- a/src/fescuedeck/gateway/placement_lease.h
+++ b/src/fescuedeck/gateway/placement_lease.h
@@ -21,6 +21,8 @@
     duration leaseDuration = std::chrono::milliseconds(2200);
     duration renewInterval = std::chrono::milliseconds(500);
     duration renewTimeout = std::chrono::milliseconds(1200);
+    // In each failure domain, this many gateways ask for the lease.
+    int candidatesPerDomain = 3;
     // How long after the last renewal the holder may go on while the store does not answer. It
     // applies only if the engines check the fencing token, because they then refuse the orders of a
     // former holder.
@@ -50,6 +52,8 @@
     void markExpired();
 
 private:
+    bool isCandidate() const;
+    void renew(boost::asio::yield_context yield);
     void renewForever(boost::asio::yield_context yield);
     void release(boost::asio::yield_context yield);
     void planForever(boost::asio::yield_context yield);
@@ -66,6 +70,7 @@
     std::map<std::string, placement_controller> m_controllers; // by service name
     time_point m_expiresAt{};
     time_point m_extendedUntil{};
+    bool m_isMember = false;           // of the group whose members may get the lease
     bool m_isStoreUnavailable = false; // the last request to the store failed
     std::int64_t m_fencingToken = 0;
 };
--- a/src/fescuedeck/gateway/placement_lease_test.cpp
+++ b/src/fescuedeck/gateway/placement_lease_test.cpp
@@ -18,12 +18,13 @@
 
 // A store that grants the lease to every member while it is up, and engines that accept every order
 // and always report that they are busy.
-platform_adapter testAdapter(const std::atomic<bool> &isStoreDown,
+platform_adapter testAdapter(const std::atomic<bool> &isStoreDown, std::atomic<int> &joins,
                              std::atomic<int> &refusedReleases)
 {
     platform_adapter adapter;
     adapter.store.joinLease = [&](const std::string &, duration, duration,
                                   boost::asio::yield_context) -> result<lease_grant> {
+        ++joins;
         if (isStoreDown)
             return makeFailure(errc::LogUnavailable, "down");
         return lease_grant{ true, 1 };
@@ -83,8 +84,8 @@
 public:
     lease_fixture()
         : m_client(io.context())
-        , context(testSettings(), testAdapter(isStoreDown, refusedReleases), io.context(), m_client,
-                  seededRandom(1))
+        , context(testSettings(), testAdapter(isStoreDown, joins, refusedReleases), io.context(),
+                  m_client, seededRandom(1))
         , m_inspector(context)
         , m_lease(context, "one", shortLease())
         , m_engine(io.context(), {}, [this](http_exchange &exchange) {
@@ -121,6 +122,7 @@
 
     test_io io{ 1 };
     std::atomic<bool> isStoreDown{ false };
+    std::atomic<int> joins{ 0 };
     std::atomic<int> refusedReleases{ 0 };
     std::atomic<int> orders{ 0 }; // received by the live engine
 
@@ -175,4 +177,27 @@
     CHECK(eventually([&] { return !fixture.isHolder(); }));
 }
 
+// Guards against calls to the store that grow with the number of gateways.
+TEST_CASE("a gateway that is not among the first of its domain does not ask for the lease",
+          "[gateway]")
+{
+    lease_fixture fixture;
+    std::atomic<bool> isFirst{ false };
+    std::atomic<int> checks{ 0 };
+    fixture.context.isAmongFirst = [&](int) {
+        ++checks;
+        return isFirst.load();
+    };
+    fixture.start();
+    CHECK(eventually([&] { return checks > 3; }));
+    CHECK(fixture.joins == 0);
+    isFirst = true;
+    CHECK(eventually([&] { return fixture.isHolder(); }));
+    // A holder keeps the lease when the gateways before it return.
+    isFirst = false;
+    const int joins = fixture.joins;
+    CHECK(eventually([&] { return fixture.joins > joins + 3; }));
+    CHECK(fixture.isHolder());
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/settings_reload.cpp
+++ b/src/fescuedeck/gateway/settings_reload.cpp
@@ -26,6 +26,7 @@
     };
     apply(&gateway_settings::gracePeriod, "grace_period");
     apply(&gateway_settings::drainLimit, "drain_limit");
+    apply(&gateway_settings::configApplyLimit, "config_apply_limit");
     apply(&gateway_settings::stallLimit, "stall_limit");
     apply(&gateway_settings::retryShare, "retry_share");
     apply(&gateway_settings::minRetriesPerWindow, "retry_reserve");
--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -31,7 +31,7 @@
         const bool isSuccess = m_position ? readNewRecords(yield) : readWholeTable(yield);
         if (isSuccess)
             m_backoff.reset();
-        const duration delay = isSuccess ? m_settings.readDelay : m_backoff.next();
+        const duration delay = isSuccess ? m_settings.pace().readDelay : m_backoff.next();
         if (delay > duration::zero())
             sleepFor(delay, yield);
     }
@@ -66,6 +66,12 @@
     m_cancellation.cancel();
 }
 
+void table_follower::restartRead()
+{
+    m_expectsRecords = true;
+    m_cancellation.cancel();
+}
+
 bool table_follower::readWholeTable(boost::asio::yield_context yield)
 {
     const auto page = m_store.readNewest(m_table, currentTimeout(), yield);
@@ -90,9 +96,11 @@
 bool table_follower::readNewRecords(boost::asio::yield_context yield)
 {
     m_cancellation = call_cancellation();
-    // After a failure the read shows whether the store answers again, so the store must not delay
-    // its answer.
-    const duration wait = m_failedReads > 0 ? duration::zero() : m_settings.longPollWait;
+    // After a failure the read shows whether the store answers again, and if there are records to
+    // read, a lost answer must be noticed soon. The store must not delay its answer then.
+    const bool isAnsweredAtOnce = m_failedReads > 0 || m_expectsRecords;
+    const duration wait = isAnsweredAtOnce ? duration::zero() : m_settings.pace().longPollWait;
+    m_expectsRecords = false;
     const auto page = m_store.readFrom(m_table, *m_position, wait, wait + currentTimeout(),
                                        m_cancellation, yield);
     if (m_cancellation.isCancelled())
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -22,11 +22,18 @@
 
 namespace fescuedeck {
 
-struct table_follower_settings
+// How often a table is read.
+struct read_pace
 {
-    std::string name;        // for logs
     duration longPollWait{}; // how long the store may delay an empty answer
     duration readDelay{};    // between two successful reads
+};
+
+struct table_follower_settings
+{
+    std::string name; // for logs
+    // Asked before each read.
+    std::function<read_pace()> pace;
     // Timeout of one read, in addition to longPollWait. It doubles with each consecutive failure,
     // because the store may be slow, and never exceeds maxTimeout.
     duration initialTimeout = std::chrono::seconds(2);
@@ -62,6 +69,11 @@
     // Cancels the current read of new records and reads the whole table again, for example after a
     // process pause.
     void refresh();
+    // Ends the current read of new records and starts another one, because the table is known to
+    // have records that the current read has not returned. The connection of that read may be dead.
+    void restartRead();
+    // Offset of the next record to read; 0 before the first read.
+    std::int64_t position() const { return m_position.value_or(0); }
     // Time of the last successful read; the start of the epoch before the first one.
     time_point lastRead() const { return m_lastRead; }
 
@@ -83,6 +95,7 @@
     std::optional<std::int64_t> m_position; // none: the whole table must be read
     std::int64_t m_firstRetained = 0;       // offset; the store has dropped the records before it
     call_cancellation m_cancellation;       // of the current read
+    bool m_expectsRecords = false;          // the table has records that were not read yet
     time_point m_lastRead{};
     bool m_isStoreUnavailable = false;
     int m_failedReads = 0; // consecutive
--- a/src/fescuedeck/gateway/table_follower_test.cpp
+++ b/src/fescuedeck/gateway/table_follower_test.cpp
@@ -48,11 +48,12 @@
                 return page;
             }
             lastFrom = from;
+            immediateReads += wait == duration::zero() ? 1 : 0;
             return page;
         };
         table_follower_settings settings;
         settings.name = "test";
-        settings.longPollWait = std::chrono::seconds(1);
+        settings.pace = [] { return read_pace{ std::chrono::seconds(1), {} }; };
         settings.firstReadInterval = std::chrono::milliseconds(5);
         settings.retry = { std::chrono::milliseconds(2), std::chrono::milliseconds(4) };
         table_follower_hooks hooks;
@@ -75,6 +76,7 @@
     std::atomic<int> failedReads{ 0 }; // after the outage was reported
     std::atomic<int> wholeReads{ 0 }, records{ 0 }, wholeTables{ 0 }, outages{ 0 }, recoveries{ 0 };
     std::atomic<std::int64_t> lastFrom{ -1 };
+    std::atomic<int> immediateReads{ 0 }; // successful reads that the store must not delay
     std::unique_ptr<table_follower> follower;
 
 private:
@@ -135,4 +137,15 @@
     CHECK_FALSE(fixture.longPolledWhileDown);
 }
 
+// Guards against a lost answer that hides records until a long read times out.
+TEST_CASE("a restarted read does not wait for a record", "[gateway]")
+{
+    follower_fixture fixture;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    CHECK(fixture.immediateReads == 0);
+    boost::asio::post(fixture.io.context(), [&] { fixture.follower->restartRead(); });
+    CHECK(eventually([&] { return fixture.immediateReads > 0; }));
+    CHECK(fixture.wholeTables == 1);
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/net/peer_network.cpp
+++ b/src/fescuedeck/net/peer_network.cpp
@@ -80,6 +80,7 @@
     peer_hello remote; // set once authenticated
     peer_send_queue queue;
     time_point lastPing{};
+    time_point lastDigest{}; // sent on this connection
     bool isUp = false;
     std::optional<time_point> closeAt; // set when another connection has replaced this one
 };
@@ -397,15 +398,26 @@
 
 void peer_network_core::sendDigestIfDue(time_point now)
 {
-    const duration wait = m_hasNews ? m_settings.digestGap : m_settings.digestInterval;
-    if (now - m_lastDigest < wait || !m_hooks.currentDigest || m_inUse.empty())
+    if (!m_hooks.currentDigest || m_inUse.empty())
         return;
-    m_lastDigest = now;
-    m_hasNews = false;
-    const std::string frame = toCbor(m_hooks.currentDigest());
-    const auto inUse = m_inUse;
-    for (const auto &[router, link] : inUse)
+    const bool hasNews = m_hasNews && now - m_lastDigest >= m_settings.digestGap;
+    std::map<std::string, std::string> frames; // by cell
+    const auto inUse = m_inUse;                // enqueue() may drop a link
+    for (const auto &[router, link] : inUse) {
+        const std::string &cell = link->remote.cell;
+        const duration interval = cell == m_settings.identity.cell
+                                          ? m_settings.digestInterval
+                                          : m_settings.otherCellDigestInterval;
+        if (!hasNews && now - link->lastDigest < interval)
+            continue;
+        std::string &frame = frames[cell];
+        if (frame.empty())
+            frame = toCbor(m_hooks.currentDigest(cell));
+        link->lastDigest = now;
+        m_lastDigest = now;
         enqueue(link, frame, true);
+    }
+    m_hasNews = m_hasNews && !hasNews;
 }
 
 void peer_network_core::onLinkOpen(const link_ptr &link)
@@ -439,8 +451,10 @@
     rememberPeers();
     if (m_hooks.onPeerUp)
         m_hooks.onPeerUp(link->remote);
-    if (m_hooks.currentDigest)
-        enqueue(link, toCbor(m_hooks.currentDigest()), true);
+    if (!m_hooks.currentDigest)
+        return;
+    link->lastDigest = steadyNow();
+    enqueue(link, toCbor(m_hooks.currentDigest(link->remote.cell)), true);
 }
 
 void peer_network_core::replace(const link_ptr &old, const link_ptr &link)
--- a/src/fescuedeck/net/peer_network.h
+++ b/src/fescuedeck/net/peer_network.h
@@ -36,7 +36,8 @@
     duration pingInterval = std::chrono::seconds(1);
     // A connection on which nothing arrives for this long is closed.
     duration silenceLimit = std::chrono::seconds(3);
-    duration digestInterval = std::chrono::seconds(1);
+    duration digestInterval = std::chrono::seconds(1); // to peers of the own cell
+    duration otherCellDigestInterval = std::chrono::seconds(1);
     // Least time between digests, so that many changes in a row cost one digest.
     duration digestGap = std::chrono::milliseconds(100);
     backoff_limits reconnect = { std::chrono::milliseconds(100), std::chrono::seconds(5) };
@@ -47,8 +48,8 @@
 // All hooks are called one at a time on threads of the io_context, with no lock held.
 struct peer_network_hooks
 {
-    // State of this router, for the digests.
-    std::function<peer_digest()> currentDigest;
+    // State of this router, for the digests to the peers of a cell.
+    std::function<peer_digest(const std::string &cell)> currentDigest;
     // A peer is up from its authentication until its connection is lost. A restarted peer goes down
     // and up again.
     std::function<void(const peer_hello &)> onPeerUp;
--- a/src/fescuedeck/net/peer_network_test.cpp
+++ b/src/fescuedeck/net/peer_network_test.cpp
@@ -63,7 +63,7 @@
     peer_network_hooks hooks()
     {
         peer_network_hooks hooks;
-        hooks.currentDigest = [this] {
+        hooks.currentDigest = [this](const std::string &) {
             peer_digest digest;
             digest.hash = m_router;
             return digest;
--- a/src/fescuedeck/peer/peer_directory.cpp
+++ b/src/fescuedeck/peer/peer_directory.cpp
@@ -26,14 +26,36 @@
 }
 
 peer_view peer_directory::merged(time_point now) const
+{
+    peer_view view = unionOfSets(now);
+    for (const auto &[router, entry] : m_entries) {
+        if (entry.expires <= now)
+            continue;
+        for (const auto &[endpoint, count] : entry.digest.inFlight)
+            view.inFlight[endpoint] += count;
+    }
+    return view;
+}
+
+peer_view peer_directory::mergedSummaries(time_point now) const
+{
+    peer_view view = unionOfSets(now);
+    for (const auto &[router, entry] : m_entries) {
+        if (entry.expires <= now)
+            continue;
+        for (const auto &[endpoint, count] : entry.digest.inFlight)
+            view.inFlight[endpoint] = std::max(view.inFlight[endpoint], count);
+    }
+    return view;
+}
+
+peer_view peer_directory::unionOfSets(time_point now) const
 {
     peer_view view;
     for (const auto &[router, entry] : m_entries) {
         if (entry.expires <= now)
             continue;
         const peer_digest &digest = entry.digest;
-        for (const auto &[endpoint, count] : digest.inFlight)
-            view.inFlight[endpoint] += count;
         view.suspects.insert(digest.suspects.begin(), digest.suspects.end());
         view.leaving.insert(digest.leaving.begin(), digest.leaving.end());
         view.drained.insert(digest.drained.begin(), digest.drained.end());
@@ -69,6 +91,16 @@
     return newest;
 }
 
+std::int64_t peer_directory::greatestOffset(time_point now) const
+{
+    std::int64_t greatest = 0;
+    for (const auto &[router, entry] : m_entries) {
+        if (entry.expires > now)
+            greatest = std::max(greatest, entry.digest.offset);
+    }
+    return greatest;
+}
+
 std::vector<std::string> peer_directory::livePeers(time_point now) const
 {
     std::vector<std::string> routers;
--- a/src/fescuedeck/peer/peer_directory.h
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -48,11 +48,16 @@
     void expire(time_point now);
 
     peer_view merged(time_point now) const;
+    // The same for peers that each report the sum of one group of routers: of their reports for an
+    // endpoint the greatest counts.
+    peer_view mergedSummaries(time_point now) const;
     // Calls that peers have in flight on one endpoint.
     double inFlight(const std::string &endpoint, time_point now) const;
     // The peer with the greatest version above this one; among equals the one that has read the
     // control stream furthest, then the first by id.
     std::optional<newer_bundle> newerBundle(std::int64_t version, time_point now) const;
+    // Greatest offset that a peer has read up to; 0 if no digest is in force.
+    std::int64_t greatestOffset(time_point now) const;
     // Peers whose digest is in force, in order of their ids.
     std::vector<std::string> livePeers(time_point now) const;
     std::optional<peer_digest> digestOf(const std::string &router, time_point now) const;
@@ -64,6 +69,8 @@
         time_point expires;
     };
 
+    peer_view unionOfSets(time_point now) const;
+
     const duration m_digestLifetime;
     std::map<std::string, entry> m_entries;
 };
--- a/src/fescuedeck/router/peer_link.cpp
+++ b/src/fescuedeck/router/peer_link.cpp
@@ -79,7 +79,7 @@
     , m_calls(calls)
     , m_tables(lock_rank::Peers, context.settings.peers.digestExpiry)
     , m_network(context.io, networkSettings(context),
-                { [this] { return currentDigest(); },
+                { [this](const std::string &) { return currentDigest(); },
                   [this](const peer_hello &peer) { peerUp(peer); },
                   [this](const peer_hello &peer) { peerDown(peer); },
                   [this](const peer_hello &peer, const peer_message &message) {
