Fail a call whose server sends interim responses without end

Cause: a server in trouble may send bytes that are no answer until its caller closes. Of eight forms of a response without end, each collected and streamed, the test found one that ended only at the deadline of the call: 100 Continue without end. The others were already bounded by the limits of head and body. Change: a call fails after 16 interim responses.

--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -241,6 +241,9 @@
     return static_cast<int>(count);
 }
 
+// A server that sends more of them before its response is in trouble.
+constexpr int maxInterimResponses = 16;
+
 // One call: up to two attempts under one deadline.
 class http_call
 {
@@ -393,8 +396,11 @@
 {
     error_code error;
     watchForStall();
+    int heads = 0;
     do {
         readHead(error);
+        if (++heads > maxInterimResponses)
+            return describe(errc::InvalidMessage, "too many interim responses");
     } while (!error && m_parser->get().result() == http::status::continue_);
     if (!error && m_options.onHead)
         m_options.onHead(toHead(m_parser->get()));
--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -227,6 +227,50 @@
     CHECK(outcome.response.error().code == answer.second);
 }
 
+// Guards against a server in trouble that sends bytes which are no answer until its client closes
+// the connection. The parts are repeated without end after the beginning.
+TEST_CASE("a response without end fails soon and closes its connection", "[net]")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto [begin, part] = GENERATE_COPY(table<std::string, std::string>({
+            { "HTTP/1.1 200 ", "x" },                     // status line
+            { "HTTP/1.1 200 OK\r\nName: ", "x" },         // header
+            { "HTTP/1.1 200 OK\r\n", "Name: value\r\n" }, // headers
+            { "", "HTTP/1.1 100 Continue\r\n\r\n" },      // interim responses
+            { chunked, "0" },                             // size of a chunk
+            { chunked + "1;", "x" },                      // extension of a chunk
+            { chunked, "1000\r\n" + std::string(4096, 'x') + "\r\n" },
+            { "HTTP/1.1 200 OK\r\n\r\n", "x" }, // body without length
+    }));
+    const bool isStreamed = GENERATE(false, true);
+    INFO("begins with " << begin << ", repeats " << part.substr(0, 24));
+    std::string block;
+    while (block.size() < 64 * 1024)
+        block += part;
+    std::atomic<bool> isOver{ false };
+    scripted_server server([&, beginning = begin](tcp::acceptor &acceptor) {
+        raw_connection connection(acceptor);
+        connection.receiveUntil("body");
+        connection.send(beginning);
+        while (!isOver)
+            connection.send(block);
+    });
+    test_io io;
+    http_client client(io.context());
+    call_options limited = options();
+    std::size_t received = 0;
+    if (isStreamed) {
+        limited.collectsBody = false;
+        limited.onBodyPart = [&](std::string_view bytes) { received += bytes.size(); };
+    }
+    const auto outcome = call(io, client, server.port(), limited);
+    isOver = true;
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.response.error().code != errc::Timeout);
+    CHECK(received <= http_client_limits().maxResponseBytes + 64 * 1024);
+    CHECK(client.idleConnections() == 0);
+}
+
 TEST_CASE("a call in progress is cancelled from elsewhere", "[net]")
 {
     std::promise<void> received;
