Give domains that are too small for a chain one part of the layers each

Change: such domains hold one of the fewest equal parts of the layers each, and keep it. If engines hold layers of other parts, the domains are planned as one group as before, so that no repair moves most engines. Requests prefer different links between domains by their hash. Result: a chain changes domains once where two domains can hold it (test).

--- a/src/fescuedeck/gateway/chain_finder.cpp
+++ b/src/fescuedeck/gateway/chain_finder.cpp
@@ -46,10 +46,14 @@
 {
 public:
     path_table(int layers, const std::vector<chain_stage> &stages, const chain_costs &costs)
-        : m_costs(costs)
+        : m_partCost(costs.part)
         , m_domains(domainsOf(stages))
         , m_states((static_cast<std::size_t>(layers) + 1) * m_domains.size())
     {
+        for (const std::string &from : m_domains) {
+            for (const std::string &to : m_domains)
+                m_changeCosts.push_back(from == to ? 0 : costs.domainChange(from, to));
+        }
     }
 
     std::size_t domainOf(const chain_stage &stage) const
@@ -73,7 +77,7 @@
             const boundary_state &before = state(from, last);
             if (before.cost == unreachable)
                 continue;
-            const double changeCost = last == domain ? 0 : m_costs.domainChange;
+            const double changeCost = m_changeCosts[last * m_domains.size() + domain];
             improve(stage, domain, to, before.cost + cost + changeCost, &before);
         }
     }
@@ -91,7 +95,7 @@
 private:
     double partCost(const chain_stage &stage, int layers) const
     {
-        return stage.costPerLayer * layers + stage.costPerUse + m_costs.part;
+        return stage.costPerLayer * layers + stage.costPerUse + m_partCost;
     }
 
     boundary_state &state(int layer, std::size_t domain)
@@ -107,8 +111,9 @@
             target = { cost, previous, &stage, to };
     }
 
-    const chain_costs m_costs;
+    const double m_partCost;
     const std::vector<std::string> m_domains; // sorted
+    std::vector<double> m_changeCosts;        // by the domain before and after the change
     std::vector<boundary_state> m_states;     // by layer and domain
 };
 
--- a/src/fescuedeck/gateway/chain_finder.h
+++ b/src/fescuedeck/gateway/chain_finder.h
@@ -2,6 +2,7 @@
 #ifndef FESCUEDECK_GATEWAY_CHAIN_FINDER_H
 #define FESCUEDECK_GATEWAY_CHAIN_FINDER_H
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,8 +25,9 @@
 // What a chain costs in addition to its layers, and its longest length.
 struct chain_costs
 {
-    double part = 0;         // of each part, in the unit of the stages
-    double domainChange = 0; // between two parts in different failure domains
+    double part = 0; // of each part, in the unit of the stages
+    // Of a change from one failure domain to another one between two parts.
+    std::function<double(const std::string &from, const std::string &to)> domainChange;
     int maxParts = 1;
 };
 
--- a/src/fescuedeck/gateway/chain_finder_test.cpp
+++ b/src/fescuedeck/gateway/chain_finder_test.cpp
@@ -9,7 +9,12 @@
 namespace fescuedeck {
 namespace {
 
-constexpr chain_costs costs{ 0.1, 100, 32 };
+double changeCost(const std::string &, const std::string &)
+{
+    return 100;
+}
+
+const chain_costs costs{ 0.1, changeCost, 32 };
 
 chain_stage stage(const std::string &id, int begin, int end, double cost = 1)
 {
@@ -92,8 +97,8 @@
 
 TEST_CASE("a chain with more than the maximum number of parts is not returned", "[gateway]")
 {
-    CHECK_FALSE(
-            findChain({ stage("a", 0, 1), stage("b", 1, 2), stage("c", 2, 3) }, 3, { 0.1, 0, 2 }));
+    CHECK_FALSE(findChain({ stage("a", 0, 1), stage("b", 1, 2), stage("c", 2, 3) }, 3,
+                          { 0.1, changeCost, 2 }));
 }
 
 TEST_CASE("random fleets have a valid chain if and only if all layers are held", "[gateway]")
--- a/src/fescuedeck/gateway/endpoint_choice.cpp
+++ b/src/fescuedeck/gateway/endpoint_choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "fescuedeck/base/hash.h"
 #include "fescuedeck/gateway/layer_placement.h"
 
 namespace fescuedeck {
@@ -19,10 +20,13 @@
 constexpr double usableCacheShare = 0.8;
 // A chain that takes this long for each token comes too close to the gaps that callers accept.
 constexpr double slowTokenMs = 60;
-// In milliseconds per token. A request can name at most 32 engines. The cost of a change of domains
-// exceeds that of any chain, because the activations of a whole prompt then share the link between
-// the domains with those of other requests.
-constexpr chain_costs chainCosts{ 0.2, 1000, 32 };
+// Cost of each part of a chain in milliseconds per token, for the hop between two engines.
+constexpr double partCostMs = 0.2;
+// Cost of a change of domains in milliseconds per token. It exceeds that of any chain, because the
+// activations of a whole prompt then share the link between the domains with other requests.
+constexpr double domainChangeCostMs = 1000;
+// A request can name at most this many engines.
+constexpr int maxChainParts = 32;
 // Beyond this used share of the usable cache, requests go to other engines that hold the same
 // layers.
 constexpr double comfortableFill = 0.6;
@@ -148,14 +152,27 @@
     return chosen;
 }
 
+// The links between domains carry whole prompts one after the other. Requests prefer different
+// links, so that none of them carries all.
+chain_costs chainCosts(std::uint64_t requestHash)
+{
+    const auto domainChange = [requestHash](const std::string &from, const std::string &to) {
+        constexpr std::uint64_t steps = 1024;
+        const std::uint64_t preference = stableHash(from + "\n" + to, requestHash) % steps;
+        return domainChangeCostMs * (1 + static_cast<double>(preference) / (4 * steps));
+    };
+    return { partCostMs, domainChange, maxChainParts };
+}
+
 std::optional<destination>
 chooseChainAcrossDomains(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints,
-                         const std::map<std::string, std::vector<chain_stage>> &stages)
+                         const std::map<std::string, std::vector<chain_stage>> &stages,
+                         const chain_costs &costs)
 {
     std::vector<chain_stage> all;
     for (const auto &[domain, domainStages] : stages)
         all.insert(all.end(), domainStages.begin(), domainStages.end());
-    std::optional<layer_chain> chain = findChain(all, spec.layers, chainCosts);
+    std::optional<layer_chain> chain = findChain(all, spec.layers, costs);
     if (!chain)
         return std::nullopt;
     return destinationOf(spec, endpoints, std::move(*chain));
@@ -166,8 +183,7 @@
 {
     double total = 0;
     for (std::size_t i = 0; i < chain.stages.size(); ++i) {
-        total += costPerLayer(spec, *chain.stages[i]) * chain.chain[i].layers.size()
-                 + chainCosts.part;
+        total += costPerLayer(spec, *chain.stages[i]) * chain.chain[i].layers.size() + partCostMs;
     }
     return total;
 }
@@ -187,10 +203,11 @@
                                        const choice_request &request)
 {
     const auto stages = stagesByDomain(spec, endpoints, request);
+    const chain_costs costs = chainCosts(request.requestHash);
     std::optional<destination> best;
     double bestCrowding = 0;
     for (const auto &[domain, domainStages] : stages) {
-        std::optional<layer_chain> chain = findChain(domainStages, spec.layers, chainCosts);
+        std::optional<layer_chain> chain = findChain(domainStages, spec.layers, costs);
         if (!chain)
             continue;
         destination candidate = destinationOf(spec, endpoints, std::move(*chain));
@@ -202,7 +219,7 @@
             bestCrowding = crowding;
         }
     }
-    return best ? best : chooseChainAcrossDomains(spec, endpoints, stages);
+    return best ? best : chooseChainAcrossDomains(spec, endpoints, stages, costs);
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/endpoint_choice.h
+++ b/src/fescuedeck/gateway/endpoint_choice.h
@@ -2,6 +2,7 @@
 #ifndef FESCUEDECK_GATEWAY_ENDPOINT_CHOICE_H
 #define FESCUEDECK_GATEWAY_ENDPOINT_CHOICE_H
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -19,6 +20,7 @@
     std::string failureDomain;      // failure domain of this gateway
     std::set<std::string> excluded; // ids of endpoints that must not be used
     time_point now{};
+    std::uint64_t requestHash = 0; // spreads requests over the links between failure domains
 };
 
 // Destination of one attempt.
--- a/src/fescuedeck/gateway/endpoint_choice_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_choice_test.cpp
@@ -33,7 +33,7 @@
 
 choice_request fromDomain(const std::string &domain)
 {
-    return { domain, {}, start };
+    return { domain, {}, start, 0 };
 }
 
 } // namespace
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fescuedeck/base/hash.h"
 #include "fescuedeck/gateway/attempt_guards.h"
 #include "fescuedeck/gateway/chain_progress.h"
 #include "fescuedeck/gateway/event_timing.h"
@@ -180,7 +181,8 @@
 std::optional<destination>
 forwarded_call::chooseDestination(const std::set<std::string> &excluded) const
 {
-    const choice_request request{ m_context.settings.failureDomain, excluded, steadyNow() };
+    const choice_request request{ m_context.settings.failureDomain, excluded, steadyNow(),
+                                  stableHash(m_info.id) };
     const std::vector<endpoint_ptr> endpoints = m_context.endpoints.ofService(m_service);
     if (m_rule != nullptr && m_rule->engine)
         return chooseChain(*m_rule->engine, endpoints, request);
--- a/src/fescuedeck/gateway/layer_placement.cpp
+++ b/src/fescuedeck/gateway/layer_placement.cpp
@@ -9,6 +9,8 @@
 constexpr double bytesPerMb = 1e6;
 // Step in which the number of requests is lowered for a group that cannot hold all layers.
 constexpr int requestsStep = 16;
+// Name of the group of the domains that cannot hold a whole chain.
+constexpr const char *pooledGroup = "";
 
 struct planned_engine
 {
@@ -283,19 +285,33 @@
     return kind == nullptr ? 0 : layerCapacity(spec, *kind, concurrentRequests);
 }
 
-std::vector<planned_engine> enginesOfGroup(const engine_spec &spec,
-                                           const std::vector<placement_engine> &engines,
-                                           const std::map<std::string, std::string> &groups,
-                                           const std::string &group, int concurrentRequests)
+// Engines that are planned together, and the layers that they are to hold.
+struct planning_group
+{
+    std::vector<placement_engine> engines;
+    layer_range target;
+};
+
+// The part of a held range that lies in the target, counted from the first layer of the target.
+std::optional<layer_range> heldPart(const std::optional<layer_range> &held,
+                                    const layer_range &target)
+{
+    if (!held)
+        return std::nullopt;
+    const layer_range part{ std::max(held->begin, target.begin) - target.begin,
+                            std::min(held->end, target.end) - target.begin };
+    return part.size() > 0 ? std::optional(part) : std::nullopt;
+}
+
+std::vector<planned_engine> enginesOf(const engine_spec &spec, const planning_group &group,
+                                      int concurrentRequests)
 {
     std::vector<planned_engine> members;
-    for (const placement_engine &engine : engines) {
-        if (groups.at(engine.failureDomain) != group)
-            continue;
+    for (const placement_engine &engine : group.engines) {
         planned_engine member;
         member.engine = &engine;
         member.capacity = capacityOf(spec, engine, concurrentRequests);
-        member.range = engine.range;
+        member.range = heldPart(engine.range, group.target);
         if (const accelerator_kind *kind = spec.findKind(engine.accelerator))
             member.stepFactor = kind->stepFactor;
         members.push_back(member);
@@ -305,14 +321,11 @@
 
 // Plans one group with room for as many requests as allow it to hold all layers. If it cannot hold
 // them at all, it holds as many as fit beside the preferred number of requests.
-std::vector<placement_decision> planGroup(const engine_spec &spec,
-                                          const std::vector<placement_engine> &engines,
-                                          const std::map<std::string, std::string> &groups,
-                                          const std::string &group, const placement_policy &policy)
+std::vector<placement_decision> planGroup(const engine_spec &spec, const planning_group &group,
+                                          const placement_policy &policy)
 {
     const auto planFor = [&](int concurrentRequests) {
-        return group_plan(spec.layers,
-                          enginesOfGroup(spec, engines, groups, group, concurrentRequests));
+        return group_plan(group.target.size(), enginesOf(spec, group, concurrentRequests));
     };
     group_plan preferred = planFor(policy.concurrentRequests);
     if (preferred.closeGaps()) {
@@ -332,6 +345,127 @@
     return preferred.decisions();
 }
 
+// Equal parts of the layers, at least as many as the domains need if each holds one of them. Empty
+// if too few domains can hold a part.
+std::vector<layer_range> splitLayers(int layers, const std::map<std::string, int> &capacities)
+{
+    for (int parts = 2; parts <= static_cast<int>(capacities.size()); ++parts) {
+        const int size = (layers + parts - 1) / parts;
+        const auto able = std::count_if(capacities.begin(), capacities.end(),
+                                        [&](const auto &entry) { return entry.second >= size; });
+        if (able < parts)
+            continue;
+        std::vector<layer_range> ranges;
+        for (int part = 0; part < parts; ++part)
+            ranges.push_back(
+                    { std::min(layers, part * size), std::min(layers, (part + 1) * size) });
+        return ranges;
+    }
+    return {};
+}
+
+// Number of layers of the part that the engines of a domain hold, counted once for each engine.
+int heldLayers(const std::vector<placement_engine> &engines, const std::string &domain,
+               const layer_range &part)
+{
+    int held = 0;
+    for (const placement_engine &engine : engines) {
+        const auto inPart = heldPart(engine.range, part);
+        held += engine.failureDomain == domain && inPart ? inPart->size() : 0;
+    }
+    return held;
+}
+
+// Index of the part of which the engines of a domain hold most; empty if they hold none.
+std::optional<std::size_t> partHeldBy(const std::vector<placement_engine> &engines,
+                                      const std::string &domain,
+                                      const std::vector<layer_range> &parts)
+{
+    std::optional<std::size_t> best;
+    int mostHeld = 0;
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        const int held = heldLayers(engines, domain, parts[part]);
+        if (held > mostHeld) {
+            best = part;
+            mostHeld = held;
+        }
+    }
+    return best;
+}
+
+bool holdOnlyTheirParts(const std::vector<placement_engine> &engines,
+                        const std::map<std::string, layer_range> &parts)
+{
+    return std::all_of(engines.begin(), engines.end(), [&](const placement_engine &engine) {
+        const auto part = parts.find(engine.failureDomain);
+        return part == parts.end() || !engine.range || part->second.contains(*engine.range);
+    });
+}
+
+// Returns the part of the layers for each domain that cannot hold a whole chain, so that a chain
+// through these domains changes domains as rarely as possible. A domain keeps the part of which it
+// holds most. Empty if the domains cannot hold the parts, or if engines hold layers of other parts,
+// which they would have to give up. The domains are planned as one group then.
+std::map<std::string, layer_range> partsOfDomains(const engine_spec &spec,
+                                                  const std::vector<placement_engine> &engines,
+                                                  const std::map<std::string, int> &capacities)
+{
+    const std::vector<layer_range> parts = splitLayers(spec.layers, capacities);
+    std::map<std::string, layer_range> chosen;
+    if (parts.empty())
+        return chosen;
+    std::vector<std::vector<std::string>> holders(parts.size()); // domains that can hold the part
+    std::vector<std::string> without;
+    for (const auto &[domain, capacity] : capacities) {
+        const auto held = partHeldBy(engines, domain, parts);
+        if (held)
+            chosen[domain] = parts[*held];
+        if (capacity < parts.front().size())
+            continue;
+        if (held)
+            holders[*held].push_back(domain);
+        else
+            without.push_back(domain);
+    }
+    const auto hasFewer = [](const auto &a, const auto &b) { return a.size() < b.size(); };
+    for (const std::string &domain : without)
+        std::min_element(holders.begin(), holders.end(), hasFewer)->push_back(domain);
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        for (const std::string &domain : holders[part])
+            chosen[domain] = parts[part];
+    }
+    // The domains that are too small for a part help to hold the first one.
+    for (const auto &[domain, capacity] : capacities)
+        chosen.try_emplace(domain, parts.front());
+    return holdOnlyTheirParts(engines, chosen) ? chosen : std::map<std::string, layer_range>();
+}
+
+std::vector<planning_group> planningGroups(const engine_spec &spec,
+                                           const std::vector<placement_engine> &engines,
+                                           const placement_policy &policy)
+{
+    const auto names = placementGroups(spec, engines, policy);
+    std::map<std::string, int> pooled; // capacities of the domains that cannot hold a whole chain
+    for (const placement_engine &engine : engines) {
+        if (names.at(engine.failureDomain) == pooledGroup)
+            pooled[engine.failureDomain] += capacityOf(spec, engine, policy.minConcurrentRequests);
+    }
+    const auto parts = partsOfDomains(spec, engines, pooled);
+    std::map<std::string, planning_group> groups;
+    for (const placement_engine &engine : engines) {
+        const auto part = parts.find(engine.failureDomain);
+        const bool hasPart = part != parts.end();
+        planning_group &group
+                = groups[hasPart ? engine.failureDomain : names.at(engine.failureDomain)];
+        group.target = hasPart ? part->second : layer_range{ 0, spec.layers };
+        group.engines.push_back(engine);
+    }
+    std::vector<planning_group> list;
+    for (auto &[name, group] : groups)
+        list.push_back(std::move(group));
+    return list;
+}
+
 } // namespace
 
 int layerCapacity(const engine_spec &spec, const accelerator_kind &kind, int concurrentRequests)
@@ -372,8 +506,7 @@
             largest = domain;
     }
     // Domains that cannot hold a chain even together join the domain with the largest capacity.
-    static const std::string pool;
-    const std::string &rest = pooled >= spec.layers || largest.empty() ? pool : largest;
+    const std::string rest = pooled >= spec.layers || largest.empty() ? pooledGroup : largest;
     std::map<std::string, std::string> groups;
     for (const auto &[domain, capacity] : capacities)
         groups[domain] = capacity < spec.layers ? rest : domain;
@@ -387,15 +520,12 @@
     std::vector<placement_decision> decisions;
     if (spec.layers <= 0)
         return decisions;
-    const auto groups = placementGroups(spec, engines, policy);
-    std::vector<std::string> names;
-    for (const auto &[domain, group] : groups)
-        names.push_back(group);
-    std::sort(names.begin(), names.end());
-    names.erase(std::unique(names.begin(), names.end()), names.end());
-    for (const std::string &name : names) {
-        const auto groupDecisions = planGroup(spec, engines, groups, name, policy);
-        decisions.insert(decisions.end(), groupDecisions.begin(), groupDecisions.end());
+    for (const planning_group &group : planningGroups(spec, engines, policy)) {
+        for (placement_decision decision : planGroup(spec, group, policy)) {
+            decision.range.begin += group.target.begin;
+            decision.range.end += group.target.begin;
+            decisions.push_back(std::move(decision));
+        }
     }
     std::stable_partition(decisions.begin(), decisions.end(),
                           [](const placement_decision &decision) { return decision.closesGap; });
--- a/src/fescuedeck/gateway/layer_placement.h
+++ b/src/fescuedeck/gateway/layer_placement.h
@@ -2,13 +2,13 @@
 // new holder of the placement lease continues the plan of the previous one.
 //
 // Engines are planned in groups. A failure domain that can hold a whole chain is a group of its
-// own, because sending activations between domains is expensive. The other domains form one group
-// together if they can hold a chain; otherwise they join the group of the largest domain. Ranges
-// that no engine holds are assigned first, to engines that hold no layers or only layers that
-// another engine of the group also holds. If these engines do not suffice, the group is planned
-// with room for fewer requests, and engines next to a missing range extend theirs. A missing range
-// is loaded alone, because that takes least time; later the engine extends it as far as its memory
-// allows.
+// own, because sending activations between domains is expensive. The other domains hold one part of
+// the layers each if together they can hold a chain, so that chains change domains rarely.
+// Otherwise they join the group of the largest domain. Ranges that no engine holds are assigned
+// first, to engines that hold no layers or only layers that another engine of the group also holds.
+// If these engines do not suffice, the group is planned with room for fewer requests, and engines
+// next to a missing range extend theirs. A missing range is loaded alone, because that takes least
+// time; later the engine extends it as far as its memory allows.
 #ifndef FESCUEDECK_GATEWAY_LAYER_PLACEMENT_H
 #define FESCUEDECK_GATEWAY_LAYER_PLACEMENT_H
 
--- a/src/fescuedeck/gateway/layer_placement_test.cpp
+++ b/src/fescuedeck/gateway/layer_placement_test.cpp
@@ -162,6 +162,40 @@
     CHECK(uncovered(fleet, "", 20) == 0);
 }
 
+// Guards against chains that send each prompt over the links between domains many times, because
+// the layers of a chain are scattered over domains that are each too small for it.
+TEST_CASE("small domains hold one part of the layers each and keep it", "[gateway]")
+{
+    const engine_spec spec = specOf(80);
+    std::vector<placement_engine> fleet;
+    for (const char *domain : { "a", "b", "c", "d", "e" }) {
+        add(fleet, domain, "large", 1);
+        add(fleet, domain, "medium", 2);
+        add(fleet, domain, "small", 3);
+    }
+    execute(fleet, planLayers(spec, fleet, {}));
+    const auto holdsPart = [&](const std::string &domain, const layer_range &part) {
+        return uncovered(fleet, domain, part.end) - uncovered(fleet, domain, part.begin) == 0;
+    };
+    int lower = 0;
+    int upper = 0;
+    for (const char *domain : { "a", "b", "c", "d", "e" }) {
+        lower += holdsPart(domain, { 0, 40 }) ? 1 : 0;
+        upper += holdsPart(domain, { 40, 80 }) ? 1 : 0;
+    }
+    CHECK(lower == 3);
+    CHECK(upper == 2);
+    CHECK_FALSE(exceedsMemory(spec, fleet));
+    CHECK(planLayers(spec, fleet, {}).empty());
+    // The loss of an engine moves only engines of its domain, and within its part.
+    const placement_engine lost = fleet.front();
+    fleet.erase(fleet.begin());
+    for (const placement_decision &decision : planLayers(spec, fleet, {})) {
+        CHECK(decision.id.substr(0, 1) == "a");
+        CHECK((decision.range.end <= 40) == (lost.range->end <= 40));
+    }
+}
+
 // Guards against a domain that serves nothing until an engine returns, because its engines hold all
 // layers only with room for fewer requests than preferred.
 TEST_CASE("a domain without spare engines closes a gap by extending the ranges next to it",
