--- a/src/fescuedeck/gateway/layer_placement_test.cpp
+++ b/src/fescuedeck/gateway/layer_placement_test.cpp
@@ -246,7 +246,7 @@
     fleet.pop_back();
     REQUIRE(uncovered(fleet, "a", 80) == 4);
     const auto repair = planLayers(spec, fleet, {});
-    REQUIRE(repair.size() >= 1);
+    REQUIRE_FALSE(repair.empty());
     CHECK(repair[0].closesGap);
     CHECK(repair[0].range == layer_range{ 0, 4 });
     execute(fleet, repair);
--- a/src/fescuedeck/gateway/peer_topology_test.cpp
+++ b/src/fescuedeck/gateway/peer_topology_test.cpp
@@ -80,7 +80,7 @@
 {
     gateway_locations gateways = gatewaysIn(2, 24);
     const auto before = choosePeers("domain-0-0", "domain-0", gateways);
-    const std::string gone = before.back();
+    const std::string &gone = before.back();
     gateways.erase(gone);
     const auto after = choosePeers("domain-0-0", "domain-0", gateways);
     std::size_t kept = 0;
