--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -110,6 +110,7 @@
     read_pace configPace() const;
     read_pace endpointsPace() const;
     duration readWait(duration limit) const;
+    void readMissedEndpoints();
 
     boost::asio::io_context m_io{ 1 };
     const read_settings_fn m_readSettings;
@@ -164,8 +165,7 @@
     , m_placementLease(m_context, settings.id + "." + m_incarnation)
     , m_peers(m_context, m_incarnation,
               { [this](const std::string &value) { applyConfig(value, "peer"); },
-                [this] { return m_endpointTable.position(); },
-                [this] { m_endpointTable.restartRead(); } })
+                [this] { return m_endpointTable.position(); }, [this] { readMissedEndpoints(); } })
 {
     m_context.isAmongFirst = [this](int count) { return m_peers.isAmongFirst(count, steadyNow()); };
     m_context.inspectEngine = [this](const std::string &endpoint, engine_suspicion suspicion) {
@@ -202,6 +202,11 @@
                       [this] { return static_cast<double>(m_context.endpoints.size()); });
     counters.setGauge("fescuedeck_live_peers", {},
                       [this] { return static_cast<double>(m_peers.livePeers(steadyNow())); });
+    counters.setGauge("fescuedeck_known_gateways", {},
+                      [this] { return static_cast<double>(m_peers.knownGateways()); });
+    counters.setGauge("fescuedeck_frequent_reader", {}, [this] {
+        return m_peers.isAmongFirst(frequentReadersPerDomain, steadyNow()) ? 1.0 : 0.0;
+    });
     counters.setGauge("fescuedeck_placement_duty", {},
                       [this] { return m_placementLease.isHolder(steadyNow()) ? 1.0 : 0.0; });
     counters.setGauge("fescuedeck_open_requests", {},
@@ -216,6 +221,16 @@
     return std::max<duration>(limit - readTimeout - readMargin, minReadWait);
 }
 
+// Peers have read records of the endpoint table that this gateway has not.
+void gateway::readMissedEndpoints()
+{
+    m_context.counters.counterOf("fescuedeck_endpoint_table_behind_total").add();
+    event_line("table_behind", event_level::Warning)
+            .field("table", "endpoints")
+            .field("offset", m_endpointTable.position());
+    m_endpointTable.restartRead();
+}
+
 read_pace gateway::configPace() const
 {
     return { readWait(m_context.settings.configApplyLimit), {} };
