--- a/src/fescuedeck/peer/peer_directory.cpp
+++ b/src/fescuedeck/peer/peer_directory.cpp
@@ -27,35 +27,26 @@
 
 peer_view peer_directory::merged(time_point now) const
 {
-    peer_view view = unionOfSets(now);
-    for (const auto &[router, entry] : m_entries) {
-        if (entry.expires <= now)
-            continue;
-        for (const auto &[endpoint, count] : entry.digest.inFlight)
-            view.inFlight[endpoint] += count;
-    }
-    return view;
+    return merge(now, [](double a, double b) { return a + b; });
 }
 
 peer_view peer_directory::mergedSummaries(time_point now) const
 {
-    peer_view view = unionOfSets(now);
-    for (const auto &[router, entry] : m_entries) {
-        if (entry.expires <= now)
-            continue;
-        for (const auto &[endpoint, count] : entry.digest.inFlight)
-            view.inFlight[endpoint] = std::max(view.inFlight[endpoint], count);
-    }
-    return view;
+    return merge(now, [](double a, double b) { return std::max(a, b); });
 }
 
-peer_view peer_directory::unionOfSets(time_point now) const
+peer_view peer_directory::merge(time_point now,
+                                const std::function<double(double, double)> &combineLoads) const
 {
     peer_view view;
     for (const auto &[router, entry] : m_entries) {
         if (entry.expires <= now)
             continue;
         const peer_digest &digest = entry.digest;
+        for (const auto &[endpoint, count] : digest.inFlight) {
+            double &load = view.inFlight[endpoint];
+            load = combineLoads(load, count);
+        }
         view.suspects.insert(digest.suspects.begin(), digest.suspects.end());
         view.leaving.insert(digest.leaving.begin(), digest.leaving.end());
         view.drained.insert(digest.drained.begin(), digest.drained.end());
--- a/src/fescuedeck/peer/peer_directory.h
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -4,6 +4,7 @@
 #define FESCUEDECK_PEER_PEER_DIRECTORY_H
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -69,7 +70,8 @@
         time_point expires;
     };
 
-    peer_view unionOfSets(time_point now) const;
+    peer_view merge(time_point now,
+                    const std::function<double(double, double)> &combineLoads) const;
 
     const duration m_digestLifetime;
     std::map<std::string, entry> m_entries;
