--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -87,8 +87,9 @@
     std::unique_ptr<peer_network> m_network;
     peer_directory m_ownDomain;
     std::map<std::string, peer_directory> m_otherDomains; // by cell
-    time_point m_behindSince{}; // when peers had read the endpoint table further; zero if they have
-                                // not
+    // When peers had first read the endpoint table further than this gateway; zero if they have
+    // not.
+    time_point m_behindSince{};
     std::string m_configText;
     time_point m_lastConfigRequest{};
 };
