Let the test of responses without end fail instead of hanging

Cause: its call had the same time limit as the fixture's wait, so that a call that lasts until its deadline made the wait throw while the server was still sending, and the test never ended. Seen with the limit of interim responses switched off. Change: the call has a quarter of that limit; the checks are the same.

--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -258,6 +258,9 @@
     test_io io;
     http_client client(io.context());
     call_options limited = options();
+    // Shorter than the limit of io.run(), so that a call that lasts until its deadline fails the
+    // check below instead of leaving the server running.
+    limited.timeout = testWaitLimit / 4;
     std::size_t received = 0;
     if (isStreamed) {
         limited.collectsBody = false;
