Log the prompt's segments and whether the answer had begun with each suspected crash

Cause: not yet known; crash_suspected could not tell a request that crashes engines from one that only ran beside it.

No decision uses them.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <boost/algorithm/string/join.hpp>
+
 #include "fescuedeck/base/hash.h"
 #include "fescuedeck/gateway/attempt_guards.h"
 #include "fescuedeck/gateway/chain_progress.h"
@@ -446,7 +448,7 @@
     }
     ++m_possibleRuns;
     if (error.code == make_error_code(errc::ConnectionClosed) && !current.isUnusable)
-        recordCrash(to);
+        recordCrash(to, current);
     const bool isPastDeadline = remainingTime() <= duration::zero();
     if (!isPastDeadline && !to.chain.empty())
         suspectChain(to, current);
@@ -456,12 +458,14 @@
     return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
 }
 
-void forwarded_call::recordCrash(const destination &to)
+void forwarded_call::recordCrash(const destination &to, const attempt &current)
 {
     const bool isQuarantined = m_context.crashes.recordCrash(fingerprint, steadyNow());
     event_line("crash_suspected", event_level::Warning)
             .field("request", m_info.id)
             .field("endpoint", to.first->entry.id)
+            .field("had_begun", current.timing.hasBegun())
+            .field("prompt_segments", boost::algorithm::join(m_info.promptSegments, ","))
             .field("crashes", m_context.crashes.crashesOf(fingerprint))
             .field("quarantined", isQuarantined);
     if (isQuarantined && m_context.onQuarantine)
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -98,7 +98,7 @@
     // Whether another attempt is allowed, regardless of the retry budget.
     bool isRetryable(attempt_outcome last) const;
     bool isRetryableRoute() const { return m_route.kind == call_kind::Safe || m_route.isResumable; }
-    void recordCrash(const destination &to);
+    void recordCrash(const destination &to, const attempt &current);
     // Ends the request without a good answer: refuses it, or aborts a stream that has started.
     void giveUp(attempt_outcome last);
     // Time until the attempt is cancelled if the stream produces no event.
