Quarantine a prompt segment that crashes engines, not only single requests

Cause: a quarantine named one request by its caller, method, path and body. Requests that share a segment of their prompt differ in all of this, so that each new one was sent, and each gateway knew only the crashes of its own. Class of fault: an identity that is narrower than the cause.

Change: crash_correlator collects, for each crash of an engine, the segments of requests whose answer had not begun, drops those with which an answer begins afterwards, and names the one that most crashes have in common, if different requests brought it. Connections that close while the engine stays up, and crashes at the same moment, are no evidence. Gateways exchange what they saw with its age. A quarantined segment's requests are rejected on arrival, not repeated, and withdrawn while they wait. An unframed stream that ends early counts as well.

The loop of "fields that are missing or out of range are refused" excepted crash_reports, because gateways of an earlier version do not send it; in its place the fields inside it are checked one by one.

--- /dev/null
+++ b/src/fescuedeck/gateway/crash_quarantine.h
@@ -0,0 +1,100 @@
+// Decides which requests no longer reach endpoints, because they crash them.
+//
+// A quarantine applies to one request, which crash_tracker counts, or to all requests whose prompt
+// contains a segment, which crash_correlator finds. Gateways tell each other of both by a key.
+#ifndef FESCUEDECK_GATEWAY_CRASH_QUARANTINE_H
+#define FESCUEDECK_GATEWAY_CRASH_QUARANTINE_H
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fescuedeck/base/time.h"
+#include "fescuedeck/gateway/crash_correlator.h"
+#include "fescuedeck/gateway/crash_tracker.h"
+
+namespace fescuedeck {
+
+// By what a request is recognized in a quarantine.
+struct request_identity
+{
+    std::string fingerprint; // of the caller, method, path and body
+    // Segments of the prompt that it shares with other requests, in their order.
+    std::vector<std::string> sharedSegments;
+};
+
+// Returns all segments but the last one, which belongs to the request itself.
+std::vector<std::string> sharedSegmentsOf(const std::vector<std::string> &promptSegments);
+
+// Not thread-safe.
+class crash_quarantine
+{
+public:
+    explicit crash_quarantine(crash_tracker_settings trackerSettings = {},
+                              crash_correlator_settings correlatorSettings = {});
+
+    // Called for each quarantine that this gateway finds, so that others learn of it.
+    std::function<void(const std::string &key)> onQuarantine;
+    // Whether an engine is down, by its incarnation name.
+    std::function<bool(const std::string &incarnation)> isDown;
+
+    bool isQuarantined(const request_identity &request, time_point now) const;
+    // The endpoint closed the connection while it ran the request. Returns the number of times that
+    // this has happened.
+    int recordCrash(const request_identity &request, time_point now);
+    // The response ended before the answer had begun, perhaps because the engine has crashed. Its
+    // incarnation name is given.
+    void recordEarlyEnd(const request_identity &request, const std::string &incarnation,
+                        time_point now);
+    void recordBegun(const request_identity &request, time_point now);
+
+    // Applies a quarantine that a peer or the store has told.
+    void apply(const std::string &key, time_point now);
+    std::vector<std::string> keys() const { return m_tracker.quarantined(); }
+    crash_reports reports(time_point now) const { return m_correlator.reports(now); }
+    void merge(const crash_reports &reports, time_point now);
+
+    // Looks for segments that are newly found to crash engines, and drops what has expired. Call it
+    // whenever an engine was found to be down, and every few hundred milliseconds.
+    void update(time_point now);
+
+    // Calls cancel when the request becomes quarantined while it waits for its answer. Returns the
+    // number for unwatch(). The request must stay valid until then.
+    int watch(const request_identity &request, std::function<void()> cancel);
+    void unwatch(int number) { m_watches.erase(number); }
+
+private:
+    struct watch_entry
+    {
+        const request_identity *request;
+        std::function<void()> cancel;
+    };
+
+    void explainByKnownSegments(const std::vector<std::string> &segments, time_point now);
+    void cancelQuarantined(time_point now);
+
+    crash_tracker m_tracker;
+    crash_correlator m_correlator;
+    std::map<int, watch_entry> m_watches; // by number
+    int m_lastWatch = 0;
+};
+
+// Watches a request while this object lives. Not thread-safe.
+class quarantine_watch
+{
+public:
+    quarantine_watch(crash_quarantine &quarantine, const request_identity &request,
+                     std::function<void()> cancel);
+    ~quarantine_watch();
+    quarantine_watch(const quarantine_watch &) = delete;
+    quarantine_watch &operator=(const quarantine_watch &) = delete;
+
+private:
+    crash_quarantine &m_quarantine;
+    const int m_number;
+};
+
+} // namespace fescuedeck
+
+#endif
--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -187,6 +187,12 @@
     ++m_revision;
 }
 
+bool endpoint_registry::isDown(const std::string &incarnation, time_point now) const
+{
+    const endpoint_ptr endpoint = find(incarnation.substr(0, incarnation.rfind('@')));
+    return !endpoint || endpoint->isLost(now) || incarnationName(endpoint->entry) != incarnation;
+}
+
 endpoint_ptr endpoint_registry::find(const std::string &id) const
 {
     const auto found = m_endpoints.find(id);
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -137,6 +137,10 @@
     void observeLayers(const std::string &id, const std::optional<layer_range> &layers,
                        std::int64_t orders, time_point now);
 
+    // Whether the incarnation with this name, which was known before, is lost, has left or was
+    // replaced by a newer one.
+    bool isDown(const std::string &incarnation, time_point now) const;
+
     endpoint_ptr find(const std::string &id) const;
     endpoint_ptr findByAddress(const std::string &address) const;
     std::vector<endpoint_ptr> all() const;
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -78,6 +78,11 @@
     bool hasAlternative = false; // another destination could resume the request
     bool isStream = false;       // the head of a stream of events has arrived
     bool isUnusable = false;     // the answer must not be relayed
+    bool isBeginRecorded = false;
+    bool isWithdrawn = false; // cancelled because the request was quarantined meanwhile
+
+    // The first event may be the work of an engine that crashes while it begins to answer.
+    bool hasSurelyBegun() const { return events.completeEvents() > 1; }
 };
 
 forwarded_call::forwarded_call(gateway_context &context, http_exchange &exchange,
@@ -110,6 +115,10 @@
             m_giveUpReason = give_up_reason::NoEndpoint;
             break;
         }
+        if (isQuarantined()) {
+            m_giveUpReason = give_up_reason::Quarantined;
+            break;
+        }
         last = runAttempt(*to);
     } while (acquireRetry(last));
     if (last == attempt_outcome::Answered)
@@ -194,6 +203,8 @@
 bool forwarded_call::acquireRetry(attempt_outcome last)
 {
     m_giveUpReason = give_up_reason::AttemptsExhausted;
+    if (isQuarantined())
+        m_giveUpReason = give_up_reason::Quarantined;
     if (!isRetryable(last))
         return false;
     m_giveUpReason = give_up_reason::RetryBudgetExhausted;
@@ -206,7 +217,7 @@
     const bool mayRunAgain = last == attempt_outcome::NotRun
                              || (last == attempt_outcome::MayHaveRun && isIdempotent)
                              || (last == attempt_outcome::Interrupted && m_route.isResumable);
-    if (m_context.crashes.isQuarantined(fingerprint, steadyNow()))
+    if (isQuarantined())
         return false;
     return mayRunAgain && !m_hasCallerLeft && m_possibleRuns < m_route.maxAttempts
            && m_attempts < m_route.maxAttempts + maxExtraAttempts && remainingTime() > answerMargin;
@@ -249,6 +260,11 @@
         call.onBodyPart = [&](std::string_view part) { onStreamPart(current, part); };
     }
     m_cancellation = current.cancellation;
+    const quarantine_watch watch(m_context.crashes, identity, [&current] {
+        current.isWithdrawn = !current.hasSurelyBegun();
+        if (current.isWithdrawn)
+            current.cancellation.cancel();
+    });
     const call_result result
             = m_context.client.send(to.first->entry.address, request, call, m_exchange.yield());
     if (m_hasCallerLeft || m_exchange.callerLeft()) {
@@ -265,6 +281,10 @@
         }
         return attempt_outcome::CallerLeft;
     }
+    if (current.isWithdrawn && !result.response) {
+        ++m_possibleRuns;
+        return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
+    }
     return handleResult(to, current, result);
 }
 
@@ -303,6 +323,10 @@
         duration &usual = current.first->usualFirstEventDelay;
         usual += (now - current.timing.sentAt() - usual) / smoothing;
     }
+    if (current.hasSurelyBegun() && !current.isBeginRecorded) {
+        current.isBeginRecorded = true;
+        m_context.crashes.recordBegun(identity, now);
+    }
     current.timing.recordEvent(now);
     recordProgress(current.stages, now);
 }
@@ -460,26 +484,35 @@
 
 void forwarded_call::recordCrash(const destination &to, const attempt &current)
 {
-    const bool isQuarantined = m_context.crashes.recordCrash(fingerprint, steadyNow());
+    const time_point now = steadyNow();
+    const bool hadBegun = current.hasSurelyBegun();
+    if (!hadBegun)
+        m_context.crashes.recordEarlyEnd(identity, incarnationName(to.first->entry), now);
+    const int crashes = m_context.crashes.recordCrash(identity, now);
     event_line("crash_suspected", event_level::Warning)
             .field("request", m_info.id)
             .field("endpoint", to.first->entry.id)
-            .field("had_begun", current.timing.hasBegun())
+            .field("had_begun", hadBegun)
             .field("prompt_segments", boost::algorithm::join(m_info.promptSegments, ","))
-            .field("crashes", m_context.crashes.crashesOf(fingerprint))
-            .field("quarantined", isQuarantined);
-    if (isQuarantined && m_context.onQuarantine)
-        m_context.onQuarantine(fingerprint);
+            .field("crashes", crashes)
+            .field("quarantined", isQuarantined());
 }
 
 attempt_outcome forwarded_call::handleStreamEnd(const destination &to, const attempt &current)
 {
     if (current.events.hasPartialEvent() || !m_hasStreamStarted) {
+        // A response without a length ends in the same way if the engine has crashed.
+        if (!current.hasSurelyBegun())
+            m_context.crashes.recordEarlyEnd(identity, incarnationName(to.first->entry),
+                                             steadyNow());
         suspectEndpoint(to, {});
+        if (!to.chain.empty() && m_context.inspectEngine)
+            m_context.inspectEngine(to.first->entry.id, engine_suspicion::Stalled);
         return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
     }
     for (const endpoint_ptr &stage : to.stages)
         m_context.endpoints.clearSuspicion(stage->entry.id);
+    m_context.crashes.recordBegun(identity, steadyNow());
     m_exchange.finishStream();
     return attempt_outcome::Answered;
 }
@@ -551,7 +584,9 @@
     }
     const bool hasRun = last != attempt_outcome::NotRun || (m_possibleRuns > 0);
     refusal_reason reason = m_wasEndpointBusy ? refusal_reason::Busy : refusal_reason::NoEndpoint;
-    if (hasRun)
+    if (m_giveUpReason == give_up_reason::Quarantined)
+        reason = refusal_reason::Quarantined;
+    else if (hasRun)
         reason = remainingTime() <= answerMargin ? refusal_reason::TimedOut
                                                  : refusal_reason::Failed;
     const duration retryAfter
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -30,12 +30,14 @@
     NoEndpoint,           // no usable endpoint has capacity
     AttemptsExhausted,    // the request must not run again, or its attempts or time are used up
     RetryBudgetExhausted, // the service has no retry left
+    Quarantined,          // the request crashes endpoints
 };
 
-constexpr name_table<give_up_reason, 3> giveUpReasonNames = { {
+constexpr name_table<give_up_reason, 4> giveUpReasonNames = { {
         { give_up_reason::NoEndpoint, "no_endpoint" },
         { give_up_reason::AttemptsExhausted, "no_attempt" },
         { give_up_reason::RetryBudgetExhausted, "no_retry" },
+        { give_up_reason::Quarantined, "quarantined" },
 } };
 
 // Set the public fields, then call run() once. Only the coroutine of the exchange may use an object
@@ -48,9 +50,9 @@
                    const call_info &info);
 
     std::string workspace;
-    std::string fingerprint; // identifies the request in the crash tracker
-    time_point arrivedAt{};  // time of arrival at this gateway
-    time_point deadline{};   // the caller waits for the answer until then
+    request_identity identity;
+    time_point arrivedAt{}; // time of arrival at this gateway
+    time_point deadline{};  // the caller waits for the answer until then
 
     // Returns when the caller has been answered or has disconnected, or when its stream was
     // aborted. Suspends the coroutine while it waits.
@@ -98,12 +100,14 @@
     // Whether another attempt is allowed, regardless of the retry budget.
     bool isRetryable(attempt_outcome last) const;
     bool isRetryableRoute() const { return m_route.kind == call_kind::Safe || m_route.isResumable; }
+    bool isQuarantined() const { return m_context.crashes.isQuarantined(identity, steadyNow()); }
+    // The endpoint closed the connection, which it also does when it crashes.
     void recordCrash(const destination &to, const attempt &current);
     // Ends the request without a good answer: refuses it, or aborts a stream that has started.
     void giveUp(attempt_outcome last);
     // Time until the attempt is cancelled if the stream produces no event.
     duration timeUntilStall(attempt &current) const;
-    static void recordReceivedEvents(attempt &current);
+    void recordReceivedEvents(attempt &current);
     void recordRelayedEvents(time_point now);
     // Handles a stalled or broken chain, any engine of which may have failed. This request avoids
     // the whole chain from then on. If the evidence is strong, other requests avoid it for
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -96,7 +96,7 @@
     void registerGauges();
     void onConfigRecord(const store_record &record);
     void applyConfig(const std::string &value, const char *source);
-    void publishQuarantine(const std::string &fingerprint);
+    void publishQuarantine(const std::string &key);
     void onProcessPause(duration time);
     void runExpiryLoop(boost::asio::yield_context yield);
     void onEndpointRecord(const store_record &record);
@@ -171,9 +171,11 @@
     m_context.inspectEngine = [this](const std::string &endpoint, engine_suspicion suspicion) {
         m_inspector.inspect(endpoint, suspicion);
     };
-    m_context.onEngineLost = [this] { m_peers.announceChange(); };
-    m_context.onQuarantine
-            = [this](const std::string &fingerprint) { publishQuarantine(fingerprint); };
+    m_context.onEngineLost = [this] {
+        m_context.crashes.update(steadyNow());
+        m_peers.announceChange();
+    };
+    m_context.crashes.onQuarantine = [this](const std::string &key) { publishQuarantine(key); };
     registerGauges();
     const auto log = [this](const std::string &what) {
         m_context.counters.counterOf("fescuedeck_handler_exceptions_total").add();
@@ -285,22 +287,23 @@
     table_follower_hooks hooks;
     hooks.onRecord = [this](const store_record &record) {
         if (!record.isRemoval)
-            m_context.crashes.quarantine(record.key, steadyNow());
+            m_context.crashes.apply(record.key, steadyNow());
     };
     hooks.onWholeTableRead = [](const std::vector<std::string> &) {};
     return hooks;
 }
 
-void gateway::publishQuarantine(const std::string &fingerprint)
+void gateway::publishQuarantine(const std::string &key)
 {
+    event_line("quarantined", event_level::Warning).field("key", key);
+    m_context.counters.counterOf("fescuedeck_quarantines_total").add();
     m_peers.announceChange();
-    boost::asio::spawn(m_io, [this, fingerprint](boost::asio::yield_context yield) {
-        const store_write entry{ store_table::Quarantine, fingerprint, m_context.settings.id,
-                                 false };
+    boost::asio::spawn(m_io, [this, key](boost::asio::yield_context yield) {
+        const store_write entry{ store_table::Quarantine, key, m_context.settings.id, false };
         const auto error = m_context.adapter.store.write(entry, quarantineTimeout, yield);
         if (error) {
             event_line("quarantine_not_stored", event_level::Warning)
-                    .field("fingerprint", fingerprint)
+                    .field("key", key)
                     .field("detail", error->detail);
         }
     });
@@ -318,7 +321,7 @@
 {
     while (true) {
         sleepFor(sweepInterval, yield);
-        m_context.crashes.expire(steadyNow());
+        m_context.crashes.update(steadyNow());
         m_context.endpoints.applyDeferredRemovals(steadyNow());
     }
 }
--- a/src/fescuedeck/gateway/gateway_context.cpp
+++ b/src/fescuedeck/gateway/gateway_context.cpp
@@ -12,6 +12,9 @@
     , retryBudget({ settings.retryShare, settings.minRetriesPerWindow, settings.retryWindow },
                   steadyNow())
 {
+    crashes.isDown = [this](const std::string &incarnation) {
+        return endpoints.isDown(incarnation, steadyNow());
+    };
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -13,7 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "fescuedeck/base/random.h"
-#include "fescuedeck/gateway/crash_tracker.h"
+#include "fescuedeck/gateway/crash_quarantine.h"
 #include "fescuedeck/gateway/endpoint_registry.h"
 #include "fescuedeck/gateway/gateway_config.h"
 #include "fescuedeck/gateway/gateway_retry_budget.h"
@@ -47,11 +47,9 @@
     gateway_retry_budget retryBudget;
     // Retries that are reserved for streams in progress, by service.
     std::map<std::string, int> reservedRetries;
-    crash_tracker crashes;
-    // Tells the other gateways that a request has been quarantined. Set by the owner, like the two
-    // hooks below.
-    std::function<void(const std::string &fingerprint)> onQuarantine;
-    // Asks an engine for a report on the engines that it waits for.
+    crash_quarantine crashes;
+    // Set by the owner, like the hook below. Asks an engine for a report on the engines that it
+    // waits for.
     std::function<void(const std::string &endpoint, engine_suspicion)> inspectEngine;
     // Called after an engine has been marked as lost.
     std::function<void()> onEngineLost;
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -193,16 +193,18 @@
     }
     const auto leaving = m_context.endpoints.leaving(now);
     digest.leaving.insert(leaving.begin(), leaving.end());
-    const auto quarantined = m_context.crashes.quarantined();
+    const auto quarantined = m_context.crashes.keys();
     digest.quarantined.insert(quarantined.begin(), quarantined.end());
+    digest.crashes = m_context.crashes.reports(now);
     return digest;
 }
 
 void gateway_peers::onMessage(const peer_hello &peer, const peer_message &message)
 {
     if (const auto *digest = std::get_if<peer_digest>(&message)) {
-        for (const std::string &fingerprint : digest->quarantined)
-            m_context.crashes.quarantine(fingerprint, steadyNow());
+        for (const std::string &key : digest->quarantined)
+            m_context.crashes.apply(key, steadyNow());
+        m_context.crashes.merge(digest->crashes, steadyNow());
         if (peer.cell == m_cell) {
             m_ownDomain.onDigest(peer.router, *digest, steadyNow());
         } else {
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -185,13 +185,13 @@
         }
         gateways.second.context.isEndpointTableUnavailable = true;
         gateways.first.context.endpoints.remove("x", steadyNow());
-        gateways.first.context.crashes.quarantine("bad", steadyNow());
+        gateways.first.context.crashes.apply("bad", steadyNow());
     });
     CHECK(eventually([&] {
         return gateways.onThread([&] {
             gateway_context &context = gateways.second.context;
             return !context.endpoints.find("x")->isUsable(steadyNow())
-                   && context.crashes.isQuarantined("bad", steadyNow());
+                   && context.crashes.isQuarantined({ "bad", {} }, steadyNow());
         });
     }));
     CHECK(gateways.onThread(
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -91,12 +91,13 @@
     const bool needsKey = !config->config().workspaces.empty() && !route->isPublic;
     if (needsKey && workspace == nullptr)
         return refuse(refusal_reason::NoKey);
-    const std::string fingerprint = fingerprintOf(exchange.request(), info.key);
-    if (m_context.crashes.isQuarantined(fingerprint, steadyNow()))
+    request_identity identity{ fingerprintOf(exchange.request(), info.key),
+                               sharedSegmentsOf(info.promptSegments) };
+    if (m_context.crashes.isQuarantined(identity, steadyNow()))
         return refuse(refusal_reason::Quarantined);
     forwarded_call call(m_context, exchange, config, *route, info);
     call.workspace = workspace == nullptr ? std::string() : workspace->name;
-    call.fingerprint = fingerprint;
+    call.identity = std::move(identity);
     call.arrivedAt = arrivedAt;
     call.deadline = arrivedAt + timeLimitOf(info, *route);
     call.run();
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -220,6 +220,31 @@
     return { { "type", "proof" }, { "hmac", message.hmac } };
 }
 
+std::int64_t toMillis(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+json encode(const crash_reports &reports)
+{
+    json crashes = json::array();
+    for (const auto &[incarnation, report] : reports.crashes) {
+        json suspects = json::array();
+        for (const auto &[segment, suspect] : report.suspects) {
+            suspects.push_back({ { "segment", segment },
+                                 { "depth", suspect.depth },
+                                 { "requests", json(suspect.requests) } });
+        }
+        crashes.push_back({ { "incarnation", incarnation },
+                            { "age_ms", toMillis(report.age) },
+                            { "suspects", std::move(suspects) } });
+    }
+    json begun = json::array();
+    for (const auto &[segment, age] : reports.begun)
+        begun.push_back({ { "segment", segment }, { "age_ms", toMillis(age) } });
+    return { { "crashes", std::move(crashes) }, { "begun", std::move(begun) } };
+}
+
 json encode(const peer_digest &message)
 {
     return { { "type", "digest" },
@@ -230,7 +255,8 @@
              { "suspects", json(message.suspects) },
              { "leaving", json(message.leaving) },
              { "drained", json(message.drained) },
-             { "quarantined", json(message.quarantined) } };
+             { "quarantined", json(message.quarantined) },
+             { "crash_reports", encode(message.crashes) } };
 }
 
 json encode(const bundle_request &message)
@@ -328,6 +354,32 @@
     return peer_proof{ fields.identifier("hmac") };
 }
 
+crash_suspect parseSuspect(field_reader &fields)
+{
+    crash_suspect suspect;
+    suspect.depth = static_cast<int>(fields.integer("depth", 0, maxPosition));
+    suspect.requests = fields.textSet("requests");
+    return suspect;
+}
+
+crash_reports parseCrashReports(field_reader &fields)
+{
+    crash_reports reports;
+    const auto age = [](field_reader &of) {
+        return std::chrono::milliseconds(of.integer("age_ms", 0, maxPosition));
+    };
+    fields.forEach("crashes", [&](field_reader &crash) {
+        crash_report &report = reports.crashes[crash.identifier("incarnation")];
+        report.age = age(crash);
+        crash.forEach("suspects", [&](field_reader &suspect) {
+            report.suspects[suspect.text("segment")] = parseSuspect(suspect);
+        });
+    });
+    fields.forEach("begun",
+                   [&](field_reader &begun) { reports.begun[begun.text("segment")] = age(begun); });
+    return reports;
+}
+
 peer_message parseDigest(field_reader &fields)
 {
     peer_digest message;
@@ -339,6 +391,13 @@
     message.leaving = fields.textSet("leaving");
     message.drained = fields.textSet("drained");
     message.quarantined = fields.textSet("quarantined");
+    // Gateways of an earlier version send no reports.
+    if (const json *reports = fields.optional("crash_reports")) {
+        field_reader reportFields(*reports);
+        message.crashes = parseCrashReports(reportFields);
+        if (!reports->is_object() || !reportFields.invalidField().empty())
+            fields.reject("crash_reports");
+    }
     return message;
 }
 
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -14,6 +14,7 @@
 
 #include "fescuedeck/base/error.h"
 #include "fescuedeck/base/name_table.h"
+#include "fescuedeck/peer/crash_report.h"
 #include "fescuedeck/stream/crash_suspects.h"
 
 namespace fescuedeck {
@@ -44,7 +45,8 @@
     std::set<std::string> suspects;    // endpoints
     std::set<std::string> leaving;     // endpoint@incarnation
     std::set<std::string> drained;     // hosts whose drain is not in the log yet
-    std::set<std::string> quarantined; // fingerprints
+    std::set<std::string> quarantined; // keys: fingerprints, or names of prompt segments
+    crash_reports crashes;             // empty if the sender reports none
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -19,6 +19,9 @@
     digest.leaving = { "e3", "e4" };
     digest.drained = { "h1" };
     digest.quarantined = { "f1" };
+    digest.crashes.crashes["e2@5"]
+            = { std::chrono::milliseconds(70), { { "s1", { 1, { "f2" } } } } };
+    digest.crashes.begun = { { "s1", std::chrono::milliseconds(900) } };
     return digest;
 }
 
@@ -72,6 +75,11 @@
             = std::get<peer_digest>(parsePeerMessage(toCbor(sampleDigest())).value());
     CHECK(digest.inFlight == sampleDigest().inFlight);
     CHECK(digest.leaving == sampleDigest().leaving);
+    const crash_report &report = digest.crashes.crashes.at("e2@5");
+    CHECK(report.age == std::chrono::milliseconds(70));
+    CHECK(report.suspects.at("s1").depth == 1);
+    CHECK(report.suspects.at("s1").requests == std::set<std::string>{ "f2" });
+    CHECK(digest.crashes.begun.at("s1") == std::chrono::milliseconds(900));
 }
 
 TEST_CASE("damaged frames are failures, not exceptions", "[peer]")
@@ -107,11 +115,28 @@
     for (const auto &item : object.items()) {
         nlohmann::json lacking = object;
         lacking.erase(item.key());
-        CHECK_FALSE(parsePeerMessage(cborOf(lacking)));
+        // Gateways of an earlier version send no crash reports.
+        CHECK(static_cast<bool>(parsePeerMessage(cborOf(lacking)))
+              == (item.key() == "crash_reports"));
         nlohmann::json wrong = object;
         wrong[item.key()] = nlohmann::json::binary({ 1, 2 });
         CHECK_FALSE(parsePeerMessage(cborOf(wrong)));
     }
+    for (const char *pointer :
+         { "/crash_reports/crashes", "/crash_reports/begun", "/crash_reports/crashes/0/incarnation",
+           "/crash_reports/crashes/0/age_ms", "/crash_reports/crashes/0/suspects",
+           "/crash_reports/crashes/0/suspects/0/segment",
+           "/crash_reports/crashes/0/suspects/0/depth",
+           "/crash_reports/crashes/0/suspects/0/requests", "/crash_reports/begun/0/segment",
+           "/crash_reports/begun/0/age_ms" }) {
+        const nlohmann::json::json_pointer path(pointer);
+        nlohmann::json lacking = object;
+        lacking[path.parent_pointer()].erase(path.back());
+        CHECK_FALSE(parsePeerMessage(cborOf(lacking)));
+        nlohmann::json wrong = object;
+        wrong[path] = nlohmann::json::binary({ 1, 2 });
+        CHECK_FALSE(parsePeerMessage(cborOf(wrong)));
+    }
     nlohmann::json negative = object;
     negative["in_flight"]["e1"] = -1;
     CHECK_FALSE(parsePeerMessage(cborOf(negative)));
