Do not quarantine requests for crashes that another cause explains

Cause: crash_tracker counted each closed connection against each request on it, also after the cause was known. The streams of a lost engine move together with the request that crashed it, so that they share all its crashes. Class of fault: blame by coincidence, without asking what another suspect explains.

Evidence: crash_suspected with crashes=3 and quarantined=true for requests whose prompts do not have the segment.

Change: crash_tracker keeps the incarnations that crashed. Crashes that a quarantined segment explains are no longer counted, and a quarantine that was due to them ends. A request's quarantine is told to others after one second, when its crashes have been explained if they ever are.

Test: "a request is not quarantined for crashes that a segment explains" (without discountCrash the sound request is quarantined and the quarantine told), "crashes with another cause no longer count, nor the quarantines because of them".

--- a/src/fescuedeck/gateway/crash_correlator.cpp
+++ b/src/fescuedeck/gateway/crash_correlator.cpp
@@ -101,17 +101,12 @@
     return all;
 }
 
-std::vector<std::string>
-crash_correlator::findCauses(const std::function<bool(const std::string &)> &isDown)
+std::optional<std::string>
+crash_correlator::findCause(const std::function<bool(const std::string &)> &isDown)
 {
     for (auto &[incarnation, crash] : m_crashes)
         crash.isDown = crash.isDown || isDown(incarnation);
-    std::vector<std::string> causes;
-    while (const auto cause = findCause()) {
-        causes.push_back(*cause);
-        explainBy(*cause);
-    }
-    return causes;
+    return bestCandidate();
 }
 
 std::vector<crash_correlator::correlation> crash_correlator::correlate() const
@@ -153,7 +148,7 @@
     });
 }
 
-std::optional<std::string> crash_correlator::findCause() const
+std::optional<std::string> crash_correlator::bestCandidate() const
 {
     const std::vector<correlation> correlations = correlate();
     const auto isLess = [](const correlation &a, const correlation &b) {
@@ -178,10 +173,16 @@
     return best->segment;
 }
 
-void crash_correlator::explainBy(const std::string &segment)
+std::vector<std::string> crash_correlator::explainBy(const std::string &segment)
 {
-    for (auto &[incarnation, crash] : m_crashes)
-        crash.isExplained = crash.isExplained || crash.suspects.count(segment) > 0;
+    std::vector<std::string> explained;
+    for (auto &[incarnation, crash] : m_crashes) {
+        if (crash.isExplained || crash.suspects.count(segment) == 0)
+            continue;
+        crash.isExplained = true;
+        explained.push_back(incarnation);
+    }
+    return explained;
 }
 
 bool crash_correlator::isExplained(const std::string &incarnation) const
--- a/src/fescuedeck/gateway/crash_correlator.h
+++ b/src/fescuedeck/gateway/crash_correlator.h
@@ -58,11 +58,12 @@
     // What this gateway and its peers have observed, for other gateways.
     crash_reports reports(time_point now) const;
 
-    // Returns the segments that are newly found to be causes, and explains their crashes by them.
+    // Returns a segment that is the cause of crashes which are not explained, if there is one.
     // isDown tells whether an engine is down by its incarnation name.
-    std::vector<std::string> findCauses(const std::function<bool(const std::string &)> &isDown);
+    std::optional<std::string> findCause(const std::function<bool(const std::string &)> &isDown);
     // Explains all crashes of which the segment is a suspect. They are no evidence against others.
-    void explainBy(const std::string &segment);
+    // Returns the incarnation names of those that had not been explained before.
+    std::vector<std::string> explainBy(const std::string &segment);
     bool isExplained(const std::string &incarnation) const;
     void expire(time_point now);
 
@@ -89,7 +90,7 @@
     void setBegun(const std::string &segment, time_point at);
     std::optional<time_point> begunAt(const std::string &segment) const;
     std::vector<correlation> correlate() const;
-    std::optional<std::string> findCause() const;
+    std::optional<std::string> bestCandidate() const;
     // Whether the other segment is a suspect of one of the segment's crashes.
     bool shareCrash(const std::string &segment, const std::string &other) const;
     void evictOldest();
--- a/src/fescuedeck/gateway/crash_quarantine.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine.cpp
@@ -8,6 +8,9 @@
 // Keys of segments begin with this. Keys of requests are hexadecimal.
 constexpr const char *segmentPrefix = "segment:";
 
+// Within this time a crash is explained if gateways find its cause.
+constexpr duration explanationTime = std::chrono::seconds(1);
+
 std::string keyOfSegment(const std::string &segment)
 {
     return segmentPrefix + segment;
@@ -38,11 +41,13 @@
               });
 }
 
-int crash_quarantine::recordCrash(const request_identity &request, time_point now)
+int crash_quarantine::recordCrash(const request_identity &request, const std::string &incarnation,
+                                  time_point now)
 {
-    const bool isNew = m_tracker.recordCrash(request.fingerprint, now);
-    if (isNew && onQuarantine)
-        onQuarantine(request.fingerprint);
+    const bool isNew = !m_correlator.isExplained(incarnation)
+                       && m_tracker.recordCrash(request.fingerprint, incarnation, now);
+    if (isNew)
+        m_untold.emplace(request.fingerprint, now);
     return m_tracker.crashesOf(request.fingerprint);
 }
 
@@ -65,10 +70,20 @@
     m_tracker.quarantine(key, now);
     const std::string prefix = segmentPrefix;
     if (key.compare(0, prefix.size(), prefix) == 0)
-        m_correlator.explainBy(key.substr(prefix.size()));
+        explainBy(key.substr(prefix.size()));
     cancelQuarantined(now);
 }
 
+std::vector<std::string> crash_quarantine::keys() const
+{
+    std::vector<std::string> told;
+    for (const std::string &key : m_tracker.quarantined()) {
+        if (m_untold.count(key) == 0)
+            told.push_back(key);
+    }
+    return told;
+}
+
 void crash_quarantine::merge(const crash_reports &reports, time_point now)
 {
     m_correlator.merge(reports, now);
@@ -80,12 +95,18 @@
     }
 }
 
+void crash_quarantine::explainBy(const std::string &segment)
+{
+    for (const std::string &incarnation : m_correlator.explainBy(segment))
+        m_tracker.discountCrash(incarnation);
+}
+
 void crash_quarantine::explainByKnownSegments(const std::vector<std::string> &segments,
                                               time_point now)
 {
     for (const std::string &segment : segments) {
         if (m_tracker.isQuarantined(keyOfSegment(segment), now))
-            m_correlator.explainBy(segment);
+            explainBy(segment);
     }
 }
 
@@ -93,10 +114,25 @@
 {
     m_tracker.expire(now);
     m_correlator.expire(now);
-    for (const std::string &segment : m_correlator.findCauses(isDown)) {
-        apply(keyOfSegment(segment), now);
+    while (const auto segment = m_correlator.findCause(isDown)) {
+        const std::string key = keyOfSegment(*segment);
+        explainBy(*segment);
+        apply(key, now);
         if (onQuarantine)
-            onQuarantine(keyOfSegment(segment));
+            onQuarantine(key);
+    }
+    tellDue(now);
+}
+
+void crash_quarantine::tellDue(time_point now)
+{
+    for (auto it = m_untold.begin(); it != m_untold.end();) {
+        const auto &[key, since] = *it;
+        const bool isLifted = !m_tracker.isQuarantined(key, now);
+        const bool isDue = now - since >= explanationTime;
+        if (isDue && !isLifted && onQuarantine)
+            onQuarantine(key);
+        it = isDue || isLifted ? m_untold.erase(it) : std::next(it);
     }
 }
 
--- a/src/fescuedeck/gateway/crash_quarantine.h
+++ b/src/fescuedeck/gateway/crash_quarantine.h
@@ -34,7 +34,8 @@
     explicit crash_quarantine(crash_tracker_settings trackerSettings = {},
                               crash_correlator_settings correlatorSettings = {});
 
-    // Called for each quarantine that this gateway finds, so that others learn of it.
+    // Called for each quarantine that this gateway finds, so that others learn of it. That of a
+    // single request is not told at once, because its crashes may turn out to have another cause.
     std::function<void(const std::string &key)> onQuarantine;
     // Whether an engine is down, by its incarnation name.
     std::function<bool(const std::string &incarnation)> isDown;
@@ -42,16 +43,17 @@
     bool isQuarantined(const request_identity &request, time_point now) const;
     // The endpoint closed the connection while it ran the request. Returns the number of times that
     // this has happened.
-    int recordCrash(const request_identity &request, time_point now);
-    // The response ended before the answer had begun, perhaps because the engine has crashed. Its
-    // incarnation name is given.
+    int recordCrash(const request_identity &request, const std::string &incarnation,
+                    time_point now);
+    // The response ended before the answer had begun, perhaps because the engine has crashed.
     void recordEarlyEnd(const request_identity &request, const std::string &incarnation,
                         time_point now);
     void recordBegun(const request_identity &request, time_point now);
 
     // Applies a quarantine that a peer or the store has told.
     void apply(const std::string &key, time_point now);
-    std::vector<std::string> keys() const { return m_tracker.quarantined(); }
+    // Keys of the quarantines to tell peers.
+    std::vector<std::string> keys() const;
     crash_reports reports(time_point now) const { return m_correlator.reports(now); }
     void merge(const crash_reports &reports, time_point now);
 
@@ -71,12 +73,15 @@
         std::function<void()> cancel;
     };
 
+    void explainBy(const std::string &segment);
     void explainByKnownSegments(const std::vector<std::string> &segments, time_point now);
     void cancelQuarantined(time_point now);
+    void tellDue(time_point now);
 
     crash_tracker m_tracker;
     crash_correlator m_correlator;
-    std::map<int, watch_entry> m_watches; // by number
+    std::map<std::string, time_point> m_untold; // since when, by key
+    std::map<int, watch_entry> m_watches;       // by number
     int m_lastWatch = 0;
 };
 
--- a/src/fescuedeck/gateway/crash_quarantine_test.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine_test.cpp
@@ -34,6 +34,33 @@
     CHECK_FALSE(quarantine.isQuarantined(sound, start));
 }
 
+// Guards against refusing sound requests that moved along with the one that crashes engines.
+TEST_CASE("a request is not quarantined for crashes that a segment explains", "[gateway]")
+{
+    crash_quarantine quarantine;
+    quarantine.isDown = [](const std::string &) { return true; };
+    std::vector<std::string> told;
+    quarantine.onQuarantine = [&](const std::string &key) { told.push_back(key); };
+    const request_identity sound{ "sound", { "a" } };
+    const request_identity alone{ "alone", {} };
+    for (int i = 0; i < 3; ++i) {
+        const time_point now = start + std::chrono::milliseconds(100 * i);
+        const std::string engine = "e" + std::to_string(i);
+        quarantine.recordBegun(sound, now);
+        quarantine.recordCrash(sound, engine, now);
+        quarantine.recordCrash(alone, "other" + engine, now);
+        quarantine.recordEarlyEnd({ i < 2 ? "r1" : "r2", { "bad" } }, engine, now);
+    }
+    CHECK(quarantine.isQuarantined(sound, start));
+    quarantine.update(start + std::chrono::milliseconds(300));
+    CHECK_FALSE(quarantine.isQuarantined(sound, start));
+    CHECK(quarantine.isQuarantined(alone, start));
+    CHECK(quarantine.keys() == std::vector<std::string>{ "segment:bad" });
+    quarantine.recordCrash(sound, "e2", start);
+    quarantine.update(start + std::chrono::seconds(3));
+    CHECK(told == std::vector<std::string>{ "segment:bad", "alone" });
+}
+
 TEST_CASE("the last segment of a prompt is not shared", "[gateway]")
 {
     CHECK(sharedSegmentsOf({ "a", "b", "c" }) == std::vector<std::string>{ "a", "b" });
--- a/src/fescuedeck/gateway/crash_tracker.cpp
+++ b/src/fescuedeck/gateway/crash_tracker.cpp
@@ -9,18 +9,37 @@
 {
 }
 
-bool crash_tracker::recordCrash(const std::string &fingerprint, time_point now)
+bool crash_tracker::recordCrash(const std::string &fingerprint, const std::string &incarnation,
+                                time_point now)
 {
     entry &crash = m_entries[fingerprint];
-    ++crash.crashes;
-    const bool isNew = !crash.isQuarantined && crash.crashes >= m_settings.crashesToQuarantine;
+    crash.crashes.push_back(incarnation);
+    const bool isNew = !crash.isQuarantined && hasTooManyCrashes(crash);
     if (!crash.isQuarantined)
         crash.lastChangedAt = now;
+    crash.isCounted = crash.isCounted || isNew;
     crash.isQuarantined = crash.isQuarantined || isNew;
     evictOldest();
     return isNew;
 }
 
+bool crash_tracker::hasTooManyCrashes(const entry &crash) const
+{
+    return static_cast<int>(crash.crashes.size()) >= m_settings.crashesToQuarantine;
+}
+
+void crash_tracker::discountCrash(const std::string &incarnation)
+{
+    for (auto &[fingerprint, crash] : m_entries) {
+        auto &crashes = crash.crashes;
+        crashes.erase(std::remove(crashes.begin(), crashes.end(), incarnation), crashes.end());
+        if (crash.isCounted && !hasTooManyCrashes(crash)) {
+            crash.isQuarantined = false;
+            crash.isCounted = false;
+        }
+    }
+}
+
 void crash_tracker::quarantine(const std::string &fingerprint, time_point now)
 {
     entry &crash = m_entries[fingerprint];
@@ -41,7 +60,7 @@
 int crash_tracker::crashesOf(const std::string &fingerprint) const
 {
     const auto found = m_entries.find(fingerprint);
-    return found == m_entries.end() ? 0 : found->second.crashes;
+    return found == m_entries.end() ? 0 : static_cast<int>(found->second.crashes.size());
 }
 
 std::vector<std::string> crash_tracker::quarantined() const
--- a/src/fescuedeck/gateway/crash_tracker.h
+++ b/src/fescuedeck/gateway/crash_tracker.h
@@ -29,8 +29,12 @@
 public:
     explicit crash_tracker(crash_tracker_settings settings = {});
 
-    // Counts a crash of the request. Returns true if this crash causes its quarantine.
-    bool recordCrash(const std::string &fingerprint, time_point now);
+    // Counts a crash of the endpoint with this incarnation name while it ran the request. Returns
+    // true if this crash causes the quarantine of the request.
+    bool recordCrash(const std::string &fingerprint, const std::string &incarnation,
+                     time_point now);
+    // The crash had another cause: no longer counts it, and ends the quarantines that it caused.
+    void discountCrash(const std::string &incarnation);
     // Quarantines a request because a peer or the store says so. A quarantine that has already
     // begun is not prolonged.
     void quarantine(const std::string &fingerprint, time_point now);
@@ -44,11 +48,13 @@
 private:
     struct entry
     {
-        int crashes = 0;
+        std::vector<std::string> crashes; // incarnation names of the endpoints
         bool isQuarantined = false;
+        bool isCounted = false;     // quarantined because of the crashes counted here
         time_point lastChangedAt{}; // last crash before the quarantine, or start of the quarantine
     };
 
+    bool hasTooManyCrashes(const entry &crash) const;
     // Drops the oldest entry if there are more than maxFingerprints.
     void evictOldest();
 
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -486,9 +486,10 @@
 {
     const time_point now = steadyNow();
     const bool hadBegun = current.hasSurelyBegun();
+    const std::string incarnation = incarnationName(to.first->entry);
     if (!hadBegun)
-        m_context.crashes.recordEarlyEnd(identity, incarnationName(to.first->entry), now);
-    const int crashes = m_context.crashes.recordCrash(identity, now);
+        m_context.crashes.recordEarlyEnd(identity, incarnation, now);
+    const int crashes = m_context.crashes.recordCrash(identity, incarnation, now);
     event_line("crash_suspected", event_level::Warning)
             .field("request", m_info.id)
             .field("endpoint", to.first->entry.id)
