Log the request limit that an endpoint states

Cause: not shown yet. Nothing told which endpoint had stated which limit, so that a limit that is not read could not be told from one that is read and exceeded by the gateways together.

Nothing keeps to the limit yet.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -342,7 +342,7 @@
 
 void forwarded_call::onStreamHead(attempt &current, const http_response &head)
 {
-    const response_info answer = m_context.adapter.readResponse(head);
+    const response_info answer = readNewResponse(*current.first, head);
     current.head = head;
     current.isStream = head.status == statusOk && isValidAnswer(answer, head);
     current.isUnusable = isSuccess(head.status) && !current.isStream;
@@ -382,6 +382,20 @@
     }
 }
 
+response_info forwarded_call::readNewResponse(const endpoint_record &from,
+                                              const http_response &response)
+{
+    response_info answer = m_context.adapter.readResponse(response);
+    const bool isChanged = m_context.requestLimits.observe(incarnationName(from.entry),
+                                                           answer.requestLimit, steadyNow());
+    if (isChanged) {
+        event_line("request_limit_changed", event_level::Warning)
+                .field("endpoint", from.entry.id)
+                .field("per_second", answer.requestLimit.value_or(0));
+    }
+    return answer;
+}
+
 bool forwarded_call::isValidAnswer(const response_info &answer, const http_response &response) const
 {
     return answer.id == m_info.id && !answer.isEncoded
@@ -394,7 +408,10 @@
     if (!result.response)
         return handleFailure(to, current, result);
     const http_response &response = result.response.value();
-    const response_info answer = m_context.adapter.readResponse(response);
+    // The head of a stream was read when it arrived.
+    const response_info answer = m_route.kind == call_kind::Stream
+                                         ? m_context.adapter.readResponse(response)
+                                         : readNewResponse(*to.first, response);
     m_endpointFailure.reset();
     if (answer.didNotRun || answer.isMisdirected) {
         m_wasEndpointBusy = m_wasEndpointBusy || !answer.isMisdirected;
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -92,6 +92,9 @@
                                   const call_result &result);
     attempt_outcome handleStreamEnd(const destination &to, const attempt &current);
     attempt_outcome relayResponse(const destination &to, const http_response &response);
+    // Decodes the head of a response that has just arrived, and notes the request limit that the
+    // endpoint states.
+    response_info readNewResponse(const endpoint_record &from, const http_response &response);
     void onStreamHead(attempt &current, const http_response &head);
     void onStreamPart(attempt &current, std::string_view part);
     // Decides whether another attempt follows, and if so takes a retry from the retry budget. Sets
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -19,6 +19,7 @@
 #include "fescuedeck/gateway/gateway_retry_budget.h"
 #include "fescuedeck/gateway/gateway_settings.h"
 #include "fescuedeck/gateway/platform_adapter.h"
+#include "fescuedeck/gateway/request_limiter.h"
 #include "fescuedeck/net/http_client.h"
 #include "fescuedeck/telemetry/metrics.h"
 
@@ -48,6 +49,7 @@
     // Retries that are reserved for streams in progress, by service.
     std::map<std::string, int> reservedRetries;
     crash_quarantine crashes;
+    request_limiter requestLimits;
     // Set by the owner, like the hook below. Asks an engine for a report on the engines that it
     // waits for.
     std::function<void(const std::string &endpoint, engine_suspicion)> inspectEngine;
--- a/src/fescuedeck/gateway/platform_adapter.h
+++ b/src/fescuedeck/gateway/platform_adapter.h
@@ -61,6 +61,9 @@
     bool isMisdirected = false; // another endpoint has the address, or a layer range is not there
     bool isEncoded = false;     // the body has a content encoding, which was not requested
     std::string faultAddress;   // address of the engine that could not run its layers
+    // Requests per second that the endpoint accepts from all gateways together until a response
+    // states otherwise; empty if it states no limit.
+    std::optional<double> requestLimit;
 };
 
 // Why the gateway refuses a request instead of passing on a response.
--- a/src/fescuedeck/telemetry/event_line.cpp
+++ b/src/fescuedeck/telemetry/event_line.cpp
@@ -1,7 +1,9 @@
 #include "fescuedeck/telemetry/event_line.h"
 
 #include <array>
+#include <cmath>
 #include <cstdio>
+#include <sstream>
 
 #include "fescuedeck/telemetry/log_setup.h"
 
@@ -72,6 +74,16 @@
     return *this;
 }
 
+event_line &event_line::field(std::string_view name, double number)
+{
+    constexpr double precision = 1000;
+    addName(name);
+    std::ostringstream text;
+    text << (std::isfinite(number) ? std::round(number * precision) / precision : 0);
+    m_text += text.str();
+    return *this;
+}
+
 event_line &event_line::field(std::string_view name, bool flag)
 {
     addName(name);
--- a/src/fescuedeck/telemetry/event_line.h
+++ b/src/fescuedeck/telemetry/event_line.h
@@ -38,6 +38,8 @@
     {
         return field(name, static_cast<std::int64_t>(number));
     }
+    // With up to three decimals. A number that is not finite is written as 0, as JSON has none.
+    event_line &field(std::string_view name, double number);
     event_line &field(std::string_view name, bool flag);
     // In milliseconds; the field's name ends in "_ms".
     event_line &field(std::string_view name, duration time);
