--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -6,12 +6,14 @@
 #include <catch2/catch.hpp>
 
 #include "fescuedeck/net/http_server.h"
+#include "fescuedeck/net/scripted_server.h"
 #include "fescuedeck/net/test_io.h"
 
 namespace fescuedeck {
 namespace {
 
 using tcp = boost::asio::ip::tcp;
+using namespace std::string_literals;
 
 call_options options()
 {
@@ -29,25 +31,6 @@
     });
 }
 
-// A server that runs a script over blocking connections, for answers that a real server never
-// gives.
-class scripted_server
-{
-public:
-    explicit scripted_server(std::function<void(tcp::acceptor &)> script)
-        : m_acceptor(m_ioContext, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
-        , m_thread([this, script = std::move(script)] { script(m_acceptor); })
-    {
-    }
-    ~scripted_server() { m_thread.join(); }
-    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-
-private:
-    boost::asio::io_context m_ioContext;
-    tcp::acceptor m_acceptor;
-    std::thread m_thread;
-};
-
 const std::string okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 } // namespace
@@ -328,6 +311,28 @@
     CHECK(outcome.response.value().body == parts);
 }
 
+// Guards against taking a response that was cut off for a whole one, and the other way round.
+TEST_CASE("a response without a length is whole only if its connection ends in order", "[net]")
+{
+    const bool isReset = GENERATE(false, true);
+    scripted_server server([isReset](tcp::acceptor &acceptor) {
+        tcp::socket socket = acceptor.accept();
+        readRequest(socket);
+        boost::asio::write(socket, boost::asio::buffer("HTTP/1.1 200 OK\r\n\r\nhalf"s));
+        socket.set_option(tcp::socket::linger(isReset, 0)); // closing then resets the connection
+        if (!isReset)
+            boost::asio::write(socket, boost::asio::buffer("full"s));
+        socket.close(); // the destructor would not reset it
+    });
+    test_io io;
+    http_client client(io.context());
+    const auto outcome = call(io, client, server.port());
+    CHECK(static_cast<bool>(outcome.response) == !isReset);
+    if (!isReset)
+        CHECK(outcome.response.value().body == "halffull");
+    CHECK(client.idleConnections() == 0);
+}
+
 TEST_CASE("a request that would change its own framing is not sent", "[net]")
 {
     test_io io;
