Keep the requests of all gateways within the limit that an endpoint states

What callers saw: nothing yet; a back end in need got more requests than it had said it could take, which may end it.

Cause: gateways did not read Server-Limit, and the choice of an endpoint knows no rate. Class of fault: a statement of the back end that the protocol offers and no decision uses.

Change: request_limiter gives each gateway a part of the limit, in proportion to the demand that gateways tell each other, and tells them the newest limit with its age. A request whose best chain or endpoint has no allowance goes to the next best one, and is refused as busy, with a time to return, if none accepts it. An answer without a limit, or a restart of the endpoint, ends it. The allowance begins at random, so that many gateways with small parts neither all send at once nor all wait.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -152,7 +152,7 @@
     const bool mustContinue = m_possibleRuns > 0 || m_hasStreamStarted;
     const time_point limit
             = steadyNow() + std::min<duration>(endpointWaitLimit(), remainingTime() - answerMargin);
-    std::optional<destination> to = chooseDestination(m_failedEndpoints);
+    std::optional<destination> to = chooseAllowedDestination();
     if (to && !mustContinue && to->fill > maxAdmittedFill)
         return waitForCapacity(std::move(to));
     bool areFailuresCleared = false;
@@ -163,7 +163,7 @@
             areFailuresCleared = true;
             m_failedEndpoints.clear();
         }
-        to = chooseDestination(m_failedEndpoints);
+        to = chooseAllowedDestination();
     }
     return to;
 }
@@ -173,7 +173,7 @@
     const time_point limit = steadyNow() + std::min<duration>(maxCapacityWait, remainingTime() / 2);
     while (to && to->fill > maxAdmittedFill && steadyNow() < limit && !m_hasCallerLeft) {
         sleepFor(endpointPollInterval, m_exchange.yield());
-        to = chooseDestination(m_failedEndpoints);
+        to = chooseAllowedDestination();
     }
     if (!to || to->fill <= maxFillAfterWait)
         return to;
@@ -200,6 +200,22 @@
     return chooseEndpoint(endpoints, request);
 }
 
+std::optional<destination> forwarded_call::chooseAllowedDestination()
+{
+    request_limiter &limits = m_context.requestLimits;
+    std::set<std::string> excluded = m_failedEndpoints;
+    while (std::optional<destination> to = chooseDestination(excluded)) {
+        const std::string incarnation = incarnationName(to->first->entry);
+        if (m_demanded.insert(incarnation).second)
+            limits.recordDemand(incarnation, steadyNow());
+        if (limits.allows(incarnation, steadyNow()))
+            return to;
+        m_wasEndpointBusy = true;
+        excluded.insert(to->first->entry.id);
+    }
+    return std::nullopt;
+}
+
 bool forwarded_call::acquireRetry(attempt_outcome last)
 {
     m_giveUpReason = give_up_reason::AttemptsExhausted;
@@ -235,6 +251,8 @@
 {
     ++m_attempts;
     m_lastEndpoint = to.first->entry.id;
+    m_demanded.clear();
+    m_context.requestLimits.take(incarnationName(to.first->entry), steadyNow());
     if (m_attempts > 1)
         logRetry(to);
     attempt current(m_context, m_service, m_lastEventId, to);
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -76,6 +76,9 @@
     // wait, or as soon as no destination is usable.
     std::optional<destination> waitForCapacity(std::optional<destination> to);
     std::optional<destination> chooseDestination(const std::set<std::string> &excluded) const;
+    // The best destination whose first endpoint accepts a request within its limit. Records the
+    // demand for each endpoint that it considers, once per attempt.
+    std::optional<destination> chooseAllowedDestination();
     // Whether a destination exists that shares no endpoint with the given one.
     bool hasAlternativeTo(const destination &to) const;
     // The usual length of an answer of this service, but no more than the caller accepts. Callers
@@ -138,7 +141,9 @@
     const std::string m_service;
     const service_rule *m_rule;
     std::set<std::string> m_failedEndpoints; // by id; this request avoids them
-    int m_possibleRuns = 0;                  // attempts in which the request may have run
+    // Incarnation names of the endpoints whose demand was recorded for the current attempt.
+    std::set<std::string> m_demanded;
+    int m_possibleRuns = 0; // attempts in which the request may have run
     int m_attempts = 0;
     std::string m_lastEndpoint;   // id of the first endpoint of the last attempt
     time_point m_lastRelayedAt{}; // when events were last sent to the caller
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -322,6 +322,7 @@
     while (true) {
         sleepFor(sweepInterval, yield);
         m_context.crashes.update(steadyNow());
+        m_context.requestLimits.expire(steadyNow());
         m_context.endpoints.applyDeferredRemovals(steadyNow());
     }
 }
--- a/src/fescuedeck/gateway/gateway_context.cpp
+++ b/src/fescuedeck/gateway/gateway_context.cpp
@@ -11,6 +11,7 @@
     , random(std::move(randomFn))
     , retryBudget({ settings.retryShare, settings.minRetriesPerWindow, settings.retryWindow },
                   steadyNow())
+    , requestLimits(random)
 {
     crashes.isDown = [this](const std::string &incarnation) {
         return endpoints.isDown(incarnation, steadyNow());
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -173,6 +173,10 @@
     const peer_view domain = m_ownDomain.merged(steadyNow());
     for (const auto &[endpoint, tokens] : domain.inFlight)
         digest.inFlight[endpoint] += tokens;
+    for (auto &[incarnation, report] : digest.limits) {
+        const auto demand = domain.limitedDemand.find(incarnation);
+        report.demand += demand == domain.limitedDemand.end() ? 0 : demand->second;
+    }
     digest.suspects.insert(domain.suspects.begin(), domain.suspects.end());
     return digest;
 }
@@ -196,6 +200,7 @@
     const auto quarantined = m_context.crashes.keys();
     digest.quarantined.insert(quarantined.begin(), quarantined.end());
     digest.crashes = m_context.crashes.reports(now);
+    digest.limits = m_context.requestLimits.reports(now);
     return digest;
 }
 
@@ -205,6 +210,7 @@
         for (const std::string &key : digest->quarantined)
             m_context.crashes.apply(key, steadyNow());
         m_context.crashes.merge(digest->crashes, steadyNow());
+        m_context.requestLimits.merge(digest->limits, steadyNow());
         if (peer.cell == m_cell) {
             m_ownDomain.onDigest(peer.router, *digest, steadyNow());
         } else {
@@ -235,6 +241,8 @@
         const peer_view other = directory.mergedSummaries(now);
         for (const auto &[endpoint, tokens] : other.inFlight)
             view.inFlight[endpoint] += tokens;
+        for (const auto &[incarnation, demand] : other.limitedDemand)
+            view.limitedDemand[incarnation] += demand;
         view.suspects.insert(other.suspects.begin(), other.suspects.end());
         view.leaving.insert(other.leaving.begin(), other.leaving.end());
     }
@@ -254,6 +262,7 @@
         if (isLeaving && m_context.isEndpointTableUnavailable)
             m_context.endpoints.markLeaving(endpoint->entry.id);
     }
+    m_context.requestLimits.setPeerDemand(view.limitedDemand);
     updateRetryBudgetShare(m_ownDomain.merged(now), now);
     applyPeerSuspicions(view.suspects, now);
     requestNewerConfig(now);
--- a/src/fescuedeck/gateway/request_limiter.cpp
+++ b/src/fescuedeck/gateway/request_limiter.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-request_limiter::request_limiter(request_limiter_settings settings)
-    : m_settings(settings)
+request_limiter::request_limiter(random_fn random, request_limiter_settings settings)
+    : m_random(std::move(random))
+    , m_settings(settings)
 {
 }
 
@@ -31,9 +32,10 @@
 void request_limiter::setLimit(endpoint_limit &limit, std::optional<double> perSecond,
                                time_point observedAt, time_point now)
 {
-    // A new limit starts without an allowance, because the requests before it count as well.
+    // Many gateways with small parts of the limit must not all begin with a request, nor all wait
+    // until they have gained one.
     if (perSecond && !limit.perSecond) {
-        limit.allowance = 0;
+        limit.allowance = uniformReal(m_random);
         limit.allowanceAt = now;
     }
     if (!perSecond && limit.perSecond)
@@ -54,13 +56,18 @@
 
 double request_limiter::demandAt(const endpoint_limit &limit, time_point now) const
 {
-    const double age = secondsOf(now - limit.demandAt) / secondsOf(m_settings.demandWindow);
+    const double age
+            = std::max(0.0, secondsOf(now - limit.demandAt)) / secondsOf(m_settings.demandWindow);
     return limit.demand * std::exp(-age);
 }
 
 double request_limiter::ownRate(const endpoint_limit &limit, time_point now) const
 {
-    const double own = demandAt(limit, now);
+    // The mean over the time since the last refill, in which the demand has decayed.
+    const double window = secondsOf(m_settings.demandWindow);
+    const double time = std::max(secondsOf(now - limit.allowanceAt), 1e-3);
+    const double decayed = (1 - std::exp(-time / window)) * window / time;
+    const double own = demandAt(limit, limit.allowanceAt) * decayed;
     const double all = own + limit.peerDemand;
     return all > 0 ? *limit.perSecond * own / all : 0;
 }
--- a/src/fescuedeck/gateway/request_limiter.h
+++ b/src/fescuedeck/gateway/request_limiter.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 
+#include "fescuedeck/base/random.h"
 #include "fescuedeck/base/time.h"
 #include "fescuedeck/peer/request_limit_report.h"
 
@@ -22,7 +23,7 @@
 struct request_limiter_settings
 {
     // Time over which the demand is averaged.
-    duration demandWindow = std::chrono::seconds(2);
+    duration demandWindow = std::chrono::seconds(4);
     // Requests that may be sent at once after a pause: one, and those of this time at the rate.
     duration burstWindow = std::chrono::milliseconds(500);
     // The end of a limit is told to peers for this long.
@@ -35,7 +36,7 @@
 class request_limiter
 {
 public:
-    explicit request_limiter(request_limiter_settings settings = {});
+    explicit request_limiter(random_fn random, request_limiter_settings settings = {});
 
     // Records the limit that the newest response of the endpoint states, if any. Returns whether it
     // has changed.
@@ -75,11 +76,12 @@
     void setLimit(endpoint_limit &limit, std::optional<double> perSecond, time_point observedAt,
                   time_point now);
     double demandAt(const endpoint_limit &limit, time_point now) const;
-    // Requests per second that this gateway may send.
+    // Requests per second that this gateway could send since the last refill.
     double ownRate(const endpoint_limit &limit, time_point now) const;
     void refill(endpoint_limit &limit, time_point now) const;
 
-    request_limiter_settings m_settings;
+    const random_fn m_random;
+    const request_limiter_settings m_settings;
     std::map<std::string, endpoint_limit> m_limits; // by incarnation name
 };
 
--- a/src/fescuedeck/peer/peer_directory.cpp
+++ b/src/fescuedeck/peer/peer_directory.cpp
@@ -47,6 +47,10 @@
             double &load = view.inFlight[endpoint];
             load = combineLoads(load, count);
         }
+        for (const auto &[incarnation, report] : digest.limits) {
+            double &demand = view.limitedDemand[incarnation];
+            demand = combineLoads(demand, report.demand);
+        }
         view.suspects.insert(digest.suspects.begin(), digest.suspects.end());
         view.leaving.insert(digest.leaving.begin(), digest.leaving.end());
         view.drained.insert(digest.drained.begin(), digest.drained.end());
--- a/src/fescuedeck/peer/peer_directory.h
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -20,6 +20,9 @@
 struct peer_view
 {
     std::map<std::string, double> inFlight; // sum over the peers, by endpoint
+    // Sum over the peers of the demand for endpoints that limit their requests, by incarnation
+    // name.
+    std::map<std::string, double> limitedDemand;
     std::set<std::string> suspects;
     std::set<std::string> leaving;
     std::set<std::string> drained;
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -133,14 +133,20 @@
             return values;
         }
         for (const auto &[key, value] : object->items()) {
-            const double amount = value.is_number() ? value.get<double>() : -1;
-            values[key] = amount;
-            if (key.size() > maxIdBytes || !(amount >= 0 && amount <= maxAmount))
+            values[key] = toAmount(value, name);
+            if (key.size() > maxIdBytes)
                 reject(name);
         }
         return values;
     }
 
+    // From 0 to maxAmount.
+    double amount(const char *name)
+    {
+        const json *value = find(name);
+        return value ? toAmount(*value, name) : 0;
+    }
+
     bool flag(const char *name)
     {
         const json *value = find(name);
@@ -184,6 +190,14 @@
         return value;
     }
 
+    double toAmount(const json &value, const char *name)
+    {
+        const double amount = value.is_number() ? value.get<double>() : -1;
+        if (!(amount >= 0 && amount <= maxAmount))
+            reject(name);
+        return amount;
+    }
+
     std::int64_t toInteger(const json &value, const char *name, std::int64_t least,
                            std::int64_t greatest)
     {
@@ -245,6 +259,20 @@
     return { { "crashes", std::move(crashes) }, { "begun", std::move(begun) } };
 }
 
+json encode(const request_limit_reports &reports)
+{
+    json limits = json::array();
+    for (const auto &[incarnation, report] : reports) {
+        json limit = { { "incarnation", incarnation },
+                       { "age_ms", toMillis(report.age) },
+                       { "demand", report.demand } };
+        if (report.perSecond)
+            limit["per_second"] = *report.perSecond;
+        limits.push_back(std::move(limit));
+    }
+    return limits;
+}
+
 json encode(const peer_digest &message)
 {
     return { { "type", "digest" },
@@ -256,7 +284,8 @@
              { "leaving", json(message.leaving) },
              { "drained", json(message.drained) },
              { "quarantined", json(message.quarantined) },
-             { "crash_reports", encode(message.crashes) } };
+             { "crash_reports", encode(message.crashes) },
+             { "request_limits", encode(message.limits) } };
 }
 
 json encode(const bundle_request &message)
@@ -362,21 +391,37 @@
     return suspect;
 }
 
+std::chrono::milliseconds parseAge(field_reader &fields)
+{
+    return std::chrono::milliseconds(fields.integer("age_ms", 0, maxPosition));
+}
+
 crash_reports parseCrashReports(field_reader &fields)
 {
     crash_reports reports;
-    const auto age = [](field_reader &of) {
-        return std::chrono::milliseconds(of.integer("age_ms", 0, maxPosition));
-    };
     fields.forEach("crashes", [&](field_reader &crash) {
         crash_report &report = reports.crashes[crash.identifier("incarnation")];
-        report.age = age(crash);
+        report.age = parseAge(crash);
         crash.forEach("suspects", [&](field_reader &suspect) {
             report.suspects[suspect.text("segment")] = parseSuspect(suspect);
         });
     });
-    fields.forEach("begun",
-                   [&](field_reader &begun) { reports.begun[begun.text("segment")] = age(begun); });
+    fields.forEach("begun", [&](field_reader &begun) {
+        reports.begun[begun.text("segment")] = parseAge(begun);
+    });
+    return reports;
+}
+
+request_limit_reports parseRequestLimits(field_reader &fields)
+{
+    request_limit_reports reports;
+    fields.forEach("request_limits", [&](field_reader &limit) {
+        request_limit_report &report = reports[limit.identifier("incarnation")];
+        report.age = parseAge(limit);
+        report.demand = limit.amount("demand");
+        if (limit.optional("per_second"))
+            report.perSecond = limit.amount("per_second");
+    });
     return reports;
 }
 
@@ -391,13 +436,15 @@
     message.leaving = fields.textSet("leaving");
     message.drained = fields.textSet("drained");
     message.quarantined = fields.textSet("quarantined");
-    // Gateways of an earlier version send no reports.
+    // Gateways of an earlier version send neither of these.
     if (const json *reports = fields.optional("crash_reports")) {
         field_reader reportFields(*reports);
         message.crashes = parseCrashReports(reportFields);
         if (!reports->is_object() || !reportFields.invalidField().empty())
             fields.reject("crash_reports");
     }
+    if (fields.optional("request_limits"))
+        message.limits = parseRequestLimits(fields);
     return message;
 }
 
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -15,6 +15,7 @@
 #include "fescuedeck/base/error.h"
 #include "fescuedeck/base/name_table.h"
 #include "fescuedeck/peer/crash_report.h"
+#include "fescuedeck/peer/request_limit_report.h"
 #include "fescuedeck/stream/crash_suspects.h"
 
 namespace fescuedeck {
@@ -47,6 +48,7 @@
     std::set<std::string> drained;     // hosts whose drain is not in the log yet
     std::set<std::string> quarantined; // keys: fingerprints, or names of prompt segments
     crash_reports crashes;             // empty if the sender reports none
+    request_limit_reports limits;      // empty if the sender reports none
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
