Inspect engines without chains, too, when an answer ends before it has begun

What callers would see: on a deployment whose engines hold whole models, crashes under a harmful prompt segment count only once the announcements of the engines have expired, seconds and further crashes later.

Cause: only the failure of a chain made the gateway ask the engine for a report, and a crash counts only once the engine is known to be down. Class of fault: a confirmation that one kind of destination never gets.

Change: an answer that ends before it has begun has its first engine inspected, whatever the destination, if the prompt has segments.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -523,7 +523,7 @@
     const bool hadBegun = current.hasSurelyBegun();
     const std::string incarnation = incarnationName(to.first->entry);
     if (!hadBegun)
-        m_context.crashes.recordEarlyEnd(identity, incarnation, now);
+        recordEarlyEnd(to);
     const int crashes = m_context.crashes.recordCrash(identity, incarnation, now);
     event_line("crash_suspected", event_level::Warning)
             .field("request", m_info.id)
@@ -534,16 +534,21 @@
             .field("quarantined", isQuarantined());
 }
 
+void forwarded_call::recordEarlyEnd(const destination &to)
+{
+    m_context.crashes.recordEarlyEnd(identity, incarnationName(to.first->entry), steadyNow());
+    // A crash counts only once the engine is known to be down.
+    if (!identity.sharedSegments.empty() && m_context.inspectEngine)
+        m_context.inspectEngine(to.first->entry.id, engine_suspicion::Stalled);
+}
+
 attempt_outcome forwarded_call::handleStreamEnd(const destination &to, const attempt &current)
 {
     if (current.events.hasPartialEvent() || !m_hasStreamStarted) {
         // A response without a length ends in the same way if the engine has crashed.
         if (!current.hasSurelyBegun())
-            m_context.crashes.recordEarlyEnd(identity, incarnationName(to.first->entry),
-                                             steadyNow());
+            recordEarlyEnd(to);
         suspectEndpoint(to, {});
-        if (!to.chain.empty() && m_context.inspectEngine)
-            m_context.inspectEngine(to.first->entry.id, engine_suspicion::Stalled);
         return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
     }
     for (const endpoint_ptr &stage : to.stages)
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -109,6 +109,8 @@
     bool isQuarantined() const { return m_context.crashes.isQuarantined(identity, steadyNow()); }
     // The endpoint closed the connection, which it also does when it crashes.
     void recordCrash(const destination &to, const attempt &current);
+    // The response ended before the answer had begun. Finds out whether the engine has crashed.
+    void recordEarlyEnd(const destination &to);
     // Ends the request without a good answer: refuses it, or aborts a stream that has started.
     void giveUp(attempt_outcome last);
     // Time until the attempt is cancelled if the stream produces no event.
