End a quarantine on all gateways at the same time

What callers saw: a request that was quarantined once, also by mistake, was refused for good in deployments with more than one gateway, and again for two minutes by each gateway that started later.

Cause: gateways told each other the keys of their quarantines without an end. One whose quarantine was over learned it again, for two more minutes, from one whose quarantine ended a moment later, and the store kept the key for ever. Class of fault: state with an expiry that is passed on without it.

"a quarantine ends on all gateways although they exchange it" fails on the code before: both gateways still refuse the request a minute after its end.

Change: digests carry the remaining time of each quarantine and the store its end. A report of a quarantine that is known or over changes nothing. A request or segment that crashes endpoints after its quarantine is kept out twice as long, up to an hour, because each return costs engines. Digests of earlier versions, which tell no end, are not applied; those gateways learn from the set that is still sent, and from the store.

Tests: the one above, "a quarantine learned from a peer takes effect at once and ends with it" (was: "... and expires"; it now also checks reports after the end), "a request that crashes endpoints after its quarantine is kept out for longer". The loop of "fields that are missing or out of range are refused" excepts quarantines and checks the fields inside.

--- a/src/fescuedeck/gateway/crash_quarantine.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine.cpp
@@ -63,23 +63,25 @@
     m_correlator.recordBegun(request.sharedSegments, now);
 }
 
-void crash_quarantine::apply(const std::string &key, time_point now)
+void crash_quarantine::apply(const std::string &key, duration remaining, time_point now)
 {
     if (m_tracker.isQuarantined(key, now))
         return;
-    m_tracker.quarantine(key, now);
+    m_tracker.quarantineUntil(key, now + remaining, now);
+    if (!m_tracker.isQuarantined(key, now))
+        return;
     const std::string prefix = segmentPrefix;
     if (key.compare(0, prefix.size(), prefix) == 0)
-        explainBy(key.substr(prefix.size()));
+        explainBy(key.substr(prefix.size()), now);
     cancelQuarantined(now);
 }
 
-std::vector<std::string> crash_quarantine::keys() const
+std::map<std::string, duration> crash_quarantine::toTell(time_point now) const
 {
-    std::vector<std::string> told;
-    for (const std::string &key : m_tracker.quarantined()) {
+    std::map<std::string, duration> told;
+    for (const auto &[key, end] : m_tracker.quarantined(now)) {
         if (m_untold.count(key) == 0)
-            told.push_back(key);
+            told[key] = end - now;
     }
     return told;
 }
@@ -95,10 +97,10 @@
     }
 }
 
-void crash_quarantine::explainBy(const std::string &segment)
+void crash_quarantine::explainBy(const std::string &segment, time_point now)
 {
     for (const std::string &incarnation : m_correlator.explainBy(segment))
-        m_tracker.discountCrash(incarnation);
+        m_tracker.discountCrash(incarnation, now);
 }
 
 void crash_quarantine::explainByKnownSegments(const std::vector<std::string> &segments,
@@ -106,7 +108,7 @@
 {
     for (const std::string &segment : segments) {
         if (m_tracker.isQuarantined(keyOfSegment(segment), now))
-            explainBy(segment);
+            explainBy(segment, now);
     }
 }
 
@@ -116,22 +118,25 @@
     m_correlator.expire(now);
     while (const auto segment = m_correlator.findCause(isDown)) {
         const std::string key = keyOfSegment(*segment);
-        explainBy(*segment);
-        apply(key, now);
+        const time_point end = m_tracker.quarantine(key, now);
+        explainBy(*segment, now);
+        cancelQuarantined(now);
         if (onQuarantine)
-            onQuarantine(key);
+            onQuarantine(key, end - now);
     }
     tellDue(now);
 }
 
 void crash_quarantine::tellDue(time_point now)
 {
+    const auto quarantined = m_tracker.quarantined(now);
     for (auto it = m_untold.begin(); it != m_untold.end();) {
         const auto &[key, since] = *it;
-        const bool isLifted = !m_tracker.isQuarantined(key, now);
+        const auto found = quarantined.find(key);
+        const bool isLifted = found == quarantined.end();
         const bool isDue = now - since >= explanationTime;
         if (isDue && !isLifted && onQuarantine)
-            onQuarantine(key);
+            onQuarantine(key, found->second - now);
         it = isDue || isLifted ? m_untold.erase(it) : std::next(it);
     }
 }
--- a/src/fescuedeck/gateway/crash_quarantine.h
+++ b/src/fescuedeck/gateway/crash_quarantine.h
@@ -36,7 +36,7 @@
 
     // Called for each quarantine that this gateway finds, so that others learn of it. That of a
     // single request is not told at once, because its crashes may turn out to have another cause.
-    std::function<void(const std::string &key)> onQuarantine;
+    std::function<void(const std::string &key, duration remaining)> onQuarantine;
     // Whether an engine is down, by its incarnation name.
     std::function<bool(const std::string &incarnation)> isDown;
 
@@ -50,10 +50,10 @@
                         time_point now);
     void recordBegun(const request_identity &request, time_point now);
 
-    // Applies a quarantine that a peer or the store has told.
-    void apply(const std::string &key, time_point now);
-    // Keys of the quarantines to tell peers.
-    std::vector<std::string> keys() const;
+    // Applies a quarantine that a peer or the store has told, for the remaining time.
+    void apply(const std::string &key, duration remaining, time_point now);
+    // The remaining times of the quarantines to tell peers, by key.
+    std::map<std::string, duration> toTell(time_point now) const;
     crash_reports reports(time_point now) const { return m_correlator.reports(now); }
     void merge(const crash_reports &reports, time_point now);
 
@@ -73,7 +73,7 @@
         std::function<void()> cancel;
     };
 
-    void explainBy(const std::string &segment);
+    void explainBy(const std::string &segment, time_point now);
     void explainByKnownSegments(const std::vector<std::string> &segments, time_point now);
     void cancelQuarantined(time_point now);
     void tellDue(time_point now);
--- a/src/fescuedeck/gateway/crash_quarantine_test.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine_test.cpp
@@ -5,6 +5,8 @@
 namespace fescuedeck {
 namespace {
 
+using namespace std::chrono_literals;
+
 const time_point start{ std::chrono::hours(1) };
 
 } // namespace
@@ -15,7 +17,7 @@
     crash_quarantine quarantine;
     quarantine.isDown = [](const std::string &) { return true; };
     std::vector<std::string> published;
-    quarantine.onQuarantine = [&](const std::string &key) { published.push_back(key); };
+    quarantine.onQuarantine = [&](const std::string &key, duration) { published.push_back(key); };
     const request_identity waiting{ "r9", { "a", "bad" } };
     const request_identity sound{ "r8", { "a" } };
     int cancelled = 0;
@@ -40,7 +42,7 @@
     crash_quarantine quarantine;
     quarantine.isDown = [](const std::string &) { return true; };
     std::vector<std::string> told;
-    quarantine.onQuarantine = [&](const std::string &key) { told.push_back(key); };
+    quarantine.onQuarantine = [&](const std::string &key, duration) { told.push_back(key); };
     const request_identity sound{ "sound", { "a" } };
     const request_identity alone{ "alone", {} };
     for (int i = 0; i < 3; ++i) {
@@ -55,12 +57,38 @@
     quarantine.update(start + std::chrono::milliseconds(300));
     CHECK_FALSE(quarantine.isQuarantined(sound, start));
     CHECK(quarantine.isQuarantined(alone, start));
-    CHECK(quarantine.keys() == std::vector<std::string>{ "segment:bad" });
+    CHECK(quarantine.toTell(start).size() == 1);
+    CHECK(quarantine.toTell(start).count("segment:bad") == 1);
     quarantine.recordCrash(sound, "e2", start);
     quarantine.update(start + std::chrono::seconds(3));
     CHECK(told == std::vector<std::string>{ "segment:bad", "alone" });
 }
 
+// Guards against gateways that keep a quarantine in force by telling each other of it.
+TEST_CASE("a quarantine ends on all gateways although they exchange it", "[gateway]")
+{
+    crash_quarantine first;
+    crash_quarantine second;
+    for (crash_quarantine *quarantine : { &first, &second })
+        quarantine->isDown = [](const std::string &) { return false; };
+    first.apply("bad", 120s, start);
+    const time_point end = start + std::chrono::seconds(180);
+    for (int step = 0; start + step * 50ms < end; ++step) {
+        const time_point now = start + step * 50ms;
+        // The gateways expire and tell at different moments.
+        if (step % 4 == 0)
+            first.update(now);
+        if (step % 4 == 2)
+            second.update(now);
+        crash_quarantine &sender = step % 6 == 1 ? first : second;
+        crash_quarantine &receiver = step % 6 == 1 ? second : first;
+        for (const auto &[key, remaining] : sender.toTell(now))
+            receiver.apply(key, remaining, now + 5ms);
+    }
+    CHECK_FALSE(first.isQuarantined({ "bad", {} }, end));
+    CHECK_FALSE(second.isQuarantined({ "bad", {} }, end));
+}
+
 TEST_CASE("the last segment of a prompt is not shared", "[gateway]")
 {
     CHECK(sharedSegmentsOf({ "a", "b", "c" }) == std::vector<std::string>{ "a", "b" });
--- a/src/fescuedeck/gateway/crash_tracker.cpp
+++ b/src/fescuedeck/gateway/crash_tracker.cpp
@@ -13,13 +13,18 @@
                                 time_point now)
 {
     entry &crash = m_entries[fingerprint];
+    const bool hasEnded = crash.isCounted && !crash.isQuarantined(now);
+    if (hasEnded)
+        crash.crashes.clear(); // they have led to the quarantine that has ended
+    crash.isCounted = crash.isCounted && !hasEnded;
     crash.crashes.push_back(incarnation);
-    const bool isNew = !crash.isQuarantined && hasTooManyCrashes(crash);
-    if (!crash.isQuarantined)
-        crash.lastChangedAt = now;
-    crash.isCounted = crash.isCounted || isNew;
-    crash.isQuarantined = crash.isQuarantined || isNew;
-    evictOldest();
+    crash.lastCrashAt = now;
+    const bool isNew = !crash.isQuarantined(now) && hasTooManyCrashes(crash);
+    if (isNew) {
+        crash.isCounted = true;
+        beginQuarantine(crash, now);
+    }
+    evictFirst();
     return isNew;
 }
 
@@ -28,33 +33,55 @@
     return static_cast<int>(crash.crashes.size()) >= m_settings.crashesToQuarantine;
 }
 
-void crash_tracker::discountCrash(const std::string &incarnation)
+void crash_tracker::beginQuarantine(entry &crash, time_point now) const
+{
+    constexpr int maxDoublings = 16;
+    const duration term
+            = m_settings.minQuarantine * (1 << std::min(crash.quarantines, maxDoublings));
+    crash.quarantinedUntil = now + std::min(term, m_settings.maxQuarantine);
+    ++crash.quarantines;
+}
+
+void crash_tracker::discountCrash(const std::string &incarnation, time_point now)
 {
     for (auto &[fingerprint, crash] : m_entries) {
         auto &crashes = crash.crashes;
         crashes.erase(std::remove(crashes.begin(), crashes.end(), incarnation), crashes.end());
-        if (crash.isCounted && !hasTooManyCrashes(crash)) {
-            crash.isQuarantined = false;
+        if (crash.isCounted && crash.isQuarantined(now) && !hasTooManyCrashes(crash)) {
             crash.isCounted = false;
+            crash.quarantinedUntil = {};
+            --crash.quarantines;
         }
     }
 }
 
-void crash_tracker::quarantine(const std::string &fingerprint, time_point now)
+time_point crash_tracker::quarantine(const std::string &fingerprint, time_point now)
 {
     entry &crash = m_entries[fingerprint];
-    if (crash.isQuarantined)
-        return;
-    crash.isQuarantined = true;
-    crash.lastChangedAt = now;
-    evictOldest();
+    if (!crash.isQuarantined(now))
+        beginQuarantine(crash, now);
+    const time_point end = crash.quarantinedUntil;
+    evictFirst();
+    return end;
+}
+
+void crash_tracker::quarantineUntil(const std::string &fingerprint, time_point until,
+                                    time_point now)
+{
+    const time_point latest = now + m_settings.maxQuarantine;
+    entry &crash = m_entries[fingerprint];
+    const bool isKnown = until <= crash.quarantinedUntil + m_settings.endTolerance;
+    if (!isKnown && until > now) {
+        crash.quarantinedUntil = std::min(until, latest);
+        ++crash.quarantines;
+    }
+    evictFirst();
 }
 
 bool crash_tracker::isQuarantined(const std::string &fingerprint, time_point now) const
 {
     const auto found = m_entries.find(fingerprint);
-    return found != m_entries.end() && found->second.isQuarantined
-           && now - found->second.lastChangedAt < m_settings.quarantineExpiry;
+    return found != m_entries.end() && found->second.isQuarantined(now);
 }
 
 int crash_tracker::crashesOf(const std::string &fingerprint) const
@@ -63,34 +90,38 @@
     return found == m_entries.end() ? 0 : static_cast<int>(found->second.crashes.size());
 }
 
-std::vector<std::string> crash_tracker::quarantined() const
+std::map<std::string, time_point> crash_tracker::quarantined(time_point now) const
 {
-    std::vector<std::string> fingerprints;
+    std::map<std::string, time_point> ends;
     for (const auto &[fingerprint, crash] : m_entries) {
-        if (crash.isQuarantined)
-            fingerprints.push_back(fingerprint);
+        if (crash.isQuarantined(now))
+            ends[fingerprint] = crash.quarantinedUntil;
     }
-    return fingerprints;
+    return ends;
+}
+
+time_point crash_tracker::expiryOf(const entry &crash) const
+{
+    const time_point countExpiry = crash.lastCrashAt + m_settings.countExpiry;
+    if (crash.quarantines == 0)
+        return countExpiry;
+    return std::max(countExpiry, crash.quarantinedUntil + m_settings.memory);
 }
 
 void crash_tracker::expire(time_point now)
 {
-    for (auto it = m_entries.begin(); it != m_entries.end();) {
-        const duration limit
-                = it->second.isQuarantined ? m_settings.quarantineExpiry : m_settings.countExpiry;
-        it = now - it->second.lastChangedAt >= limit ? m_entries.erase(it) : std::next(it);
-    }
+    for (auto it = m_entries.begin(); it != m_entries.end();)
+        it = now >= expiryOf(it->second) ? m_entries.erase(it) : std::next(it);
 }
 
-void crash_tracker::evictOldest()
+void crash_tracker::evictFirst()
 {
     if (m_entries.size() <= m_settings.maxFingerprints)
         return;
-    const auto oldest = std::min_element(m_entries.begin(), m_entries.end(),
-                                         [](const auto &a, const auto &b) {
-                                             return a.second.lastChangedAt < b.second.lastChangedAt;
-                                         });
-    m_entries.erase(oldest);
+    m_entries.erase(std::min_element(m_entries.begin(), m_entries.end(),
+                                     [this](const auto &a, const auto &b) {
+                                         return expiryOf(a.second) < expiryOf(b.second);
+                                     }));
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/crash_tracker.h
+++ b/src/fescuedeck/gateway/crash_tracker.h
@@ -19,8 +19,13 @@
 {
     int crashesToQuarantine = 3;
     duration countExpiry = std::chrono::seconds(60); // after the last crash
-    duration quarantineExpiry = std::chrono::seconds(120);
-    std::size_t maxFingerprints = 4096; // beyond this, the oldest entry is dropped
+    // The first quarantine of a request. Each later one takes twice as long as the one before.
+    duration minQuarantine = std::chrono::minutes(2);
+    duration maxQuarantine = std::chrono::hours(1);
+    // Two reports of the end of one quarantine differ by less, because clocks and delays differ.
+    duration endTolerance = std::chrono::seconds(5);
+    duration memory = std::chrono::hours(1); // of a quarantine that has ended
+    std::size_t maxFingerprints = 4096;      // beyond this, the entry that expires first is dropped
 };
 
 // Not thread-safe.
@@ -34,14 +39,16 @@
     bool recordCrash(const std::string &fingerprint, const std::string &incarnation,
                      time_point now);
     // The crash had another cause: no longer counts it, and ends the quarantines that it caused.
-    void discountCrash(const std::string &incarnation);
-    // Quarantines a request because a peer or the store says so. A quarantine that has already
-    // begun is not prolonged.
-    void quarantine(const std::string &fingerprint, time_point now);
+    void discountCrash(const std::string &incarnation, time_point now);
+    // Quarantines a request, for longer if it was quarantined before. Returns the end.
+    time_point quarantine(const std::string &fingerprint, time_point now);
+    // Quarantines a request until a time that a peer or the store has told. A report of a
+    // quarantine that is already known does not prolong it.
+    void quarantineUntil(const std::string &fingerprint, time_point until, time_point now);
     bool isQuarantined(const std::string &fingerprint, time_point now) const;
     int crashesOf(const std::string &fingerprint) const;
-    // Fingerprints of the quarantined requests, including those that expire() has yet to drop.
-    std::vector<std::string> quarantined() const;
+    // Ends of the quarantines in force, by fingerprint.
+    std::map<std::string, time_point> quarantined(time_point now) const;
     // Drops expired counts and quarantines. Call every few seconds.
     void expire(time_point now);
 
@@ -49,16 +56,21 @@
     struct entry
     {
         std::vector<std::string> crashes; // incarnation names of the endpoints
-        bool isQuarantined = false;
-        bool isCounted = false;     // quarantined because of the crashes counted here
-        time_point lastChangedAt{}; // last crash before the quarantine, or start of the quarantine
+        bool isCounted = false;           // quarantined because of the crashes counted here
+        int quarantines = 0;
+        time_point quarantinedUntil{};
+        time_point lastCrashAt{};
+
+        bool isQuarantined(time_point now) const { return quarantinedUntil > now; }
     };
 
+    void beginQuarantine(entry &crash, time_point now) const;
+    time_point expiryOf(const entry &crash) const;
     bool hasTooManyCrashes(const entry &crash) const;
-    // Drops the oldest entry if there are more than maxFingerprints.
-    void evictOldest();
+    // Drops the entry that expires first if there are more than maxFingerprints.
+    void evictFirst();
 
-    crash_tracker_settings m_settings;
+    const crash_tracker_settings m_settings;
     std::map<std::string, entry> m_entries; // by fingerprint
 };
 
--- a/src/fescuedeck/gateway/crash_tracker_test.cpp
+++ b/src/fescuedeck/gateway/crash_tracker_test.cpp
@@ -29,25 +29,41 @@
     for (const char *endpoint : { "e1", "e2", "e3" })
         tracker.recordCrash("beside", endpoint, start);
     tracker.quarantine("known", start);
-    tracker.discountCrash("e2");
+    tracker.discountCrash("e2", start);
     CHECK_FALSE(tracker.isQuarantined("beside", start));
     CHECK(tracker.crashesOf("beside") == 2);
     CHECK(tracker.isQuarantined("known", start));
     CHECK(tracker.recordCrash("beside", "e4", start));
 }
 
-TEST_CASE("a quarantine learned from a peer takes effect at once and expires", "[gateway]")
+TEST_CASE("a quarantine learned from a peer takes effect at once and ends with it", "[gateway]")
 {
-    crash_tracker_settings settings;
-    settings.quarantineExpiry = std::chrono::seconds(10);
-    crash_tracker tracker(settings);
-    tracker.quarantine("a", start);
-    CHECK(tracker.quarantined() == std::vector<std::string>{ "a" });
-    // Learning of it again does not prolong it.
-    tracker.quarantine("a", start + std::chrono::seconds(9));
-    CHECK_FALSE(tracker.isQuarantined("a", start + std::chrono::seconds(10)));
-    tracker.expire(start + std::chrono::seconds(10));
-    CHECK(tracker.quarantined().empty());
+    crash_tracker tracker;
+    const time_point end = start + std::chrono::seconds(10);
+    tracker.quarantineUntil("a", end, start);
+    CHECK(tracker.isQuarantined("a", start));
+    // Learning of it again does not prolong it, neither before nor after its end.
+    for (const int seconds : { 9, 11 }) {
+        const time_point now = start + std::chrono::seconds(seconds);
+        tracker.quarantineUntil("a", end + std::chrono::seconds(2), now);
+        tracker.expire(now);
+    }
+    CHECK_FALSE(tracker.isQuarantined("a", end));
+    CHECK(tracker.quarantined(end).empty());
+}
+
+TEST_CASE("a request that crashes endpoints after its quarantine is kept out for longer",
+          "[gateway]")
+{
+    crash_tracker tracker;
+    const time_point first = tracker.quarantine("a", start);
+    CHECK(tracker.quarantine("a", start) == first);
+    tracker.expire(first);
+    CHECK(tracker.quarantine("a", first) - first == 2 * (first - start));
+    time_point end = first;
+    for (int i = 0; i < 20; ++i)
+        end = tracker.quarantine("a", end);
+    CHECK(tracker.quarantine("a", end) - end == std::chrono::hours(1));
 }
 
 TEST_CASE("the number of tracked requests stays within its limit", "[gateway]")
@@ -57,7 +73,7 @@
     crash_tracker tracker(settings);
     for (int i = 0; i < 10; ++i)
         tracker.quarantine(std::to_string(i), start + std::chrono::seconds(i));
-    CHECK(tracker.quarantined().size() == 3);
+    CHECK(tracker.quarantined(start + std::chrono::seconds(9)).size() == 3);
     CHECK(tracker.isQuarantined("9", start + std::chrono::seconds(9)));
 }
 
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "fescuedeck/gateway/gateway.h"
 
 #include <algorithm>
+#include <charconv>
 #include <csignal>
 #include <limits>
 #include <string>
@@ -72,6 +73,25 @@
 // The process ends this long before the end of the grace period, when it would be killed.
 constexpr duration shutdownMargin = std::chrono::milliseconds(400);
 
+// A quarantine is stored with its end as Unix time in milliseconds, so that a gateway which starts
+// later does not apply one that is over.
+std::string quarantineEndText(duration remaining)
+{
+    return std::to_string((wallNow() + std::chrono::duration_cast<unix_millis>(remaining)).count());
+}
+
+// Zero or less if the quarantine has ended.
+duration remainingQuarantine(const std::string &endText)
+{
+    std::int64_t end = 0;
+    const char *last = endText.data() + endText.size();
+    const auto parsed = std::from_chars(endText.data(), last, end);
+    // Gateways of an earlier version write their host instead.
+    if (parsed.ec != std::errc() || parsed.ptr != last)
+        return crash_tracker_settings{}.minQuarantine;
+    return unix_millis(end) - wallNow();
+}
+
 http_client_limits clientLimits()
 {
     http_client_limits limits;
@@ -96,7 +116,7 @@
     void registerGauges();
     void onConfigRecord(const store_record &record);
     void applyConfig(const std::string &value, const char *source);
-    void publishQuarantine(const std::string &key);
+    void publishQuarantine(const std::string &key, duration remaining);
     void onProcessPause(duration time);
     void runExpiryLoop(boost::asio::yield_context yield);
     void onEndpointRecord(const store_record &record);
@@ -175,7 +195,9 @@
         m_context.crashes.update(steadyNow());
         m_peers.announceChange();
     };
-    m_context.crashes.onQuarantine = [this](const std::string &key) { publishQuarantine(key); };
+    m_context.crashes.onQuarantine = [this](const std::string &key, duration remaining) {
+        publishQuarantine(key, remaining);
+    };
     registerGauges();
     const auto log = [this](const std::string &what) {
         m_context.counters.counterOf("fescuedeck_handler_exceptions_total").add();
@@ -287,19 +309,20 @@
     table_follower_hooks hooks;
     hooks.onRecord = [this](const store_record &record) {
         if (!record.isRemoval)
-            m_context.crashes.apply(record.key, steadyNow());
+            m_context.crashes.apply(record.key, remainingQuarantine(record.value), steadyNow());
     };
     hooks.onWholeTableRead = [](const std::vector<std::string> &) {};
     return hooks;
 }
 
-void gateway::publishQuarantine(const std::string &key)
+void gateway::publishQuarantine(const std::string &key, duration remaining)
 {
     event_line("quarantined", event_level::Warning).field("key", key);
     m_context.counters.counterOf("fescuedeck_quarantines_total").add();
     m_peers.announceChange();
-    boost::asio::spawn(m_io, [this, key](boost::asio::yield_context yield) {
-        const store_write entry{ store_table::Quarantine, key, m_context.settings.id, false };
+    const std::string end = quarantineEndText(remaining);
+    boost::asio::spawn(m_io, [this, key, end](boost::asio::yield_context yield) {
+        const store_write entry{ store_table::Quarantine, key, end, false };
         const auto error = m_context.adapter.store.write(entry, quarantineTimeout, yield);
         if (error) {
             event_line("quarantine_not_stored", event_level::Warning)
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -197,8 +197,9 @@
     }
     const auto leaving = m_context.endpoints.leaving(now);
     digest.leaving.insert(leaving.begin(), leaving.end());
-    const auto quarantined = m_context.crashes.keys();
-    digest.quarantined.insert(quarantined.begin(), quarantined.end());
+    digest.quarantines = m_context.crashes.toTell(now);
+    for (const auto &[key, remaining] : digest.quarantines)
+        digest.quarantined.insert(key); // for gateways of an earlier version
     digest.crashes = m_context.crashes.reports(now);
     digest.limits = m_context.requestLimits.reports(now);
     return digest;
@@ -207,8 +208,8 @@
 void gateway_peers::onMessage(const peer_hello &peer, const peer_message &message)
 {
     if (const auto *digest = std::get_if<peer_digest>(&message)) {
-        for (const std::string &key : digest->quarantined)
-            m_context.crashes.apply(key, steadyNow());
+        for (const auto &[key, remaining] : digest->quarantines)
+            m_context.crashes.apply(key, remaining, steadyNow());
         m_context.crashes.merge(digest->crashes, steadyNow());
         m_context.requestLimits.merge(digest->limits, steadyNow());
         if (peer.cell == m_cell) {
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -185,7 +185,7 @@
         }
         gateways.second.context.isEndpointTableUnavailable = true;
         gateways.first.context.endpoints.remove("x", steadyNow());
-        gateways.first.context.crashes.apply("bad", steadyNow());
+        gateways.first.context.crashes.apply("bad", std::chrono::seconds(60), steadyNow());
     });
     CHECK(eventually([&] {
         return gateways.onThread([&] {
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -273,6 +273,14 @@
     return limits;
 }
 
+json encodeQuarantines(const std::map<std::string, duration> &quarantines)
+{
+    json list = json::array();
+    for (const auto &[key, remaining] : quarantines)
+        list.push_back({ { "key", key }, { "remaining_ms", toMillis(remaining) } });
+    return list;
+}
+
 json encode(const peer_digest &message)
 {
     return { { "type", "digest" },
@@ -284,6 +292,7 @@
              { "leaving", json(message.leaving) },
              { "drained", json(message.drained) },
              { "quarantined", json(message.quarantined) },
+             { "quarantines", encodeQuarantines(message.quarantines) },
              { "crash_reports", encode(message.crashes) },
              { "request_limits", encode(message.limits) } };
 }
@@ -436,7 +445,13 @@
     message.leaving = fields.textSet("leaving");
     message.drained = fields.textSet("drained");
     message.quarantined = fields.textSet("quarantined");
-    // Gateways of an earlier version send neither of these.
+    // Gateways of an earlier version send none of these.
+    if (fields.optional("quarantines")) {
+        fields.forEach("quarantines", [&](field_reader &quarantine) {
+            message.quarantines[quarantine.text("key")]
+                    = std::chrono::milliseconds(quarantine.integer("remaining_ms", 0, maxPosition));
+        });
+    }
     if (const json *reports = fields.optional("crash_reports")) {
         field_reader reportFields(*reports);
         message.crashes = parseCrashReports(reportFields);
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -47,8 +47,10 @@
     std::set<std::string> leaving;     // endpoint@incarnation
     std::set<std::string> drained;     // hosts whose drain is not in the log yet
     std::set<std::string> quarantined; // keys: fingerprints, or names of prompt segments
-    crash_reports crashes;             // empty if the sender reports none
-    request_limit_reports limits;      // empty if the sender reports none
+    // Remaining times of the quarantines of a gateway, by key. Empty if the sender tells none.
+    std::map<std::string, duration> quarantines;
+    crash_reports crashes;        // empty if the sender reports none
+    request_limit_reports limits; // empty if the sender reports none
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -21,6 +21,7 @@
     digest.quarantined = { "f1" };
     digest.crashes.crashes["e2@5"]
             = { std::chrono::milliseconds(70), { { "s1", { 1, { "f2" } } } } };
+    digest.quarantines["segment:s9"] = std::chrono::milliseconds(7000);
     digest.limits["e5@6"] = { 1.5, std::chrono::milliseconds(40), 2.5 };
     digest.limits["e6@7"] = { std::nullopt, std::chrono::milliseconds(50), 0 };
     digest.crashes.begun = { { "s1", std::chrono::milliseconds(900) } };
@@ -81,6 +82,7 @@
     CHECK(report.age == std::chrono::milliseconds(70));
     CHECK(report.suspects.at("s1").depth == 1);
     CHECK(report.suspects.at("s1").requests == std::set<std::string>{ "f2" });
+    CHECK(digest.quarantines.at("segment:s9") == std::chrono::seconds(7));
     CHECK(digest.limits.at("e5@6").perSecond == 1.5);
     CHECK(digest.limits.at("e5@6").age == std::chrono::milliseconds(40));
     CHECK(digest.limits.at("e5@6").demand == 2.5);
@@ -121,8 +123,9 @@
     for (const auto &item : object.items()) {
         nlohmann::json lacking = object;
         lacking.erase(item.key());
-        // Gateways of an earlier version send neither of these.
-        const bool isOptional = item.key() == "crash_reports" || item.key() == "request_limits";
+        // Gateways of an earlier version send none of these.
+        const bool isOptional = item.key() == "crash_reports" || item.key() == "request_limits"
+                                || item.key() == "quarantines";
         CHECK(static_cast<bool>(parsePeerMessage(cborOf(lacking))) == isOptional);
         nlohmann::json wrong = object;
         wrong[item.key()] = nlohmann::json::binary({ 1, 2 });
@@ -134,8 +137,9 @@
            "/crash_reports/crashes/0/suspects/0/segment",
            "/crash_reports/crashes/0/suspects/0/depth",
            "/crash_reports/crashes/0/suspects/0/requests", "/crash_reports/begun/0/segment",
-           "/crash_reports/begun/0/age_ms", "/request_limits/0/incarnation",
-           "/request_limits/0/age_ms", "/request_limits/0/demand" }) {
+           "/crash_reports/begun/0/age_ms", "/quarantines/0/key", "/quarantines/0/remaining_ms",
+           "/request_limits/0/incarnation", "/request_limits/0/age_ms",
+           "/request_limits/0/demand" }) {
         const nlohmann::json::json_pointer path(pointer);
         nlohmann::json lacking = object;
         lacking[path.parent_pointer()].erase(path.back());
