--- /dev/null
+++ b/src/fescuedeck/gateway/destination_chooser.cpp
@@ -0,0 +1,54 @@
+#include "fescuedeck/gateway/destination_chooser.h"
+
+namespace fescuedeck {
+
+destination_chooser::destination_chooser(gateway_context &context, std::string service,
+                                         const engine_spec *engine, std::uint64_t requestHash)
+    : m_context(context)
+    , m_service(std::move(service))
+    , m_engine(engine)
+    , m_requestHash(requestHash)
+{
+}
+
+std::optional<destination> destination_chooser::choose()
+{
+    request_limiter &limits = m_context.requestLimits;
+    std::set<std::string> excluded = m_excluded;
+    while (std::optional<destination> to = chooseWithout(excluded)) {
+        const std::string incarnation = incarnationName(to->first->entry);
+        if (m_demanded.insert(incarnation).second)
+            limits.recordDemand(incarnation, steadyNow());
+        if (limits.allows(incarnation, steadyNow()))
+            return to;
+        m_hasMetLimit = true;
+        excluded.insert(to->first->entry.id);
+    }
+    return std::nullopt;
+}
+
+std::optional<destination>
+destination_chooser::chooseWithout(const std::set<std::string> &excluded) const
+{
+    const choice_request request{ m_context.settings.failureDomain, excluded, steadyNow(),
+                                  m_requestHash };
+    const std::vector<endpoint_ptr> endpoints = m_context.endpoints.ofService(m_service);
+    return m_engine != nullptr ? chooseChain(*m_engine, endpoints, request)
+                               : chooseEndpoint(endpoints, request);
+}
+
+bool destination_chooser::hasAlternativeTo(const destination &to) const
+{
+    std::set<std::string> excluded = m_excluded;
+    for (const endpoint_ptr &stage : to.stages)
+        excluded.insert(stage->entry.id);
+    return chooseWithout(excluded).has_value();
+}
+
+void destination_chooser::beginAttempt(const destination &to)
+{
+    m_demanded.clear();
+    m_context.requestLimits.take(incarnationName(to.first->entry), steadyNow());
+}
+
+} // namespace fescuedeck
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -48,6 +48,12 @@
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
 constexpr duration answerMargin = std::chrono::milliseconds(30);
 
+// Null for a plain service or an unknown one.
+const engine_spec *engineOf(const service_rule *service)
+{
+    return service != nullptr && service->engine ? &*service->engine : nullptr;
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -94,7 +100,8 @@
     , m_route(route)
     , m_info(info)
     , m_service(drawService(route, context.random))
-    , m_rule(m_config->findService(m_service))
+    , m_engine(engineOf(m_config->findService(m_service)))
+    , m_destinations(context, m_service, m_engine, stableHash(info.id))
     , m_lastEventId(info.resumeAfter)
 {
 }
@@ -152,7 +159,7 @@
     const bool mustContinue = m_possibleRuns > 0 || m_hasStreamStarted;
     const time_point limit
             = steadyNow() + std::min<duration>(endpointWaitLimit(), remainingTime() - answerMargin);
-    std::optional<destination> to = chooseAllowedDestination();
+    std::optional<destination> to = m_destinations.choose();
     if (to && !mustContinue && to->fill > maxAdmittedFill)
         return waitForCapacity(std::move(to));
     bool areFailuresCleared = false;
@@ -161,9 +168,9 @@
         // Late in the wait, an endpoint that has failed this request is better than none.
         if (mustContinue && !areFailuresCleared && limit - steadyNow() < maxEndpointWait / 2) {
             areFailuresCleared = true;
-            m_failedEndpoints.clear();
+            m_destinations.clearExcluded();
         }
-        to = chooseAllowedDestination();
+        to = m_destinations.choose();
     }
     return to;
 }
@@ -173,7 +180,7 @@
     const time_point limit = steadyNow() + std::min<duration>(maxCapacityWait, remainingTime() / 2);
     while (to && to->fill > maxAdmittedFill && steadyNow() < limit && !m_hasCallerLeft) {
         sleepFor(endpointPollInterval, m_exchange.yield());
-        to = chooseAllowedDestination();
+        to = m_destinations.choose();
     }
     if (!to || to->fill <= maxFillAfterWait)
         return to;
@@ -181,41 +188,6 @@
     return std::nullopt;
 }
 
-bool forwarded_call::hasAlternativeTo(const destination &to) const
-{
-    std::set<std::string> excluded = m_failedEndpoints;
-    for (const endpoint_ptr &stage : to.stages)
-        excluded.insert(stage->entry.id);
-    return chooseDestination(excluded).has_value();
-}
-
-std::optional<destination>
-forwarded_call::chooseDestination(const std::set<std::string> &excluded) const
-{
-    const choice_request request{ m_context.settings.failureDomain, excluded, steadyNow(),
-                                  stableHash(m_info.id) };
-    const std::vector<endpoint_ptr> endpoints = m_context.endpoints.ofService(m_service);
-    if (m_rule != nullptr && m_rule->engine)
-        return chooseChain(*m_rule->engine, endpoints, request);
-    return chooseEndpoint(endpoints, request);
-}
-
-std::optional<destination> forwarded_call::chooseAllowedDestination()
-{
-    request_limiter &limits = m_context.requestLimits;
-    std::set<std::string> excluded = m_failedEndpoints;
-    while (std::optional<destination> to = chooseDestination(excluded)) {
-        const std::string incarnation = incarnationName(to->first->entry);
-        if (m_demanded.insert(incarnation).second)
-            limits.recordDemand(incarnation, steadyNow());
-        if (limits.allows(incarnation, steadyNow()))
-            return to;
-        m_wasEndpointBusy = true;
-        excluded.insert(to->first->entry.id);
-    }
-    return std::nullopt;
-}
-
 bool forwarded_call::acquireRetry(attempt_outcome last)
 {
     m_giveUpReason = give_up_reason::AttemptsExhausted;
@@ -242,17 +214,16 @@
 double forwarded_call::expectedAnswerTokens() const
 {
     const auto maxTokens = static_cast<double>(m_info.maxAnswerTokens);
-    if (m_rule == nullptr || !m_rule->engine || m_rule->engine->usualAnswerTokens == 0)
+    if (m_engine == nullptr || m_engine->usualAnswerTokens == 0)
         return maxTokens;
-    return std::min(maxTokens, static_cast<double>(m_rule->engine->usualAnswerTokens));
+    return std::min(maxTokens, static_cast<double>(m_engine->usualAnswerTokens));
 }
 
 attempt_outcome forwarded_call::runAttempt(const destination &to)
 {
     ++m_attempts;
     m_lastEndpoint = to.first->entry.id;
-    m_demanded.clear();
-    m_context.requestLimits.take(incarnationName(to.first->entry), steadyNow());
+    m_destinations.beginAttempt(to);
     if (m_attempts > 1)
         logRetry(to);
     attempt current(m_context, m_service, m_lastEventId, to);
@@ -271,7 +242,7 @@
     call.connectTimeout = connectTimeout;
     call.cancellation = current.cancellation;
     if (m_route.kind == call_kind::Stream) {
-        current.hasAlternative = hasAlternativeTo(to);
+        current.hasAlternative = m_destinations.hasAlternativeTo(to);
         call.timeUntilStall = [this, &current] { return timeUntilStall(current); };
         call.collectsBody = false;
         call.onHead = [&](const http_response &head) { onStreamHead(current, head); };
@@ -443,7 +414,7 @@
         const bool isFull
                 = !answer.isMisdirected && (answer.faultAddress.empty() || isShortOfMemory(*fault));
         if (isFull)
-            m_failedEndpoints.insert(fault->entry.id);
+            m_destinations.exclude(fault->entry.id);
         else
             suspectEndpoint(to, answer.faultAddress);
         return attempt_outcome::NotRun;
@@ -479,7 +450,7 @@
                 .field("is_sent_again", isRetried);
     }
     if (isRetried) {
-        m_failedEndpoints.insert(to.first->entry.id);
+        m_destinations.exclude(to.first->entry.id);
         m_endpointFailure = m_route.kind == call_kind::Stream ? current.head : response;
         return attempt_outcome::MayHaveRun;
     }
@@ -500,7 +471,7 @@
             .field("cause", errorName(static_cast<errc>(error.code.value())));
     if (!result.mayHaveBeenSent) {
         m_context.endpoints.suspect(to.first->entry.id, steadyNow());
-        m_failedEndpoints.insert(to.first->entry.id);
+        m_destinations.exclude(to.first->entry.id);
         if (!to.chain.empty() && m_context.inspectEngine)
             m_context.inspectEngine(to.first->entry.id, engine_suspicion::Stalled);
         return attempt_outcome::NotRun;
@@ -513,7 +484,7 @@
         suspectChain(to, current);
     else if (!isPastDeadline && !current.isUnusable)
         suspectEndpoint(to, {});
-    m_failedEndpoints.insert(to.first->entry.id);
+    m_destinations.exclude(to.first->entry.id);
     return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
 }
 
@@ -578,14 +549,13 @@
 
 bool forwarded_call::isShortOfMemory(const endpoint_record &engine) const
 {
-    return m_rule != nullptr && m_rule->engine
-           && cacheFill(*m_rule->engine, engine) >= scarceCacheFill;
+    return m_engine != nullptr && cacheFill(*m_engine, engine) >= scarceCacheFill;
 }
 
 void forwarded_call::suspectEndpoint(const destination &to, const std::string &faultAddress)
 {
     const endpoint_ptr fault = stageAt(to, faultAddress);
-    m_failedEndpoints.insert(fault->entry.id);
+    m_destinations.exclude(fault->entry.id);
     m_context.endpoints.suspect(fault->entry.id, steadyNow());
     if (!to.chain.empty() && !faultAddress.empty() && m_context.inspectEngine)
         m_context.inspectEngine(fault->entry.id, engine_suspicion::Refused);
@@ -601,7 +571,7 @@
         usual = std::max<duration>(usual, steadyNow() - current.timing.sentAt());
     }
     for (const endpoint_ptr &stage : to.stages) {
-        m_failedEndpoints.insert(stage->entry.id);
+        m_destinations.exclude(stage->entry.id);
         if (!isWeakEvidence)
             m_context.endpoints.suspectBriefly(stage->entry.id,
                                                steadyNow() + chainSuspicionDuration);
@@ -619,12 +589,13 @@
                 .field("request", m_info.id)
                 .field("gave_up", nameOf(giveUpReasonNames, m_giveUpReason))
                 .field("service", m_service)
-                .field("excluded", static_cast<int>(m_failedEndpoints.size()))
+                .field("excluded", static_cast<int>(m_destinations.excludedCount()))
                 .field("last_event", m_lastEventId.value_or(0));
         return finish("broken_off");
     }
     const bool hasRun = last != attempt_outcome::NotRun || (m_possibleRuns > 0);
-    refusal_reason reason = m_wasEndpointBusy ? refusal_reason::Busy : refusal_reason::NoEndpoint;
+    const bool isBusy = m_wasEndpointBusy || m_destinations.hasMetLimit();
+    refusal_reason reason = isBusy ? refusal_reason::Busy : refusal_reason::NoEndpoint;
     if (m_giveUpReason == give_up_reason::Quarantined)
         reason = refusal_reason::Quarantined;
     else if (hasRun)
@@ -637,7 +608,7 @@
             .field("reason", nameOf(refusalReasonNames, reason))
             .field("gave_up", nameOf(giveUpReasonNames, m_giveUpReason))
             .field("service", m_service)
-            .field("excluded", static_cast<int>(m_failedEndpoints.size()))
+            .field("excluded", static_cast<int>(m_destinations.excludedCount()))
             .field("retry_after_ms", retryAfter);
     m_context.counters
             .counterOf("fescuedeck_refused_requests_total",
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -5,11 +5,10 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "fescuedeck/base/name_table.h"
-#include "fescuedeck/gateway/endpoint_choice.h"
+#include "fescuedeck/gateway/destination_chooser.h"
 #include "fescuedeck/gateway/event_splitter.h"
 #include "fescuedeck/gateway/gateway_context.h"
 #include "fescuedeck/net/http_server.h"
@@ -75,12 +74,6 @@
     // than fit preempt some of them and delay all. Empty if the chain is still too full after the
     // wait, or as soon as no destination is usable.
     std::optional<destination> waitForCapacity(std::optional<destination> to);
-    std::optional<destination> chooseDestination(const std::set<std::string> &excluded) const;
-    // The best destination whose first endpoint accepts a request within its limit. Records the
-    // demand for each endpoint that it considers, once per attempt.
-    std::optional<destination> chooseAllowedDestination();
-    // Whether a destination exists that shares no endpoint with the given one.
-    bool hasAlternativeTo(const destination &to) const;
     // The usual length of an answer of this service, but no more than the caller accepts. Callers
     // state a maximum that few answers reach.
     double expectedAnswerTokens() const;
@@ -141,10 +134,8 @@
     const route_rule &m_route;
     const call_info &m_info;
     const std::string m_service;
-    const service_rule *m_rule;
-    std::set<std::string> m_failedEndpoints; // by id; this request avoids them
-    // Incarnation names of the endpoints whose demand was recorded for the current attempt.
-    std::set<std::string> m_demanded;
+    const engine_spec *m_engine; // null for a plain service
+    destination_chooser m_destinations;
     int m_possibleRuns = 0; // attempts in which the request may have run
     int m_attempts = 0;
     std::string m_lastEndpoint;   // id of the first endpoint of the last attempt
