Bound the crash reports that gateways tell each other

In an outage of many engines at once each digest would repeat up to 64 crashes with up to 256 suspects each for a minute, to each peer of the domain three times a second.

Cause: reports had no bound of their own. Class of fault: messages that grow with the size of an outage.

Evidence: computed while reading the change: 64 crashes x 30 suspects x 110 bytes x 24 peers x 3.3 a second is 17 MB/s.

Change: peers are told the newest 8 crashes for 5 s, with at most 64 suspects each and short fingerprints.

--- a/src/fescuedeck/gateway/crash_correlator.cpp
+++ b/src/fescuedeck/gateway/crash_correlator.cpp
@@ -88,12 +88,18 @@
 
 crash_reports crash_correlator::reports(time_point now) const
 {
-    crash_reports all;
+    std::vector<std::pair<time_point, std::string>> newest; // incarnation names by time
     for (const auto &[incarnation, crash] : m_crashes) {
-        if (crash.isExplained)
-            continue;
-        all.crashes[incarnation] = { now - crash.at, crash.suspects };
-        for (const auto &[segment, suspect] : crash.suspects) {
+        if (!crash.isExplained && now - crash.at < m_settings.reportTime)
+            newest.emplace_back(crash.at, incarnation);
+    }
+    std::sort(newest.rbegin(), newest.rend());
+    newest.resize(std::min(newest.size(), m_settings.maxReportedCrashes));
+    crash_reports all;
+    for (const auto &[at, incarnation] : newest) {
+        const crash &reported = m_crashes.at(incarnation);
+        all.crashes[incarnation] = { now - at, reported.suspects };
+        for (const auto &[segment, suspect] : reported.suspects) {
             if (const auto begun = begunAt(segment))
                 all.begun[segment] = now - *begun;
         }
--- a/src/fescuedeck/gateway/crash_correlator.h
+++ b/src/fescuedeck/gateway/crash_correlator.h
@@ -37,8 +37,11 @@
     duration simultaneity = std::chrono::milliseconds(50);
     duration crashExpiry = std::chrono::seconds(60);
     std::size_t maxCrashes = 64;    // beyond this, the oldest is dropped
-    std::size_t maxSuspects = 256;  // of one crash; further ones are ignored
+    std::size_t maxSuspects = 64;   // of one crash; further ones are ignored
     std::size_t maxSegments = 8192; // whose answers are known to have begun
+    // Peers are told the newest crashes only, for a short time, because each digest repeats them.
+    std::size_t maxReportedCrashes = 8;
+    duration reportTime = std::chrono::seconds(5);
 };
 
 // Not thread-safe.
@@ -55,7 +58,7 @@
                      const std::vector<std::string> &segments, time_point now);
     // Adds what a peer has observed.
     void merge(const crash_reports &reports, time_point now);
-    // What this gateway and its peers have observed, for other gateways.
+    // What this gateway and its peers have observed lately, for other gateways.
     crash_reports reports(time_point now) const;
 
     // Returns a segment that is the cause of crashes which are not explained, if there is one.
--- a/src/fescuedeck/gateway/crash_quarantine.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine.cpp
@@ -11,6 +11,9 @@
 // Within this time a crash is explained if gateways find its cause.
 constexpr duration explanationTime = std::chrono::seconds(1);
 
+// Enough to tell the requests of one crash apart. Digests repeat the fingerprints.
+constexpr std::size_t shortFingerprintChars = 12;
+
 std::string keyOfSegment(const std::string &segment)
 {
     return segmentPrefix + segment;
@@ -54,7 +57,8 @@
 void crash_quarantine::recordEarlyEnd(const request_identity &request,
                                       const std::string &incarnation, time_point now)
 {
-    m_correlator.recordCrash(incarnation, request.fingerprint, request.sharedSegments, now);
+    m_correlator.recordCrash(incarnation, request.fingerprint.substr(0, shortFingerprintChars),
+                             request.sharedSegments, now);
     explainByKnownSegments(request.sharedSegments, now);
 }
 
