Net tests: do not use thread-local storage on both sides of a coroutine's wait

What was seen: on arm64 the unit test "a waiting handler learns that its caller has left" ended with SIGSEGV in 5 of 5 runs, and 218 tests after it did not run.

Cause: a fault of the test, not of http_server. Its handler set one std::promise before a wait and another one after it. std::promise uses std::call_once, whose arguments are thread-local, and the coroutine continues on another thread of test_io. The compiler had read the thread pointer once and kept it in a register across the wait.

Evidence: the backtrace ends in __pthread_once_slow calling __once_proxy, which jumps to address 0; the disassembly of the handler has one "mrs x19, tpidr_el0" for both calls. x86-64 addresses such storage relative to a segment register, so that it is hidden there.

Same pattern elsewhere: in the disassembly for arm64, none of the 61 functions of the router and the 55 of the gateway that switch coroutines uses thread-local storage or errno. Outside of these the thread pointer is kept in a register that calls preserve only in router_context::random and ranked_mutex, which do not wait. The gateway runs on one thread. Promises are used in coroutines by tests only.

--- a/src/fescuedeck/clients/log_appender_test.cpp
+++ b/src/fescuedeck/clients/log_appender_test.cpp
@@ -1,5 +1,7 @@
 #include "fescuedeck/clients/log_appender.h"
 
+#include <future>
+#include <memory>
 #include <mutex>
 #include <set>
 
@@ -99,22 +101,22 @@
     });
     test_io io;
     log_appender appender(io.context(), log.hook(), {}, seededRandom(1));
-    std::vector<std::future<std::int64_t>> offsets;
+    std::vector<std::shared_ptr<awaited_value<std::int64_t>>> offsets;
     for (int i = 0; i < 20; ++i) {
-        auto promise = std::make_shared<std::promise<std::int64_t>>();
-        offsets.push_back(promise->get_future());
-        boost::asio::spawn(io.context(), [&, i, promise](boost::asio::yield_context yield) {
+        auto offset = std::make_shared<awaited_value<std::int64_t>>();
+        offsets.push_back(offset);
+        boost::asio::spawn(io.context(), [&, i, offset](boost::asio::yield_context yield) {
             const log_append record = { "r" + std::to_string(i), "{}" };
             const auto outcome = appender.append("control", record, testWaitLimit, yield);
-            promise->set_value(outcome.offset ? outcome.offset.value() : -1);
+            offset->set(outcome.offset ? outcome.offset.value() : -1);
         });
         if (i == 0)
             REQUIRE(eventually([&] { return inFlight == 1; }));
     }
     mayAnswer = true;
     std::set<std::int64_t> distinct;
-    for (auto &offset : offsets)
-        distinct.insert(offset.get());
+    for (const auto &offset : offsets)
+        distinct.insert(offset->wait());
     CHECK(distinct.size() == 20);
     CHECK(*distinct.begin() == 0);
     CHECK(mostInFlight == 1);
--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -1,5 +1,6 @@
 #include "fescuedeck/net/http_client.h"
 
+#include <future>
 #include <set>
 
 #include <boost/asio/steady_timer.hpp>
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -87,15 +87,15 @@
 TEST_CASE("a handler that throws gives status 500 and an unknown outcome", "[net]")
 {
     test_io io;
-    std::promise<std::string> reported;
+    awaited_value<std::string> reported;
     http_server server(io.context(), {}, echo);
-    server.onHandlerException([&](const std::string &what) { reported.set_value(what); });
+    server.onHandlerException([&](const std::string &what) { reported.set(what); });
     REQUIRE_FALSE(server.listen("127.0.0.1:0"));
     raw_connection caller(server.port());
     caller.send(get("/throw"));
     const std::string response = caller.receiveUntil("unknown\"}");
     CHECK(response.find("HTTP/1.1 500") == 0);
-    CHECK(reported.get_future().get() == "fault in a handler");
+    CHECK(reported.wait() == "fault in a handler");
     caller.send(get("/after"));
     CHECK(caller.receiveUntil("echo /after").find("200 OK") != std::string::npos);
 }
@@ -104,22 +104,22 @@
 {
     // Guards against an endpoint working on for a caller that has gone.
     test_io io;
-    std::promise<void> started;
-    std::promise<bool> left;
+    awaited_value<bool> started;
+    awaited_value<bool> left;
     http_server server(io.context(), {}, [&](http_exchange &exchange) {
         boost::asio::steady_timer wait(io.context(), testWaitLimit);
         exchange.onCallerLeft([&] { wait.cancel(); });
-        started.set_value();
+        started.set(true);
         boost::system::error_code error;
         wait.async_wait(exchange.yield()[error]);
-        left.set_value(error == boost::asio::error::operation_aborted && exchange.callerLeft());
+        left.set(error == boost::asio::error::operation_aborted && exchange.callerLeft());
     });
     REQUIRE_FALSE(server.listen("127.0.0.1:0"));
     raw_connection caller(server.port());
     caller.send(get("/"));
-    started.get_future().wait();
+    started.wait();
     caller.close();
-    CHECK(left.get_future().get());
+    CHECK(left.wait());
     CHECK(eventually([&] { return server.openConnections() == 0; }));
 }
 
@@ -147,28 +147,28 @@
     http_server_limits limits;
     limits.writeTimeout = std::chrono::milliseconds(50);
     test_io io;
-    std::promise<bool> cutOff;
+    awaited_value<bool> cutOff;
     http_server server(io.context(), limits, [&](http_exchange &exchange) {
         exchange.startStream({});
         bool isOpen = true;
         for (int i = 0; i < 10000 && isOpen; ++i)
             isOpen = exchange.writeChunk(std::string(65536, 'x'));
-        cutOff.set_value(!isOpen && exchange.callerLeft());
+        cutOff.set(!isOpen && exchange.callerLeft());
     });
     REQUIRE_FALSE(server.listen("127.0.0.1:0"));
     raw_connection caller(server.port());
     caller.send(get("/"));
-    CHECK(cutOff.get_future().get());
+    CHECK(cutOff.wait());
 }
 
 TEST_CASE("stopping finishes open exchanges and closes idle connections", "[net]")
 {
     test_io io;
-    std::promise<void> started;
+    awaited_value<bool> started;
     std::atomic<bool> mayFinish{ false };
     http_server server(io.context(), {}, [&](http_exchange &exchange) {
         if (exchange.request().target == "/slow") {
-            started.set_value();
+            started.set(true);
             boost::asio::steady_timer wait(io.context());
             while (!mayFinish) {
                 wait.expires_after(std::chrono::milliseconds(1));
@@ -183,7 +183,7 @@
     idle.receiveUntil("echo /idle");
     raw_connection slow(server.port());
     slow.send(get("/slow"));
-    started.get_future().wait();
+    started.wait();
 
     server.stopAccepting();
     CHECK(idle.receiveAll().empty());
--- a/src/fescuedeck/net/test_io.h
+++ b/src/fescuedeck/net/test_io.h
@@ -4,8 +4,11 @@
 #define FESCUEDECK_NET_TEST_IO_H
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
-#include <future>
+#include <memory>
+#include <mutex>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -25,6 +28,37 @@
 
 constexpr std::chrono::seconds testWaitLimit(60);
 
+// A value that a coroutine sets once and the test's thread waits for.
+//
+// std::promise does not serve here, because its functions use thread-local storage. A coroutine may
+// continue on another thread after each wait, while compiled code still uses the address of that
+// storage on the thread before.
+template <class Value>
+class awaited_value
+{
+public:
+    void set(Value value)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_value = std::move(value);
+        m_isSet.notify_all();
+    }
+
+    Value wait()
+    {
+        std::unique_lock lock(m_mutex);
+        // Thrown rather than asserted: Catch2's assertions are for the main thread only.
+        if (!m_isSet.wait_for(lock, testWaitLimit, [this] { return m_value.has_value(); }))
+            throw std::runtime_error("the value was not set within the limit");
+        return std::move(*m_value);
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_isSet;
+    std::optional<Value> m_value;
+};
+
 // Runs an io_context on several threads until destroyed.
 class test_io
 {
@@ -54,15 +88,11 @@
     auto run(Function function)
     {
         using value_type = decltype(function(std::declval<boost::asio::yield_context>()));
-        auto promise = std::make_shared<std::promise<value_type>>();
-        auto future = promise->get_future();
+        const auto returned = std::make_shared<awaited_value<value_type>>();
         boost::asio::spawn(m_ioContext, [=](boost::asio::yield_context yield) {
-            promise->set_value(function(yield));
+            returned->set(function(yield));
         });
-        // Thrown rather than asserted: Catch2's assertions are for the main thread only.
-        if (future.wait_for(testWaitLimit) != std::future_status::ready)
-            throw std::runtime_error("the coroutine has not ended within the limit");
-        return future.get();
+        return returned->wait();
     }
 
 private:
