--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -48,6 +48,9 @@
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
 constexpr duration answerMargin = std::chrono::milliseconds(30);
 
+// Enough to tell requests apart.
+constexpr std::size_t loggedFingerprintChars = 16;
+
 // Null for a plain service or an unknown one.
 const engine_spec *engineOf(const service_rule *service)
 {
@@ -498,6 +501,7 @@
     const int crashes = m_context.crashes.recordCrash(identity, incarnation, now);
     event_line("crash_suspected", event_level::Warning)
             .field("request", m_info.id)
+            .field("fingerprint", identity.fingerprint.substr(0, loggedFingerprintChars))
             .field("endpoint", to.first->entry.id)
             .field("had_begun", hadBegun)
             .field("prompt_segments", boost::algorithm::join(m_info.promptSegments, ","))
@@ -626,6 +630,7 @@
     const time_point lastActivityAt = std::max(arrivedAt, m_lastRelayedAt);
     event_line("request_ended")
             .field("request", m_info.id)
+            .field("fingerprint", identity.fingerprint.substr(0, loggedFingerprintChars))
             .field("outcome", outcome)
             .field("status", m_status)
             .field("kind", nameOf(callKindNames, m_route.kind))
