Count the crashes of a request on all gateways together

What callers saw: a request that crashes each replica was sent on again and again, and took sound streams on these replicas with it.

Cause: state that each gateway keeps for itself, although the caller of a request reaches another gateway each time. A quarantine was told to all, but only once one gateway alone had counted three crashes.

Change: crash reports between gateways name the fingerprints of the requests whose answers had not begun. Each gateway counts what it has seen and what others report, once per incarnation, and only if the endpoint is known to be down and no prompt segment explains the crash. Fingerprints have 16 characters now, because digests repeat them. Gateways of an earlier version do not recognize the shorter keys and go on counting for themselves; the keys that they tell are shortened.

The incident is not fixed by this alone: a crash after the caller has left is not recorded yet.

--- a/src/fescuedeck/gateway/crash_correlator.cpp
+++ b/src/fescuedeck/gateway/crash_correlator.cpp
@@ -63,10 +63,17 @@
     known.requests.insert(suspect.requests.begin(), suspect.requests.end());
 }
 
+void crash_correlator::addRequest(crash &of, const std::string &fingerprint) const
+{
+    if (of.requests.size() < m_settings.maxRequests)
+        of.requests.insert(fingerprint);
+}
+
 void crash_correlator::recordCrash(const std::string &incarnation, const std::string &fingerprint,
                                    const std::vector<std::string> &segments, time_point now)
 {
     crash &of = crashOf(incarnation, now);
+    addRequest(of, fingerprint);
     for (std::size_t depth = 0; depth < segments.size(); ++depth)
         addSuspect(of, segments[depth], { static_cast<int>(depth), { fingerprint } });
     evictOldest();
@@ -82,6 +89,8 @@
         crash &of = crashOf(incarnation, now - report.age);
         for (const auto &[segment, suspect] : report.suspects)
             addSuspect(of, segment, suspect);
+        for (const std::string &fingerprint : report.requests)
+            addRequest(of, fingerprint);
         evictOldest();
     }
 }
@@ -98,7 +107,7 @@
     crash_reports all;
     for (const auto &[at, incarnation] : newest) {
         const crash &reported = m_crashes.at(incarnation);
-        all.crashes[incarnation] = { now - at, reported.suspects };
+        all.crashes[incarnation] = { now - at, reported.suspects, reported.requests };
         for (const auto &[segment, suspect] : reported.suspects) {
             if (const auto begun = begunAt(segment))
                 all.begun[segment] = now - *begun;
@@ -197,6 +206,16 @@
     return found != m_crashes.end() && found->second.isExplained;
 }
 
+std::map<std::string, std::set<std::string>> crash_correlator::requestsOfUnexplained() const
+{
+    std::map<std::string, std::set<std::string>> requests;
+    for (const auto &[incarnation, crash] : m_crashes) {
+        if (crash.isDown && !crash.isExplained)
+            requests[incarnation] = crash.requests;
+    }
+    return requests;
+}
+
 void crash_correlator::expire(time_point now)
 {
     for (auto it = m_crashes.begin(); it != m_crashes.end();)
--- a/src/fescuedeck/gateway/crash_correlator.h
+++ b/src/fescuedeck/gateway/crash_correlator.h
@@ -38,6 +38,7 @@
     duration crashExpiry = std::chrono::seconds(60);
     std::size_t maxCrashes = 64;    // beyond this, the oldest is dropped
     std::size_t maxSuspects = 64;   // of one crash; further ones are ignored
+    std::size_t maxRequests = 64;   // of one crash; further ones are ignored
     std::size_t maxSegments = 8192; // whose answers are known to have begun
     // Peers are told the newest crashes only, for a short time, because each digest repeats them.
     std::size_t maxReportedCrashes = 8;
@@ -68,6 +69,9 @@
     // Returns the incarnation names of those that had not been explained before.
     std::vector<std::string> explainBy(const std::string &segment);
     bool isExplained(const std::string &incarnation) const;
+    // Fingerprints of the requests that may have caused a crash which no segment explains, by the
+    // incarnation name of the engine. Only crashes of engines that findCause() has seen to be down.
+    std::map<std::string, std::set<std::string>> requestsOfUnexplained() const;
     void expire(time_point now);
 
 private:
@@ -77,6 +81,7 @@
         bool isDown = false; // the engine was seen to be down
         bool isExplained = false;
         std::map<std::string, crash_suspect> suspects; // by segment
+        std::set<std::string> requests;                // fingerprints
     };
     // What a segment has in common with the crashes.
     struct correlation
@@ -90,6 +95,7 @@
 
     crash &crashOf(const std::string &incarnation, time_point at);
     void addSuspect(crash &of, const std::string &segment, const crash_suspect &suspect);
+    void addRequest(crash &of, const std::string &fingerprint) const;
     void setBegun(const std::string &segment, time_point at);
     std::optional<time_point> begunAt(const std::string &segment) const;
     std::vector<correlation> correlate() const;
--- a/src/fescuedeck/gateway/crash_quarantine.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "fescuedeck/gateway/crash_quarantine.h"
 
 #include <algorithm>
+#include <cstring>
 
 namespace fescuedeck {
 namespace {
@@ -11,14 +12,17 @@
 // Within this time a crash is explained if gateways find its cause.
 constexpr duration explanationTime = std::chrono::seconds(1);
 
-// Enough to tell the requests of one crash apart. Digests repeat the fingerprints.
-constexpr std::size_t shortFingerprintChars = 12;
-
 std::string keyOfSegment(const std::string &segment)
 {
     return segmentPrefix + segment;
 }
 
+bool isSegmentKey(const std::string &key)
+{
+    const std::string prefix = segmentPrefix;
+    return key.compare(0, prefix.size(), prefix) == 0;
+}
+
 } // namespace
 
 std::vector<std::string> sharedSegmentsOf(const std::vector<std::string> &promptSegments)
@@ -57,8 +61,7 @@
 void crash_quarantine::recordEarlyEnd(const request_identity &request,
                                       const std::string &incarnation, time_point now)
 {
-    m_correlator.recordCrash(incarnation, request.fingerprint.substr(0, shortFingerprintChars),
-                             request.sharedSegments, now);
+    m_correlator.recordCrash(incarnation, request.fingerprint, request.sharedSegments, now);
     explainByKnownSegments(request.sharedSegments, now);
 }
 
@@ -67,16 +70,17 @@
     m_correlator.recordBegun(request.sharedSegments, now);
 }
 
-void crash_quarantine::apply(const std::string &key, duration remaining, time_point now)
+void crash_quarantine::apply(const std::string &toldKey, duration remaining, time_point now)
 {
+    // Gateways of an earlier version tell longer fingerprints.
+    const std::string key = isSegmentKey(toldKey) ? toldKey : toldKey.substr(0, fingerprintChars);
     if (m_tracker.isQuarantined(key, now))
         return;
     m_tracker.quarantineUntil(key, now + remaining, now);
     if (!m_tracker.isQuarantined(key, now))
         return;
-    const std::string prefix = segmentPrefix;
-    if (key.compare(0, prefix.size(), prefix) == 0)
-        explainBy(key.substr(prefix.size()), now);
+    if (isSegmentKey(key))
+        explainBy(key.substr(std::strlen(segmentPrefix)), now);
     cancelQuarantined(now);
 }
 
@@ -128,9 +132,26 @@
         if (onQuarantine)
             onQuarantine(key, end - now);
     }
+    countUnexplained(now);
     tellDue(now);
 }
 
+void crash_quarantine::countUnexplained(time_point now)
+{
+    bool isAnyNew = false;
+    for (const auto &[incarnation, requests] : m_correlator.requestsOfUnexplained()) {
+        for (const std::string &fingerprint : requests) {
+            if (m_tracker.hasCounted(fingerprint, incarnation)
+                || !m_tracker.recordCrash(fingerprint, incarnation, now))
+                continue;
+            isAnyNew = true;
+            m_untold.emplace(fingerprint, now);
+        }
+    }
+    if (isAnyNew)
+        cancelQuarantined(now);
+}
+
 void crash_quarantine::tellDue(time_point now)
 {
     const auto quarantined = m_tracker.quarantined(now);
--- a/src/fescuedeck/gateway/crash_quarantine.h
+++ b/src/fescuedeck/gateway/crash_quarantine.h
@@ -1,7 +1,8 @@
 // Decides which requests no longer reach endpoints, because they crash them.
 //
 // A quarantine applies to one request, which crash_tracker counts, or to all requests whose prompt
-// contains a segment, which crash_correlator finds. Gateways tell each other of both by a key.
+// contains a segment, which crash_correlator finds. Gateways tell each other of both by a key, and
+// of the crashes, because a request that returns may reach another gateway each time.
 #ifndef FESCUEDECK_GATEWAY_CRASH_QUARANTINE_H
 #define FESCUEDECK_GATEWAY_CRASH_QUARANTINE_H
 
@@ -16,10 +17,13 @@
 
 namespace fescuedeck {
 
+// Enough to tell requests apart. Logs and digests repeat fingerprints.
+constexpr std::size_t fingerprintChars = 16;
+
 // By what a request is recognized in a quarantine.
 struct request_identity
 {
-    std::string fingerprint; // of the caller, method, path and body
+    std::string fingerprint; // of the caller, method, path and body; fingerprintChars long
     // Segments of the prompt that it shares with other requests, in their order.
     std::vector<std::string> sharedSegments;
 };
@@ -51,13 +55,14 @@
     void recordBegun(const request_identity &request, time_point now);
 
     // Applies a quarantine that a peer or the store has told, for the remaining time.
-    void apply(const std::string &key, duration remaining, time_point now);
+    void apply(const std::string &toldKey, duration remaining, time_point now);
     // The remaining times of the quarantines to tell peers, by key.
     std::map<std::string, duration> toTell(time_point now) const;
     crash_reports reports(time_point now) const { return m_correlator.reports(now); }
     void merge(const crash_reports &reports, time_point now);
 
-    // Looks for segments that are newly found to crash engines, and drops what has expired. Call it
+    // Looks for segments and requests that are newly found to crash engines, and drops what has
+    // expired. Call it
     // whenever an engine was found to be down, and every few hundred milliseconds.
     void update(time_point now);
 
@@ -74,6 +79,8 @@
     };
 
     void explainBy(const std::string &segment, time_point now);
+    // Counts the crashes that this gateway and its peers have seen against single requests.
+    void countUnexplained(time_point now);
     void explainByKnownSegments(const std::vector<std::string> &segments, time_point now);
     void cancelQuarantined(time_point now);
     void tellDue(time_point now);
--- a/src/fescuedeck/gateway/crash_quarantine_test.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine_test.cpp
@@ -64,6 +64,48 @@
     CHECK(told == std::vector<std::string>{ "segment:bad", "alone" });
 }
 
+// Guards against a request that crashes endpoints again and again because its caller reaches
+// another gateway each time, so that none counts enough crashes.
+TEST_CASE("crashes that different gateways have seen count together against a request", "[gateway]")
+{
+    std::vector<crash_quarantine> gateways(4);
+    for (crash_quarantine &gateway : gateways)
+        gateway.isDown = [](const std::string &) { return true; };
+    const request_identity harmful{ "harmful", {} };
+    int crashes = 0;
+    for (int step = 0; step < 12; ++step) {
+        const time_point now = start + step * 1s;
+        crash_quarantine &gateway = gateways[step % gateways.size()];
+        if (!gateway.isQuarantined(harmful, now))
+            gateway.recordEarlyEnd(harmful, "e" + std::to_string(++crashes), now);
+        for (crash_quarantine &receiver : gateways) {
+            if (&receiver != &gateway)
+                receiver.merge(gateway.reports(now), now + 300ms);
+            receiver.update(now + 300ms);
+        }
+    }
+    CHECK(crashes == 3);
+    for (const crash_quarantine &gateway : gateways) {
+        CHECK(gateway.isQuarantined(harmful, start + 12s));
+        CHECK_FALSE(gateway.isQuarantined({ "sound", {} }, start + 12s));
+    }
+}
+
+// Guards against refusing a sound request whose connections were closed by endpoints that stay up.
+TEST_CASE("closed connections that a peer reports do not count while the endpoints are up",
+          "[gateway]")
+{
+    crash_quarantine peer;
+    crash_quarantine gateway;
+    gateway.isDown = [](const std::string &) { return false; };
+    for (int i = 0; i < 5; ++i) {
+        peer.recordEarlyEnd({ "sound", {} }, "e" + std::to_string(i), start);
+        gateway.merge(peer.reports(start), start);
+        gateway.update(start);
+    }
+    CHECK_FALSE(gateway.isQuarantined({ "sound", {} }, start));
+}
+
 // Guards against gateways that keep a quarantine in force by telling each other of it.
 TEST_CASE("a quarantine ends on all gateways although they exchange it", "[gateway]")
 {
--- a/src/fescuedeck/gateway/crash_tracker.cpp
+++ b/src/fescuedeck/gateway/crash_tracker.cpp
@@ -84,6 +84,15 @@
     return found != m_entries.end() && found->second.isQuarantined(now);
 }
 
+bool crash_tracker::hasCounted(const std::string &fingerprint, const std::string &incarnation) const
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end())
+        return false;
+    const auto &crashes = found->second.crashes;
+    return std::find(crashes.begin(), crashes.end(), incarnation) != crashes.end();
+}
+
 int crash_tracker::crashesOf(const std::string &fingerprint) const
 {
     const auto found = m_entries.find(fingerprint);
--- a/src/fescuedeck/gateway/crash_tracker.h
+++ b/src/fescuedeck/gateway/crash_tracker.h
@@ -38,6 +38,8 @@
     // true if this crash causes the quarantine of the request.
     bool recordCrash(const std::string &fingerprint, const std::string &incarnation,
                      time_point now);
+    // Whether a crash of the incarnation counts against the request.
+    bool hasCounted(const std::string &fingerprint, const std::string &incarnation) const;
     // The crash had another cause: no longer counts it, and ends the quarantines that it caused.
     void discountCrash(const std::string &incarnation, time_point now);
     // Quarantines a request, for longer if it was quarantined before. Returns the end.
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -48,9 +48,6 @@
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
 constexpr duration answerMargin = std::chrono::milliseconds(30);
 
-// Enough to tell requests apart.
-constexpr std::size_t loggedFingerprintChars = 16;
-
 // Null for a plain service or an unknown one.
 const engine_spec *engineOf(const service_rule *service)
 {
@@ -501,7 +498,7 @@
     const int crashes = m_context.crashes.recordCrash(identity, incarnation, now);
     event_line("crash_suspected", event_level::Warning)
             .field("request", m_info.id)
-            .field("fingerprint", identity.fingerprint.substr(0, loggedFingerprintChars))
+            .field("fingerprint", identity.fingerprint)
             .field("endpoint", to.first->entry.id)
             .field("had_begun", hadBegun)
             .field("prompt_segments", boost::algorithm::join(m_info.promptSegments, ","))
@@ -512,8 +509,9 @@
 void forwarded_call::recordEarlyEnd(const destination &to)
 {
     m_context.crashes.recordEarlyEnd(identity, incarnationName(to.first->entry), steadyNow());
-    // A crash counts only once the engine is known to be down.
-    if (!identity.sharedSegments.empty() && m_context.inspectEngine)
+    // Gateways count a crash that others have seen only once the engine is known to be down.
+    const bool isEngine = m_engine != nullptr || !identity.sharedSegments.empty();
+    if (isEngine && m_context.inspectEngine)
         m_context.inspectEngine(to.first->entry.id, engine_suspicion::Stalled);
 }
 
@@ -630,7 +628,7 @@
     const time_point lastActivityAt = std::max(arrivedAt, m_lastRelayedAt);
     event_line("request_ended")
             .field("request", m_info.id)
-            .field("fingerprint", identity.fingerprint.substr(0, loggedFingerprintChars))
+            .field("fingerprint", identity.fingerprint)
             .field("outcome", outcome)
             .field("status", m_status)
             .field("kind", nameOf(callKindNames, m_route.kind))
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -54,7 +54,7 @@
     text += request.target;
     text += separator;
     text += request.body;
-    return sha256Hex(text);
+    return sha256Hex(text).substr(0, fingerprintChars);
 }
 
 } // namespace
--- a/src/fescuedeck/peer/crash_report.h
+++ b/src/fescuedeck/peer/crash_report.h
@@ -23,6 +23,8 @@
 {
     duration age{};                                // time since the crash
     std::map<std::string, crash_suspect> suspects; // by segment
+    // Fingerprints of the requests whose answers had not begun, with or without segments.
+    std::set<std::string> requests;
 };
 
 // All recent crashes that have not been explained. Ages are used instead of times because clocks
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -251,7 +251,8 @@
         }
         crashes.push_back({ { "incarnation", incarnation },
                             { "age_ms", toMillis(report.age) },
-                            { "suspects", std::move(suspects) } });
+                            { "suspects", std::move(suspects) },
+                            { "requests", json(report.requests) } });
     }
     json begun = json::array();
     for (const auto &[segment, age] : reports.begun)
@@ -414,6 +415,9 @@
         crash.forEach("suspects", [&](field_reader &suspect) {
             report.suspects[suspect.text("segment")] = parseSuspect(suspect);
         });
+        // Gateways of an earlier version do not send them.
+        if (crash.optional("requests"))
+            report.requests = crash.textSet("requests");
     });
     fields.forEach("begun", [&](field_reader &begun) {
         reports.begun[begun.text("segment")] = parseAge(begun);
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -20,7 +20,7 @@
     digest.drained = { "h1" };
     digest.quarantined = { "f1" };
     digest.crashes.crashes["e2@5"]
-            = { std::chrono::milliseconds(70), { { "s1", { 1, { "f2" } } } } };
+            = { std::chrono::milliseconds(70), { { "s1", { 1, { "f2" } } } }, { "f2", "f3" } };
     digest.quarantines["segment:s9"] = std::chrono::milliseconds(7000);
     digest.limits["e5@6"] = { 1.5, std::chrono::milliseconds(40), 2.5 };
     digest.limits["e6@7"] = { std::nullopt, std::chrono::milliseconds(50), 0 };
@@ -82,6 +82,7 @@
     CHECK(report.age == std::chrono::milliseconds(70));
     CHECK(report.suspects.at("s1").depth == 1);
     CHECK(report.suspects.at("s1").requests == std::set<std::string>{ "f2" });
+    CHECK(report.requests == std::set<std::string>{ "f2", "f3" });
     CHECK(digest.quarantines.at("segment:s9") == std::chrono::seconds(7));
     CHECK(digest.limits.at("e5@6").perSecond == 1.5);
     CHECK(digest.limits.at("e5@6").age == std::chrono::milliseconds(40));
