Count a crash against a request whose caller has left before it

Cause: when a caller leaves, the gateway cancels its call and ended the attempt without recording anything. The replica crashed 34 to 98 ms after the last bytes of the run, so that no crash was ever attributed to the request. The class of fault: the end of the gateway's own interest in a result is taken for the end of its effects.

Change: an attempt that ends without a response because its caller has left or its time is over, before its answer has begun, is remembered for 10 s. If the endpoint is then found to be down, and has shown no progress later than 500 ms after the attempt, this is a crash like any other: for the request and for the segments of its prompt. Why it works: a replica that crashes is found lost by the requests beside it, or at the latest when it has started again under another incarnation.

--- a/src/fescuedeck/gateway/chain_progress.cpp
+++ b/src/fescuedeck/gateway/chain_progress.cpp
@@ -7,8 +7,9 @@
 
 bool haveAllProgressedSince(const std::vector<endpoint_ptr> &stages, time_point since)
 {
-    return std::all_of(stages.begin(), stages.end(),
-                       [since](const endpoint_ptr &stage) { return stage->lastEventAt > since; });
+    return std::all_of(stages.begin(), stages.end(), [since](const endpoint_ptr &stage) {
+        return stage->lastProgressAt > since;
+    });
 }
 
 } // namespace
@@ -16,7 +17,7 @@
 void recordProgress(const std::vector<endpoint_ptr> &stages, time_point now)
 {
     for (const endpoint_ptr &stage : stages)
-        stage->lastEventAt = now;
+        stage->lastProgressAt = now;
 }
 
 duration timeUntilStall(const std::vector<endpoint_ptr> &stages, time_point lastActivityAt,
--- a/src/fescuedeck/gateway/crash_quarantine.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine.cpp
@@ -12,6 +12,13 @@
 // Within this time a crash is explained if gateways find its cause.
 constexpr duration explanationTime = std::chrono::seconds(1);
 
+// Time in which a run that was abandoned may still crash its endpoint.
+constexpr duration abandonedRunTime = std::chrono::milliseconds(500);
+// An endpoint that has crashed is known to be down within this time, at the latest when it has
+// started again and announces itself.
+constexpr duration maxDetectionTime = std::chrono::seconds(10);
+constexpr std::size_t maxAbandonedRuns = 512; // beyond this, the oldest is dropped
+
 std::string keyOfSegment(const std::string &segment)
 {
     return segmentPrefix + segment;
@@ -65,6 +72,30 @@
     explainByKnownSegments(request.sharedSegments, now);
 }
 
+void crash_quarantine::recordAbandoned(const request_identity &request,
+                                       const std::string &incarnation, time_point now)
+{
+    m_abandoned.push_back({ request, incarnation, now });
+    if (m_abandoned.size() > maxAbandonedRuns)
+        m_abandoned.pop_front();
+}
+
+void crash_quarantine::checkAbandoned(time_point now)
+{
+    const auto isDone = [&](const abandoned_run &run) {
+        const bool hasSurvived
+                = lastProgress && lastProgress(run.incarnation) > run.at + abandonedRunTime;
+        if (hasSurvived || now - run.at >= maxDetectionTime)
+            return true;
+        if (!isDown(run.incarnation))
+            return false;
+        recordEarlyEnd(run.request, run.incarnation, run.at);
+        return true;
+    };
+    m_abandoned.erase(std::remove_if(m_abandoned.begin(), m_abandoned.end(), isDone),
+                      m_abandoned.end());
+}
+
 void crash_quarantine::recordBegun(const request_identity &request, time_point now)
 {
     m_correlator.recordBegun(request.sharedSegments, now);
@@ -124,6 +155,7 @@
 {
     m_tracker.expire(now);
     m_correlator.expire(now);
+    checkAbandoned(now);
     while (const auto segment = m_correlator.findCause(isDown)) {
         const std::string key = keyOfSegment(*segment);
         const time_point end = m_tracker.quarantine(key, now);
--- a/src/fescuedeck/gateway/crash_quarantine.h
+++ b/src/fescuedeck/gateway/crash_quarantine.h
@@ -6,6 +6,7 @@
 #ifndef FESCUEDECK_GATEWAY_CRASH_QUARANTINE_H
 #define FESCUEDECK_GATEWAY_CRASH_QUARANTINE_H
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -43,6 +44,9 @@
     std::function<void(const std::string &key, duration remaining)> onQuarantine;
     // Whether an engine is down, by its incarnation name.
     std::function<bool(const std::string &incarnation)> isDown;
+    // When an endpoint last sent a part of any answer, by its incarnation name; the start of the
+    // epoch if that is unknown.
+    std::function<time_point(const std::string &incarnation)> lastProgress;
 
     bool isQuarantined(const request_identity &request, time_point now) const;
     // The endpoint closed the connection while it ran the request. Returns the number of times that
@@ -53,6 +57,11 @@
     void recordEarlyEnd(const request_identity &request, const std::string &incarnation,
                         time_point now);
     void recordBegun(const request_identity &request, time_point now);
+    // The gateway stopped waiting before the answer had begun, because the caller has left or the
+    // time is over. The endpoint may crash from the request nevertheless. This counts as a crash
+    // if the endpoint is found to be down before it shows progress again.
+    void recordAbandoned(const request_identity &request, const std::string &incarnation,
+                         time_point now);
 
     // Applies a quarantine that a peer or the store has told, for the remaining time.
     void apply(const std::string &toldKey, duration remaining, time_point now);
@@ -78,7 +87,15 @@
         std::function<void()> cancel;
     };
 
+    struct abandoned_run
+    {
+        request_identity request;
+        std::string incarnation; // of the endpoint
+        time_point at{};         // when the gateway stopped waiting
+    };
+
     void explainBy(const std::string &segment, time_point now);
+    void checkAbandoned(time_point now);
     // Counts the crashes that this gateway and its peers have seen against single requests.
     void countUnexplained(time_point now);
     void explainByKnownSegments(const std::vector<std::string> &segments, time_point now);
@@ -87,6 +104,7 @@
 
     crash_tracker m_tracker;
     crash_correlator m_correlator;
+    std::deque<abandoned_run> m_abandoned;      // the oldest first
     std::map<std::string, time_point> m_untold; // since when, by key
     std::map<int, watch_entry> m_watches;       // by number
     int m_lastWatch = 0;
--- a/src/fescuedeck/gateway/crash_quarantine_test.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine_test.cpp
@@ -1,5 +1,8 @@
 #include "fescuedeck/gateway/crash_quarantine.h"
 
+#include <map>
+#include <set>
+
 #include <catch2/catch.hpp>
 
 namespace fescuedeck {
@@ -106,6 +109,48 @@
     CHECK_FALSE(gateway.isQuarantined({ "sound", {} }, start));
 }
 
+// Guards against a request that crashes endpoints unnoticed, because its caller leaves just before.
+TEST_CASE("crashes shortly after the caller has left count against the request", "[gateway]")
+{
+    std::set<std::string> down;
+    std::map<std::string, time_point> progress;
+    crash_quarantine quarantine;
+    quarantine.isDown = [&](const std::string &incarnation) { return down.count(incarnation) > 0; };
+    quarantine.lastProgress = [&](const std::string &incarnation) { return progress[incarnation]; };
+    const request_identity request{ "left", { "a" } };
+    const auto runAndLeave = [&](const std::string &engine, time_point now) {
+        quarantine.recordAbandoned(request, engine, now);
+        quarantine.update(now);
+    };
+    SECTION("if the endpoints are found to be down")
+    {
+        for (int i = 0; i < 3; ++i) {
+            const time_point now = start + i * 1s;
+            const std::string engine = "e" + std::to_string(i);
+            runAndLeave(engine, now);
+            progress[engine] = now + 30ms; // of another stream, before the crash
+            CHECK_FALSE(quarantine.isQuarantined(request, now));
+            down.insert(engine);
+            quarantine.update(now + 200ms);
+        }
+        CHECK(quarantine.isQuarantined(request, start + 3s));
+    }
+    SECTION("but not if they went on for a while or end much later")
+    {
+        for (int i = 0; i < 6; ++i) {
+            const time_point now = start + i * 20s;
+            const std::string engine = "e" + std::to_string(i);
+            runAndLeave(engine, now);
+            progress[engine] = i % 2 == 0 ? now + 600ms : time_point{};
+            const time_point downAt = i % 2 == 0 ? now + 700ms : now + 11s;
+            quarantine.update(downAt - 1ms);
+            down.insert(engine);
+            quarantine.update(downAt);
+        }
+        CHECK_FALSE(quarantine.isQuarantined(request, start + 120s));
+    }
+}
+
 // Guards against gateways that keep a quarantine in force by telling each other of it.
 TEST_CASE("a quarantine ends on all gateways although they exchange it", "[gateway]")
 {
--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -188,9 +188,15 @@
 }
 
 bool endpoint_registry::isDown(const std::string &incarnation, time_point now) const
+{
+    const endpoint_ptr endpoint = findIncarnation(incarnation);
+    return !endpoint || endpoint->isLost(now);
+}
+
+endpoint_ptr endpoint_registry::findIncarnation(const std::string &incarnation) const
 {
     const endpoint_ptr endpoint = find(incarnation.substr(0, incarnation.rfind('@')));
-    return !endpoint || endpoint->isLost(now) || incarnationName(endpoint->entry) != incarnation;
+    return endpoint && incarnationName(endpoint->entry) == incarnation ? endpoint : nullptr;
 }
 
 endpoint_ptr endpoint_registry::find(const std::string &id) const
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -63,7 +63,9 @@
     double tokensInFlight = 0;     // of this gateway's requests, prompt and answer
     double peerTokensInFlight = 0; // of the other gateways' requests, as last reported
     int peerInFlight = 0;
-    time_point lastEventAt{};        // of any stream of this gateway that runs through the engine
+    // When this gateway last got a response from the endpoint, or an event of any stream that runs
+    // through it.
+    time_point lastProgressAt{};
     duration usualFirstEventDelay{}; // smoothed, of streams whose first stage runs here
     double slowdown = 1;             // reported step time divided by the usual one
 
@@ -142,6 +144,8 @@
     bool isDown(const std::string &incarnation, time_point now) const;
 
     endpoint_ptr find(const std::string &id) const;
+    // Returns null if the endpoint with the id is another incarnation.
+    endpoint_ptr findIncarnation(const std::string &incarnation) const;
     endpoint_ptr findByAddress(const std::string &address) const;
     std::vector<endpoint_ptr> all() const;
     std::vector<endpoint_ptr> ofService(const std::string &service) const;
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -257,6 +257,7 @@
     const call_result result
             = m_context.client.send(to.first->entry.address, request, call, m_exchange.yield());
     if (m_hasCallerLeft || m_exchange.callerLeft()) {
+        recordIfAbandoned(to, current, result);
         // The caller may have disconnected because the stream stalled. The cause of the stall must
         // still be found.
         if (!to.chain.empty()
@@ -402,6 +403,7 @@
                                          ? m_context.adapter.readResponse(response)
                                          : readNewResponse(*to.first, response);
     m_endpointFailure.reset();
+    to.first->lastProgressAt = steadyNow();
     if (answer.didNotRun || answer.isMisdirected) {
         m_wasEndpointBusy = m_wasEndpointBusy || !answer.isMisdirected;
         event_line("sending_refused", event_level::Warning)
@@ -479,6 +481,8 @@
     ++m_possibleRuns;
     if (error.code == make_error_code(errc::ConnectionClosed) && !current.isUnusable)
         recordCrash(to, current);
+    else if (error.code == make_error_code(errc::Timeout))
+        recordIfAbandoned(to, current, result);
     const bool isPastDeadline = remainingTime() <= duration::zero();
     if (!isPastDeadline && !to.chain.empty())
         suspectChain(to, current);
@@ -488,6 +492,14 @@
     return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
 }
 
+// An answer that was awaited no longer may still crash the endpoint.
+void forwarded_call::recordIfAbandoned(const destination &to, const attempt &current,
+                                       const call_result &result)
+{
+    if (!result.response && result.mayHaveBeenSent && !current.hasSurelyBegun())
+        m_context.crashes.recordAbandoned(identity, incarnationName(to.first->entry), steadyNow());
+}
+
 void forwarded_call::recordCrash(const destination &to, const attempt &current)
 {
     const time_point now = steadyNow();
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -101,6 +101,8 @@
     bool isRetryableRoute() const { return m_route.kind == call_kind::Safe || m_route.isResumable; }
     bool isQuarantined() const { return m_context.crashes.isQuarantined(identity, steadyNow()); }
     // The endpoint closed the connection, which it also does when it crashes.
+    void recordIfAbandoned(const destination &to, const attempt &current,
+                           const call_result &result);
     void recordCrash(const destination &to, const attempt &current);
     // The response ended before the answer had begun. Finds out whether the engine has crashed.
     void recordEarlyEnd(const destination &to);
--- a/src/fescuedeck/gateway/gateway_context.cpp
+++ b/src/fescuedeck/gateway/gateway_context.cpp
@@ -16,6 +16,10 @@
     crashes.isDown = [this](const std::string &incarnation) {
         return endpoints.isDown(incarnation, steadyNow());
     };
+    crashes.lastProgress = [this](const std::string &incarnation) {
+        const endpoint_ptr endpoint = endpoints.findIncarnation(incarnation);
+        return endpoint ? endpoint->lastProgressAt : time_point{};
+    };
 }
 
 } // namespace fescuedeck
