Do not blame a prompt segment for crashes that one request explains

What callers saw: sound requests were refused for two minutes, because they share a prompt segment with a request that crashes replicas.

Cause: a segment counted as the cause as soon as two requests had brought it, although one of them was present at every crash.

Change: a segment is no cause while one request was waiting at each of its crashes.

Test: "a segment is no cause while one request was waiting at each of its crashes"; before, "a" was found after two crashes.

--- a/src/fescuedeck/gateway/crash_correlator.cpp
+++ b/src/fescuedeck/gateway/crash_correlator.cpp
@@ -1,9 +1,21 @@
 #include "fescuedeck/gateway/crash_correlator.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace fescuedeck {
+namespace {
+
+std::set<std::string> intersection(const std::set<std::string> &a, const std::set<std::string> &b)
+{
+    std::set<std::string> common;
+    std::set_intersection(a.begin(), a.end(), b.begin(), b.end(),
+                          std::inserter(common, common.end()));
+    return common;
+}
+
+} // namespace
 
 crash_correlator::crash_correlator(crash_correlator_settings settings)
     : m_settings(settings)
@@ -124,32 +136,40 @@
     return bestCandidate();
 }
 
-std::vector<crash_correlator::correlation> crash_correlator::correlate() const
+std::map<std::string, crash_correlator::segment_crashes> crash_correlator::crashesBySegment() const
 {
-    std::map<std::string, std::vector<time_point>> times; // of the crashes, by segment
-    std::map<std::string, crash_suspect> merged;
+    std::map<std::string, segment_crashes> bySegment;
     for (const auto &[incarnation, crash] : m_crashes) {
         if (!crash.isDown || crash.isExplained)
             continue;
         for (const auto &[segment, suspect] : crash.suspects) {
-            times[segment].push_back(crash.at);
-            crash_suspect &all = merged[segment];
-            all.depth = std::max(all.depth, suspect.depth);
-            all.requests.insert(suspect.requests.begin(), suspect.requests.end());
+            segment_crashes &crashes = bySegment[segment];
+            crashes.commonRequests = crashes.times.empty()
+                                             ? crash.requests
+                                             : intersection(crashes.commonRequests, crash.requests);
+            crashes.times.push_back(crash.at);
+            crashes.all.depth = std::max(crashes.all.depth, suspect.depth);
+            crashes.all.requests.insert(suspect.requests.begin(), suspect.requests.end());
         }
     }
+    return bySegment;
+}
+
+std::vector<crash_correlator::correlation> crash_correlator::correlate() const
+{
     std::vector<correlation> correlations;
-    for (auto &[segment, crashTimes] : times) {
-        std::sort(crashTimes.begin(), crashTimes.end());
-        const auto end = std::unique(
-                crashTimes.begin(), crashTimes.end(),
-                [this](time_point a, time_point b) { return b - a < m_settings.simultaneity; });
-        const auto crashes = static_cast<int>(end - crashTimes.begin());
+    for (auto &[segment, of] : crashesBySegment()) {
+        std::vector<time_point> times = of.times;
+        std::sort(times.begin(), times.end());
+        const auto end
+                = std::unique(times.begin(), times.end(), [this](time_point a, time_point b) {
+                      return b - a < m_settings.simultaneity;
+                  });
+        const auto crashes = static_cast<int>(end - times.begin());
         const int needed
                 = begunAt(segment) ? m_settings.establishedMinCrashes : m_settings.minCrashes;
-        const crash_suspect &all = merged[segment];
-        correlations.push_back(
-                { segment, crashes, crashes - needed, all.depth, all.requests.size() });
+        correlations.push_back({ segment, crashes, crashes - needed, of.all.depth,
+                                 of.all.requests.size(), !of.commonRequests.empty() });
     }
     return correlations;
 }
@@ -171,8 +191,9 @@
     };
     const correlation *best = nullptr;
     for (const correlation &candidate : correlations) {
-        const bool isCandidate
-                = candidate.surplus >= 0 && candidate.requests >= m_settings.minRequests;
+        const bool isCandidate = candidate.surplus >= 0
+                                 && candidate.requests >= m_settings.minRequests
+                                 && !candidate.hasCommonRequest;
         if (isCandidate && (best == nullptr || isLess(*best, candidate)))
             best = &candidate;
     }
--- a/src/fescuedeck/gateway/crash_correlator.h
+++ b/src/fescuedeck/gateway/crash_correlator.h
@@ -3,8 +3,9 @@
 // Some prompts crash each engine that begins to answer them. If the cause is a segment that many
 // prompts contain, the requests differ, and a count for each request finds nothing. When an engine
 // crashes, the segments of the requests whose answers had not begun there are suspects. A segment
-// is a cause if it is a suspect of more crashes than any other one and different requests brought
-// it. A segment is no suspect of a crash if an answer to a prompt with it has begun since.
+// is a cause if it is a suspect of more crashes than any other one and no single request was
+// waiting at all of these crashes. A segment is no suspect of a crash if an answer to a prompt with
+// it has begun since.
 //
 // A closed connection does not prove a crash, so crashes count only once the engine is known to be
 // down. Crashes at the same moment count once, because they have a cause outside of the requests.
@@ -83,6 +84,13 @@
         std::map<std::string, crash_suspect> suspects; // by segment
         std::set<std::string> requests;                // fingerprints
     };
+    // The crashes of which one segment is a suspect.
+    struct segment_crashes
+    {
+        std::vector<time_point> times;
+        crash_suspect all;                    // of all the crashes
+        std::set<std::string> commonRequests; // that were waiting at each crash
+    };
     // What a segment has in common with the crashes.
     struct correlation
     {
@@ -91,6 +99,8 @@
         int surplus = 0; // crashes beyond those that it needs to be a cause
         int depth = 0;
         std::size_t requests = 0;
+        // A request that was waiting at each of the crashes explains them as well as the segment.
+        bool hasCommonRequest = false;
     };
 
     crash &crashOf(const std::string &incarnation, time_point at);
@@ -98,6 +108,7 @@
     void addRequest(crash &of, const std::string &fingerprint) const;
     void setBegun(const std::string &segment, time_point at);
     std::optional<time_point> begunAt(const std::string &segment) const;
+    std::map<std::string, segment_crashes> crashesBySegment() const;
     std::vector<correlation> correlate() const;
     std::optional<std::string> bestCandidate() const;
     // Whether the other segment is a suspect of one of the segment's crashes.
--- a/src/fescuedeck/gateway/crash_correlator_test.cpp
+++ b/src/fescuedeck/gateway/crash_correlator_test.cpp
@@ -55,6 +55,21 @@
     CHECK(findCauses(crashes, everythingIsDown).empty());
 }
 
+// Guards against blocking the segments of sound requests that ran beside one that crashes engines.
+TEST_CASE("a segment is no cause while one request was waiting at each of its crashes", "[gateway]")
+{
+    crash_correlator crashes;
+    for (int i = 0; i < 3; ++i) {
+        const std::string engine = "e" + std::to_string(i);
+        crashes.recordCrash(engine, "harmful", { "a" }, at(i * 100));
+        crashes.recordCrash(engine, "sound" + std::to_string(i), { "b" }, at(i * 100));
+        crashes.recordCrash(engine, "other" + std::to_string(i), { "a" }, at(i * 100));
+        CHECK(findCauses(crashes, everythingIsDown).empty());
+    }
+    crashes.recordCrash("e3", "r4", { "a" }, at(500));
+    CHECK(findCauses(crashes, everythingIsDown) == causes{ "a" });
+}
+
 TEST_CASE("a closed connection of an engine that stays up is no crash", "[gateway]")
 {
     crash_correlator crashes;
