--- a/src/fescuedeck/gateway/platform_adapter.h
+++ b/src/fescuedeck/gateway/platform_adapter.h
@@ -121,6 +121,9 @@
 {
     std::vector<store_record> records;
     std::int64_t next = 0; // offset to read from after this page
+    // Increases whenever the store has been restored from an older copy, in which case it gives out
+    // offsets again.
+    std::int64_t epoch = 0;
     // True if the store has dropped records before next, so that the reader must read the whole
     // table.
     bool hasMissingRecords = false;
--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -51,6 +51,7 @@
             recordReadResult(page.has_value(), page ? std::string() : page.error().detail);
             if (!page)
                 return;
+            noteEpoch(page.value().epoch);
             applyWholeTable(page.value());
             done.set();
         });
@@ -72,12 +73,26 @@
     m_cancellation.cancel();
 }
 
+void table_follower::noteEpoch(std::int64_t epoch)
+{
+    if (epoch == m_epoch)
+        return;
+    event_line("store_epoch_changed", event_level::Warning)
+            .field("table", m_settings.name)
+            .field("epoch", epoch)
+            .field("previous", m_epoch)
+            .field("offset", m_position.value_or(-1));
+    m_epoch = epoch;
+}
+
 bool table_follower::readWholeTable(boost::asio::yield_context yield)
 {
     const auto page = m_store.readNewest(m_table, currentTimeout(), yield);
     recordReadResult(page.has_value(), page ? std::string() : page.error().detail);
-    if (page)
+    if (page) {
+        noteEpoch(page.value().epoch);
         applyWholeTable(page.value());
+    }
     return page.has_value();
 }
 
@@ -91,6 +106,11 @@
     }
     m_hooks.onWholeTableRead(keys);
     m_position = std::max(page.next, m_firstRetained);
+    event_line("table_read")
+            .field("table", m_settings.name)
+            .field("records", static_cast<int>(page.records.size()))
+            .field("offset", *m_position)
+            .field("epoch", m_epoch);
 }
 
 bool table_follower::readNewRecords(boost::asio::yield_context yield)
@@ -108,6 +128,7 @@
     recordReadResult(page.has_value(), page ? std::string() : page.error().detail);
     if (!page)
         return false;
+    noteEpoch(page.value().epoch);
     if (page.value().hasMissingRecords) {
         event_line("table_gap", event_level::Warning)
                 .field("table", m_settings.name)
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -81,6 +81,7 @@
     void run(boost::asio::yield_context yield);
     void readFirst(boost::asio::yield_context yield);
     bool readWholeTable(boost::asio::yield_context yield);
+    void noteEpoch(std::int64_t epoch);
     void applyWholeTable(const store_page &page);
     bool readNewRecords(boost::asio::yield_context yield);
     duration currentTimeout() const;
@@ -93,6 +94,7 @@
     const table_follower_hooks m_hooks;
     backoff m_backoff;
     std::optional<std::int64_t> m_position; // none: the whole table must be read
+    std::int64_t m_epoch = 0;               // of the store, as last read
     std::int64_t m_firstRetained = 0;       // offset; the store has dropped the records before it
     call_cancellation m_cancellation;       // of the current read
     bool m_expectsRecords = false;          // the table has records that were not read yet
