Read a table again after the store was restored from an older copy

What callers saw: after a change of the configuration just before or after the return of the store, a confirmed version did not come into force; a route that had been added was answered with 404 (CONFIG, DENIED).

Cause: a position that was taken in one numbering is used in another one. A restored store gives offsets out again. A gateway that continued at its old offset skipped the records that had been written below it meanwhile, and got 410 only if the table was still shorter than its offset.

Change: the followers of all four tables compare the epoch of each page with the one before. If it differs, the page is discarded, offsets that were kept are forgotten, and the table is read whole.

Test: "after the store was restored the whole table is read again"; without the check the follower reads on at its old offset, and after dropped records it never continues below them.

--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -1,6 +1,7 @@
 #include "fescuedeck/gateway/table_follower.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "fescuedeck/router/wait_event.h"
 #include "fescuedeck/telemetry/event_line.h"
@@ -51,7 +52,6 @@
             recordReadResult(page.has_value(), page ? std::string() : page.error().detail);
             if (!page)
                 return;
-            noteEpoch(page.value().epoch);
             applyWholeTable(page.value());
             done.set();
         });
@@ -73,31 +73,32 @@
     m_cancellation.cancel();
 }
 
-void table_follower::noteEpoch(std::int64_t epoch)
+bool table_follower::isNewEpoch(const store_page &page)
 {
-    if (epoch == m_epoch)
-        return;
+    const std::optional<std::int64_t> previous = std::exchange(m_epoch, page.epoch);
+    if (!previous || *previous == page.epoch)
+        return false;
     event_line("store_epoch_changed", event_level::Warning)
             .field("table", m_settings.name)
-            .field("epoch", epoch)
-            .field("previous", m_epoch)
+            .field("epoch", page.epoch)
+            .field("previous", *previous)
             .field("offset", m_position.value_or(-1));
-    m_epoch = epoch;
+    return true;
 }
 
 bool table_follower::readWholeTable(boost::asio::yield_context yield)
 {
     const auto page = m_store.readNewest(m_table, currentTimeout(), yield);
     recordReadResult(page.has_value(), page ? std::string() : page.error().detail);
-    if (page) {
-        noteEpoch(page.value().epoch);
+    if (page)
         applyWholeTable(page.value());
-    }
     return page.has_value();
 }
 
 void table_follower::applyWholeTable(const store_page &page)
 {
+    if (isNewEpoch(page))
+        m_firstRetained = 0;
     std::vector<std::string> keys;
     for (const store_record &record : page.records) {
         m_hooks.onRecord(record);
@@ -110,7 +111,7 @@
             .field("table", m_settings.name)
             .field("records", static_cast<int>(page.records.size()))
             .field("offset", *m_position)
-            .field("epoch", m_epoch);
+            .field("epoch", page.epoch);
 }
 
 bool table_follower::readNewRecords(boost::asio::yield_context yield)
@@ -126,21 +127,27 @@
     if (m_cancellation.isCancelled())
         return true;
     recordReadResult(page.has_value(), page ? std::string() : page.error().detail);
-    if (!page)
-        return false;
-    noteEpoch(page.value().epoch);
-    if (page.value().hasMissingRecords) {
+    if (page)
+        applyNewRecords(page.value());
+    return page.has_value();
+}
+
+void table_follower::applyNewRecords(const store_page &page)
+{
+    if (isNewEpoch(page)) {
+        m_firstRetained = 0;
+        m_position.reset();
+    } else if (page.hasMissingRecords) {
         event_line("table_gap", event_level::Warning)
                 .field("table", m_settings.name)
                 .field("offset", *m_position);
-        m_firstRetained = page.value().next;
+        m_firstRetained = page.next;
         m_position.reset();
-        return true;
+    } else {
+        for (const store_record &record : page.records)
+            m_hooks.onRecord(record);
+        m_position = page.next;
     }
-    for (const store_record &record : page.value().records)
-        m_hooks.onRecord(record);
-    m_position = page.value().next;
-    return true;
 }
 
 duration table_follower::currentTimeout() const
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -1,7 +1,8 @@
 // Keeps a copy of one table of the shared store up to date.
 //
-// The follower reads the whole table at the start and whenever the store has dropped records that
-// the follower has not read. In between it reads only new records. Use one follower per table.
+// The follower reads the whole table at the start, whenever the store has dropped records that the
+// follower has not read, and after the store was restored from an older copy, because offsets are
+// then given out again. In between it reads only new records. Use one follower per table.
 #ifndef FESCUEDECK_GATEWAY_TABLE_FOLLOWER_H
 #define FESCUEDECK_GATEWAY_TABLE_FOLLOWER_H
 
@@ -81,8 +82,10 @@
     void run(boost::asio::yield_context yield);
     void readFirst(boost::asio::yield_context yield);
     bool readWholeTable(boost::asio::yield_context yield);
-    void noteEpoch(std::int64_t epoch);
+    // Returns true if offsets of earlier pages are no longer valid.
+    bool isNewEpoch(const store_page &page);
     void applyWholeTable(const store_page &page);
+    void applyNewRecords(const store_page &page);
     bool readNewRecords(boost::asio::yield_context yield);
     duration currentTimeout() const;
     void recordReadResult(bool isSuccess, const std::string &detail);
@@ -94,7 +97,7 @@
     const table_follower_hooks m_hooks;
     backoff m_backoff;
     std::optional<std::int64_t> m_position; // none: the whole table must be read
-    std::int64_t m_epoch = 0;               // of the store, as last read
+    std::optional<std::int64_t> m_epoch;    // of the store, as last read
     std::int64_t m_firstRetained = 0;       // offset; the store has dropped the records before it
     call_cancellation m_cancellation;       // of the current read
     bool m_expectsRecords = false;          // the table has records that were not read yet
--- a/src/fescuedeck/gateway/table_follower_test.cpp
+++ b/src/fescuedeck/gateway/table_follower_test.cpp
@@ -29,6 +29,7 @@
             store_page page;
             page.records = { { "a", "1", 4, false } };
             page.next = 5;
+            page.epoch = epoch;
             return page;
         };
         m_store.readFrom = [this](store_table, std::int64_t from, duration wait, duration,
@@ -42,6 +43,7 @@
                 return makeFailure(errc::LogUnavailable, "down");
             store_page page;
             page.next = from;
+            page.epoch = epoch;
             if (hasGap.exchange(false)) {
                 page.hasMissingRecords = true;
                 page.next = 40;
@@ -72,6 +74,7 @@
     std::atomic<bool> isDown{ false };
     std::atomic<bool> isStalled;
     std::atomic<bool> hasGap{ false };
+    std::atomic<std::int64_t> epoch{ 1 }; // of the store
     std::atomic<bool> longPolledWhileDown{ false };
     std::atomic<int> failedReads{ 0 }; // after the outage was reported
     std::atomic<int> wholeReads{ 0 }, records{ 0 }, wholeTables{ 0 }, outages{ 0 }, recoveries{ 0 };
@@ -103,6 +106,30 @@
     CHECK(fixture.wholeTables == 2);
 }
 
+// Guards against skipping records that a restored store has given offsets below the follower's.
+TEST_CASE("after the store was restored the whole table is read again", "[gateway]")
+{
+    follower_fixture fixture;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    SECTION("also if the offset to read from exists again")
+    {
+        fixture.epoch = 2;
+        CHECK(eventually([&] { return fixture.wholeTables == 2; }));
+    }
+    SECTION("and reading continues after it, although earlier records had been dropped")
+    {
+        fixture.hasGap = true;
+        CHECK(eventually([&] { return fixture.lastFrom == 40; }));
+        fixture.epoch = 2;
+        CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+        CHECK(fixture.wholeTables == 3);
+    }
+    const int reads = fixture.wholeReads;
+    fixture.lastFrom = -1;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    CHECK(fixture.wholeReads == reads);
+}
+
 TEST_CASE("an outage and its end are reported once each", "[gateway]")
 {
     follower_fixture fixture;
