Do not lose a refresh of a table that is requested when an outage ends

What was seen: at the end of an outage of the store the gateway asks for a whole read of the table of endpoints, so that the table replaces what peers reported meanwhile. The logs of the restored store show no such read.

Cause: the hook runs inside the read that ends the outage, and this read sets the position again afterwards.

Change: a page of new records is not applied if a refresh was requested meanwhile. The whole read includes its records.

Test: "the whole table is read if a refresh is requested when an outage ends"; before, 1 whole read instead of 2.

--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -134,6 +134,8 @@
 
 void table_follower::applyNewRecords(const store_page &page)
 {
+    if (!m_position) // refresh() was called, for example by the hook that the read has succeeded
+        return;
     if (isNewEpoch(page)) {
         m_firstRetained = 0;
         m_position.reset();
--- a/src/fescuedeck/gateway/table_follower_test.cpp
+++ b/src/fescuedeck/gateway/table_follower_test.cpp
@@ -63,6 +63,8 @@
         hooks.onWholeTableRead = [this](const std::vector<std::string> &) { ++wholeTables; };
         hooks.onOutage = [this](bool isUnavailable, duration) {
             isUnavailable ? ++outages : ++recoveries;
+            if (!isUnavailable && refreshesAfterOutage)
+                follower->refresh();
         };
         follower = std::make_unique<table_follower>(io.context(), m_store, store_table::Endpoints,
                                                     settings, hooks, seededRandom(1));
@@ -74,6 +76,7 @@
     std::atomic<bool> isDown{ false };
     std::atomic<bool> isStalled;
     std::atomic<bool> hasGap{ false };
+    std::atomic<bool> refreshesAfterOutage{ false };
     std::atomic<std::int64_t> epoch{ 1 }; // of the store
     std::atomic<bool> longPolledWhileDown{ false };
     std::atomic<int> failedReads{ 0 }; // after the outage was reported
@@ -141,6 +144,21 @@
     CHECK(fixture.outages == 1);
 }
 
+// Guards against a refresh that is lost because the read that ended the outage sets the position.
+TEST_CASE("the whole table is read if a refresh is requested when an outage ends", "[gateway]")
+{
+    follower_fixture fixture;
+    fixture.refreshesAfterOutage = true;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    fixture.isDown = true;
+    CHECK(eventually([&] { return fixture.outages == 1; }));
+    fixture.isDown = false;
+    CHECK(eventually([&] { return fixture.recoveries == 1; }));
+    fixture.lastFrom = -1;
+    CHECK(eventually([&] { return fixture.lastFrom == 5; }));
+    CHECK(fixture.wholeTables == 2);
+}
+
 // Guards against a follower that starts during an outage and waits forever for a read that the
 // store never answers.
 TEST_CASE("the first read is repeated while earlier ones are unanswered", "[gateway]")
