Ignore announcements of endpoints that are older than what is known

What callers could see: requests are sent to an endpoint that is leaving or has left, because a restored store repeats its earlier announcement (DRAIN).

Cause: the newest record of the store was taken for the newest statement of the endpoint. A copy repeats older statements, and so do answers with old data.

Change: announcements carry the number that the endpoint gives them. One that is older than the last of the same incarnation is ignored; of an endpoint that has left, so is the last one itself.

Test: "an outdated announcement does not bring back an endpoint that is leaving or has left"; before, both were back.

--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -9,6 +9,8 @@
 constexpr duration maxAnnouncementLag = std::chrono::milliseconds(2500);
 // How long this gateway tells the other gateways that an endpoint has left.
 constexpr duration departureRetention = std::chrono::seconds(10);
+// How long outdated announcements of an endpoint that has left are recognized.
+constexpr duration departureMemory = std::chrono::minutes(10);
 
 duration exponentialDuration(duration min, int doublings, duration max)
 {
@@ -30,6 +32,8 @@
 
 void endpoint_registry::announce(const endpoint_entry &entry, std::int64_t offset, time_point now)
 {
+    if (isOutdated(entry))
+        return;
     endpoint_ptr &record = m_endpoints[entry.id];
     const bool isNew = !record || record->entry.startedAt != entry.startedAt
                        || record->entry.address != entry.address;
@@ -52,6 +56,24 @@
     ++m_revision;
 }
 
+// Without the time of its start, a restarted endpoint cannot be told from an outdated announcement.
+bool endpoint_registry::isOutdated(const endpoint_entry &entry) const
+{
+    if (entry.sequence == 0 || entry.startedAt == 0)
+        return false;
+    const endpoint_ptr known = findIncarnation(incarnationName(entry));
+    if (known && entry.sequence < known->entry.sequence)
+        return true;
+    const auto departed = m_departed.find(incarnationName(entry));
+    return departed != m_departed.end() && entry.sequence <= departed->second.sequence;
+}
+
+void endpoint_registry::expireDepartures(time_point now)
+{
+    for (auto it = m_departed.begin(); it != m_departed.end();)
+        it = now - it->second.at >= departureMemory ? m_departed.erase(it) : std::next(it);
+}
+
 void endpoint_registry::remove(const std::string &id, time_point now)
 {
     const auto found = m_endpoints.find(id);
@@ -63,7 +85,8 @@
     }
     // Code that still holds the record must not choose the endpoint any more.
     found->second->entry.phase = endpoint_phase_announced::Draining;
-    m_departed[incarnationName(found->second->entry)] = now;
+    expireDepartures(now);
+    m_departed[incarnationName(found->second->entry)] = { now, found->second->entry.sequence };
     m_endpoints.erase(found);
     ++m_revision;
 }
@@ -108,8 +131,8 @@
         if (record->entry.phase == endpoint_phase_announced::Draining)
             names.push_back(incarnationName(record->entry));
     }
-    for (const auto &[name, since] : m_departed) {
-        if (now - since < departureRetention)
+    for (const auto &[name, departed] : m_departed) {
+        if (now - departed.at < departureRetention)
             names.push_back(name);
     }
     return names;
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -36,6 +36,8 @@
     std::string accelerator;           // kind of accelerator; empty for a plain service
     std::optional<layer_range> layers; // that the endpoint holds now, if any
     std::int64_t startedAt = 0;        // Unix milliseconds; differs between incarnations
+    // Increases with the announcements of one incarnation; 0 if the endpoint does not number them.
+    std::int64_t sequence = 0;
 };
 
 // Which gateway found that an endpoint is lost: this one or a peer.
@@ -102,7 +104,9 @@
 public:
     explicit endpoint_registry(suspicion_policy policy = {});
 
-    // Records the newest announcement of an endpoint and ends its consecutive losses.
+    // Records the newest announcement of an endpoint and ends its consecutive losses. Ignores one
+    // that is older than what is known of the incarnation: a store that was restored from an older
+    // copy, or that answers with old data, repeats announcements of endpoints that have left.
     void announce(const endpoint_entry &entry, std::int64_t offset, time_point now);
     // Removes an endpoint that has left or whose announcement has expired.
     void remove(const std::string &id, time_point now);
@@ -156,12 +160,21 @@
     std::uint64_t revision() const { return m_revision; }
 
 private:
+    struct departure
+    {
+        time_point at{};
+        std::int64_t sequence = 0; // of the last announcement
+    };
+
+    bool isOutdated(const endpoint_entry &entry) const;
+    void expireDepartures(time_point now);
+
     suspicion_policy m_policy;
     std::map<std::string, endpoint_ptr> m_endpoints; // by id
     std::uint64_t m_revision = 0;
     time_point m_newestSince{};
     time_point m_removalsFrom{};
-    std::map<std::string, time_point> m_departed; // removal time by incarnation name
+    std::map<std::string, departure> m_departed; // by incarnation name
 };
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/endpoint_registry_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry_test.cpp
@@ -99,6 +99,35 @@
     CHECK(registry.find("x")->isUsable(start));
 }
 
+// Guards against sending requests to endpoints that have left, because a restored store repeats
+// what they announced before.
+TEST_CASE("an outdated announcement does not bring back an endpoint that is leaving or has left",
+          "[gateway]")
+{
+    endpoint_registry registry;
+    const auto announce = [&](const std::string &id, std::int64_t sequence, bool isLeaving) {
+        endpoint_entry entry = entryOf(id, 1);
+        entry.sequence = sequence;
+        if (isLeaving)
+            entry.phase = endpoint_phase_announced::Draining;
+        registry.announce(entry, 1, start);
+    };
+    announce("leaving", 4, false);
+    announce("leaving", 5, true);
+    announce("gone", 4, false);
+    registry.remove("gone", start);
+    announce("leaving", 4, false);
+    announce("gone", 4, false);
+    CHECK(registry.find("leaving")->entry.phase == endpoint_phase_announced::Draining);
+    CHECK(registry.find("gone") == nullptr);
+    // Newer ones count, and so does another incarnation.
+    announce("gone", 5, false);
+    CHECK(registry.find("gone") != nullptr);
+    registry.remove("leaving", start);
+    registry.announce(entryOf("leaving", 2), 1, start);
+    CHECK(registry.find("leaving") != nullptr);
+}
+
 TEST_CASE("announcements that expired during an outage of the store do not remove live endpoints",
           "[gateway]")
 {
