Keep endpoints that a restored store lacks until they announce themselves

What callers could see: endpoints that had announced themselves after the copy was taken are removed as soon as a gateway reads the restored table, and their requests are cut from their chains.

Cause: removals were deferred only after an outage of 2.5 s or more, because announcements expire in longer ones. A store that returns from a copy lacks announcements however short its absence was.

Change: the follower of a table reports a restoration before it applies the first whole read after it; removals are then deferred like after a long outage.

Test: "after the store was restored the whole table is read again" checks that the report comes before the records of that read.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -120,6 +120,7 @@
     void onProcessPause(duration time);
     void runExpiryLoop(boost::asio::yield_context yield);
     void onEndpointRecord(const store_record &record);
+    void awaitAnnouncements();
     void reloadSettings(const char *trigger);
     void runSettingsReloadLoop(boost::asio::yield_context yield);
     void waitForSignal(boost::asio::signal_set &signals);
@@ -289,21 +290,28 @@
             m_context.endpointsCompleteAt = steadyNow() + reannouncementTime;
         m_context.hasEndpointList = true;
     };
+    hooks.onRestored = [this] { awaitAnnouncements(); };
     hooks.onOutage = [this](bool isLost, duration outageDuration) {
         m_context.isEndpointTableUnavailable = isLost;
         if (isLost)
             return;
         if (outageDuration < shortestExpiryOutage)
             return;
-        // The table now replaces what peers reported during the outage. Endpoints whose
-        // announcement expired get time to announce themselves again before they are removed.
-        m_context.endpoints.deferRemovals(steadyNow() + reannouncementTime);
-        m_context.endpointsCompleteAt = steadyNow() + reannouncementTime;
+        // The table now replaces what peers reported during the outage.
+        awaitAnnouncements();
         m_endpointTable.refresh();
     };
     return hooks;
 }
 
+// Endpoints whose announcements the store has lost get time to announce themselves again before
+// they are removed.
+void gateway::awaitAnnouncements()
+{
+    m_context.endpoints.deferRemovals(steadyNow() + reannouncementTime);
+    m_context.endpointsCompleteAt = steadyNow() + reannouncementTime;
+}
+
 table_follower_hooks gateway::quarantineHooks()
 {
     table_follower_hooks hooks;
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -69,15 +69,20 @@
                 [] {
                     return read_pace{ tableWait, peersReadDelay };
                 } },
-              { [this](const store_record &record) { onPeerRecord(record); },
-                [this](const std::vector<std::string> &) { openNetwork(); },
-                {} },
-              context.random)
+              tableHooks(), context.random)
     , m_cell(cellOf(context.settings))
     , m_ownDomain(digestLifetime)
 {
 }
 
+table_follower_hooks gateway_peers::tableHooks()
+{
+    table_follower_hooks hooks;
+    hooks.onRecord = [this](const store_record &record) { onPeerRecord(record); };
+    hooks.onWholeTableRead = [this](const std::vector<std::string> &) { openNetwork(); };
+    return hooks;
+}
+
 void gateway_peers::start()
 {
     if (m_context.settings.peersAddress.empty()) {
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -63,6 +63,7 @@
     bool isAmongFirst(int count, time_point now) const;
 
 private:
+    table_follower_hooks tableHooks();
     void registerWithStore(boost::asio::yield_context yield);
     void onPeerRecord(const store_record &record);
     void openNetwork();
--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -83,6 +83,7 @@
             .field("epoch", page.epoch)
             .field("previous", *previous)
             .field("offset", m_position.value_or(-1));
+    m_wasRestored = true;
     return true;
 }
 
@@ -99,6 +100,8 @@
 {
     if (isNewEpoch(page))
         m_firstRetained = 0;
+    if (std::exchange(m_wasRestored, false) && m_hooks.onRestored)
+        m_hooks.onRestored();
     std::vector<std::string> keys;
     for (const store_record &record : page.records) {
         m_hooks.onRecord(record);
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -54,6 +54,9 @@
     // The whole table has been read, after onRecord was called for each of its records. Keys that
     // are not in the list are no longer in the table.
     std::function<void(const std::vector<std::string> &keys)> onWholeTableRead;
+    // Called before the records of the first whole read after the store was restored from an older
+    // copy. The table may lack recent records until their writers write them again.
+    std::function<void()> onRestored;
     // Called when reads begin to fail (isUnavailable is true) and when they succeed again.
     // timeSinceLastRead is the time since the last successful read; zero if there was none.
     std::function<void(bool isUnavailable, duration timeSinceLastRead)> onOutage;
@@ -98,6 +101,7 @@
     backoff m_backoff;
     std::optional<std::int64_t> m_position; // none: the whole table must be read
     std::optional<std::int64_t> m_epoch;    // of the store, as last read
+    bool m_wasRestored = false;             // since the last whole read
     std::int64_t m_firstRetained = 0;       // offset; the store has dropped the records before it
     call_cancellation m_cancellation;       // of the current read
     bool m_expectsRecords = false;          // the table has records that were not read yet
--- a/src/fescuedeck/gateway/table_follower_test.cpp
+++ b/src/fescuedeck/gateway/table_follower_test.cpp
@@ -61,6 +61,7 @@
         table_follower_hooks hooks;
         hooks.onRecord = [this](const store_record &) { ++records; };
         hooks.onWholeTableRead = [this](const std::vector<std::string> &) { ++wholeTables; };
+        hooks.onRestored = [this] { recordsAtRestoration = records.load(); };
         hooks.onOutage = [this](bool isUnavailable, duration) {
             isUnavailable ? ++outages : ++recoveries;
             if (!isUnavailable && refreshesAfterOutage)
@@ -75,6 +76,7 @@
     test_io io{ 1 };
     std::atomic<bool> isDown{ false };
     std::atomic<bool> isStalled;
+    std::atomic<int> recordsAtRestoration{ -1 };
     std::atomic<bool> hasGap{ false };
     std::atomic<bool> refreshesAfterOutage{ false };
     std::atomic<std::int64_t> epoch{ 1 }; // of the store
@@ -116,8 +118,10 @@
     CHECK(eventually([&] { return fixture.lastFrom == 5; }));
     SECTION("also if the offset to read from exists again")
     {
+        CHECK(fixture.recordsAtRestoration == -1);
         fixture.epoch = 2;
         CHECK(eventually([&] { return fixture.wholeTables == 2; }));
+        CHECK(fixture.recordsAtRestoration == 1); // before those of the second read
     }
     SECTION("and reading continues after it, although earlier records had been dropped")
     {
