Write again what a restored store has lost of the gateways

What callers could see: a gateway that starts after the store was restored from an older copy finds no other gateways, or not all, and does not learn from the store which requests are kept out.

Cause: a gateway registers its address once, when it starts, and stores a quarantine once, when it begins. Nobody writes either again.

Change: a gateway that does not find itself in the table of gateways registers again, with the secret that it already uses.

Test: "gateways register again after the store has lost their addresses". Storing quarantines again has no test of its own.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -117,6 +117,8 @@
     void onConfigRecord(const store_record &record);
     void applyConfig(const std::string &value, const char *source);
     void publishQuarantine(const std::string &key, duration remaining);
+    void storeMissingQuarantines(const std::vector<std::string> &keys);
+    void storeQuarantine(const std::string &key, duration remaining);
     void onProcessPause(duration time);
     void runExpiryLoop(boost::asio::yield_context yield);
     void onEndpointRecord(const store_record &record);
@@ -319,7 +321,8 @@
         if (!record.isRemoval)
             m_context.crashes.apply(record.key, remainingQuarantine(record.value), steadyNow());
     };
-    hooks.onWholeTableRead = [](const std::vector<std::string> &) {};
+    hooks.onWholeTableRead
+            = [this](const std::vector<std::string> &keys) { storeMissingQuarantines(keys); };
     return hooks;
 }
 
@@ -328,6 +331,22 @@
     event_line("quarantined", event_level::Warning).field("key", key);
     m_context.counters.counterOf("fescuedeck_quarantines_total").add();
     m_peers.announceChange();
+    storeQuarantine(key, remaining);
+}
+
+// A restored store may have lost quarantines that are still in force.
+void gateway::storeMissingQuarantines(const std::vector<std::string> &keys)
+{
+    if (!m_peers.isAmongFirst(1, steadyNow()))
+        return;
+    for (const auto &[key, remaining] : m_context.crashes.toTell(steadyNow())) {
+        if (std::find(keys.begin(), keys.end(), key) == keys.end())
+            storeQuarantine(key, remaining);
+    }
+}
+
+void gateway::storeQuarantine(const std::string &key, duration remaining)
+{
     const std::string end = quarantineEndText(remaining);
     boost::asio::spawn(m_io, [this, key, end](boost::asio::yield_context yield) {
         const store_write entry{ store_table::Quarantine, key, end, false };
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -79,7 +79,15 @@
 {
     table_follower_hooks hooks;
     hooks.onRecord = [this](const store_record &record) { onPeerRecord(record); };
-    hooks.onWholeTableRead = [this](const std::vector<std::string> &) { openNetwork(); };
+    hooks.onWholeTableRead = [this](const std::vector<std::string> &keys) {
+        openNetwork();
+        const std::string &own = m_context.settings.id;
+        const bool isListed = std::find(keys.begin(), keys.end(), own) != keys.end();
+        if (!isListed) // the store was restored from a copy that is older than this gateway
+            boost::asio::spawn(m_context.io, [this](boost::asio::yield_context yield) {
+                registerWithStore(yield);
+            });
+    };
     return hooks;
 }
 
@@ -89,8 +97,10 @@
         m_context.retryBudget.adjustFraction(unsharedRetryFraction, {});
         return;
     }
-    boost::asio::spawn(m_context.io,
-                       [this](boost::asio::yield_context yield) { registerWithStore(yield); });
+    boost::asio::spawn(m_context.io, [this](boost::asio::yield_context yield) {
+        registerWithStore(yield);
+        m_table.start();
+    });
     boost::asio::spawn(m_context.io,
                        [this](boost::asio::yield_context yield) { runRefreshLoop(yield); });
 }
@@ -102,11 +112,14 @@
 }
 
 // Writes this gateway's address, and the shared secret if the table has none. If several gateways
-// start at the same time, the store accepts only the first secret.
+// start at the same time, the store accepts only the first secret. A secret that is known already
+// is kept, because the connections between gateways use it.
 void gateway_peers::registerWithStore(boost::asio::yield_context yield)
 {
     const store_write secret{ store_table::Peers, secretKey,
-                              randomHex(secretBytes, m_context.random), true };
+                              m_secret.empty() ? randomHex(secretBytes, m_context.random)
+                                               : m_secret,
+                              true };
     // The store usually refuses this write, because there already is a secret.
     m_context.adapter.store.write(secret, storeTimeout, yield);
     const store_write own{
@@ -120,7 +133,6 @@
         m_context.adapter.store.write(secret, storeTimeout, yield);
         error = m_context.adapter.store.write(own, storeTimeout, yield);
     }
-    m_table.start();
 }
 
 void gateway_peers::onPeerRecord(const store_record &record)
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -38,15 +38,28 @@
         return store;
     }
 
+    std::size_t size() const { return m_records.size(); }
+    void loseEverything()
+    {
+        m_records.clear();
+        ++m_epoch;
+    }
+
 private:
     result<store_page> readFrom(std::int64_t from)
     {
         store_page page;
+        page.epoch = m_epoch;
+        if (from > static_cast<std::int64_t>(m_records.size())) {
+            page.hasMissingRecords = true;
+            return page;
+        }
         page.records.assign(m_records.begin() + from, m_records.end());
         page.next = static_cast<std::int64_t>(m_records.size());
         return page;
     }
 
+    std::int64_t m_epoch = 1;
     std::vector<store_record> m_records;
 };
 
@@ -159,6 +172,39 @@
     }));
 }
 
+// Guards against gateways that start later and do not find the others, because a restored store has
+// lost where these are.
+TEST_CASE("gateways register again after the store has lost their addresses", "[gateway]")
+{
+    test_io io{ 1 };
+    fake_table table;
+    test_gateway first(io, table, "first");
+    test_gateway second(io, table, "second-host");
+    test_gateway later(io, table, "later");
+    const auto livePeersOf = [&](test_gateway &gateway) {
+        return io.run(
+                [&](boost::asio::yield_context) { return gateway.peers.livePeers(steadyNow()); });
+    };
+    io.run([&](boost::asio::yield_context) {
+        first.peers.start();
+        second.peers.start();
+        return true;
+    });
+    CHECK(eventually([&] { return livePeersOf(first) == 1; }));
+    io.run([&](boost::asio::yield_context) {
+        table.loseEverything();
+        return true;
+    });
+    CHECK(eventually(
+            [&] { return io.run([&](boost::asio::yield_context) { return table.size() == 3; }); }));
+    io.run([&](boost::asio::yield_context) {
+        later.peers.start();
+        return true;
+    });
+    CHECK(eventually([&] { return livePeersOf(later) == 2; }));
+    io.stop();
+}
+
 TEST_CASE("a gateway gets a newer configuration from a peer", "[gateway]")
 {
     peers_fixture gateways;
