Do not take a repeated refusal of another request for one of this request

Reported by other operators: a faulty replica wrote an earlier refusal once more on a kept connection; callers were told that a request had not run which a replica had run or was running, or it ran at a second replica.

Can it happen here: yes. Answers were matched with the request by their id, but refusals were read before that check. Bytes that arrive while a connection is idle close it, but not those that arrive after the next request was sent.

Change: a refusal that names another request counts as an unusable answer, so that the request may have run. One that names none is still taken for a refusal.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -404,7 +404,10 @@
                                          : readNewResponse(*to.first, response);
     m_endpointFailure.reset();
     to.first->lastProgressAt = steadyNow();
-    if (answer.didNotRun || answer.isMisdirected) {
+    // A faulty endpoint may repeat its refusal of an earlier request, which says nothing about this
+    // one.
+    const bool isOfAnother = !answer.id.empty() && answer.id != m_info.id;
+    if ((answer.didNotRun || answer.isMisdirected) && !isOfAnother) {
         m_wasEndpointBusy = m_wasEndpointBusy || !answer.isMisdirected;
         event_line("sending_refused", event_level::Warning)
                 .field("request", m_info.id)
