Recognize a request that crashes endpoints by its workspace, not its key

What callers could see: a request that crashes endpoints, and is kept out, reaches them again as soon as its caller uses another API key.

Cause: an identity narrower than the cause. The fingerprint held the key, and a workspace may have several and change them.

Change: the fingerprint holds the name of the workspace; the key only for callers without one.

Test: "crashes count against a request with any key of its workspace"; before, the second key was let through after three crashes.

--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -43,11 +43,11 @@
     return limit;
 }
 
-// Identifies equal requests of one caller, whose API key is given.
-std::string fingerprintOf(const http_request &request, const std::string &key)
+// Identifies equal requests of one caller.
+std::string fingerprintOf(const http_request &request, const std::string &caller)
 {
     constexpr char separator = '\0';
-    std::string text = key;
+    std::string text = caller;
     text += separator;
     text += request.method;
     text += separator;
@@ -91,7 +91,9 @@
     const bool needsKey = !config->config().workspaces.empty() && !route->isPublic;
     if (needsKey && workspace == nullptr)
         return refuse(refusal_reason::NoKey);
-    request_identity identity{ fingerprintOf(exchange.request(), info.key),
+    // A workspace may have several keys and change them.
+    const std::string caller = workspace == nullptr ? info.key : workspace->name;
+    request_identity identity{ fingerprintOf(exchange.request(), caller),
                                sharedSegmentsOf(info.promptSegments) };
     if (m_context.crashes.isQuarantined(identity, steadyNow()))
         return refuse(refusal_reason::Quarantined);
