--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -406,8 +406,8 @@
     to.first->lastProgressAt = steadyNow();
     // A faulty endpoint may repeat its refusal of an earlier request, which says nothing about this
     // one.
-    const bool isOfAnother = !answer.id.empty() && answer.id != m_info.id;
-    if ((answer.didNotRun || answer.isMisdirected) && !isOfAnother) {
+    const bool namesAnotherRequest = !answer.id.empty() && answer.id != m_info.id;
+    if ((answer.didNotRun || answer.isMisdirected) && !namesAnotherRequest) {
         m_wasEndpointBusy = m_wasEndpointBusy || !answer.isMisdirected;
         event_line("sending_refused", event_level::Warning)
                 .field("request", m_info.id)
--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -73,7 +73,7 @@
     m_cancellation.cancel();
 }
 
-bool table_follower::isNewEpoch(const store_page &page)
+bool table_follower::noteEpoch(const store_page &page)
 {
     const std::optional<std::int64_t> previous = std::exchange(m_epoch, page.epoch);
     if (!previous || *previous == page.epoch)
@@ -98,7 +98,7 @@
 
 void table_follower::applyWholeTable(const store_page &page)
 {
-    if (isNewEpoch(page))
+    if (noteEpoch(page))
         m_firstRetained = 0;
     if (std::exchange(m_wasRestored, false) && m_hooks.onRestored)
         m_hooks.onRestored();
@@ -139,7 +139,7 @@
 {
     if (!m_position) // refresh() was called, for example by the hook that the read has succeeded
         return;
-    if (isNewEpoch(page)) {
+    if (noteEpoch(page)) {
         m_firstRetained = 0;
         m_position.reset();
     } else if (page.hasMissingRecords) {
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -86,7 +86,7 @@
     void readFirst(boost::asio::yield_context yield);
     bool readWholeTable(boost::asio::yield_context yield);
     // Returns true if offsets of earlier pages are no longer valid.
-    bool isNewEpoch(const store_page &page);
+    bool noteEpoch(const store_page &page);
     void applyWholeTable(const store_page &page);
     void applyNewRecords(const store_page &page);
     bool readNewRecords(boost::asio::yield_context yield);
