Test which quarantines are stored again, and tidy comments of the incidents

Storing quarantines again after a restoration had no test. The choice is a function of crash_quarantine now: "quarantines in force that the store lacks are stored again". Comments and one hook read better; behaviour is unchanged.

--- a/src/fescuedeck/gateway/crash_quarantine.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine.cpp
@@ -125,6 +125,15 @@
     return told;
 }
 
+std::map<std::string, duration>
+crash_quarantine::missingIn(const std::vector<std::string> &storedKeys, time_point now) const
+{
+    std::map<std::string, duration> missing = toTell(now);
+    for (const std::string &key : storedKeys)
+        missing.erase(key);
+    return missing;
+}
+
 void crash_quarantine::merge(const crash_reports &reports, time_point now)
 {
     m_correlator.merge(reports, now);
--- a/src/fescuedeck/gateway/crash_quarantine.h
+++ b/src/fescuedeck/gateway/crash_quarantine.h
@@ -67,12 +67,14 @@
     void apply(const std::string &toldKey, duration remaining, time_point now);
     // The remaining times of the quarantines to tell peers, by key.
     std::map<std::string, duration> toTell(time_point now) const;
+    // Those of toTell() that are not among the keys in the store.
+    std::map<std::string, duration> missingIn(const std::vector<std::string> &storedKeys,
+                                              time_point now) const;
     crash_reports reports(time_point now) const { return m_correlator.reports(now); }
     void merge(const crash_reports &reports, time_point now);
 
     // Looks for segments and requests that are newly found to crash engines, and drops what has
-    // expired. Call it
-    // whenever an engine was found to be down, and every few hundred milliseconds.
+    // expired. Call it whenever an engine was found to be down, and every few hundred milliseconds.
     void update(time_point now);
 
     // Calls cancel when the request becomes quarantined while it waits for its answer. Returns the
--- a/src/fescuedeck/gateway/crash_quarantine_test.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine_test.cpp
@@ -151,6 +151,17 @@
     }
 }
 
+// Guards against quarantines that a restored store has lost, or that are stored after their end.
+TEST_CASE("quarantines in force that the store lacks are stored again", "[gateway]")
+{
+    crash_quarantine quarantine;
+    quarantine.apply("kept", 60s, start);
+    quarantine.apply("lost", 60s, start);
+    quarantine.apply("over", 5s, start);
+    const auto missing = quarantine.missingIn({ "kept", "of others" }, start + 10s);
+    CHECK(missing == std::map<std::string, duration>{ { "lost", 50s } });
+}
+
 // Guards against gateways that keep a quarantine in force by telling each other of it.
 TEST_CASE("a quarantine ends on all gateways although they exchange it", "[gateway]")
 {
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -495,7 +495,7 @@
     return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
 }
 
-// An answer that was awaited no longer may still crash the endpoint.
+// The request may crash the endpoint after the gateway has stopped waiting.
 void forwarded_call::recordIfAbandoned(const destination &to, const attempt &current,
                                        const call_result &result)
 {
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -339,10 +339,8 @@
 {
     if (!m_peers.isAmongFirst(1, steadyNow()))
         return;
-    for (const auto &[key, remaining] : m_context.crashes.toTell(steadyNow())) {
-        if (std::find(keys.begin(), keys.end(), key) == keys.end())
-            storeQuarantine(key, remaining);
-    }
+    for (const auto &[key, remaining] : m_context.crashes.missingIn(keys, steadyNow()))
+        storeQuarantine(key, remaining);
 }
 
 void gateway::storeQuarantine(const std::string &key, duration remaining)
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -83,10 +83,11 @@
         openNetwork();
         const std::string &own = m_context.settings.id;
         const bool isListed = std::find(keys.begin(), keys.end(), own) != keys.end();
-        if (!isListed) // the store was restored from a copy that is older than this gateway
-            boost::asio::spawn(m_context.io, [this](boost::asio::yield_context yield) {
-                registerWithStore(yield);
-            });
+        if (isListed)
+            return;
+        // The store was restored from a copy that is older than this gateway.
+        boost::asio::spawn(m_context.io,
+                           [this](boost::asio::yield_context yield) { registerWithStore(yield); });
     };
     return hooks;
 }
