--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -104,55 +104,340 @@
     return countRepeated(runs, context.record) > 0 ? ruleBroken : ruleHeld;
 }
 
-// Entries of another writer that cannot be read.
-int playOddEntries(const case_context &context)
+// What a gateway sent to a replica that leaves.
+struct late_work
 {
+    int requests = 0;   // sent by the client later than the limit, and run there
+    int unanswered = 0; // of these, those whose client got no good answer
+};
+
+// Sends unsafe requests one after the other until the time has come. Counts those that the client
+// sent later than the limit and that the leaving replica ran.
+late_work sendUntil(std::int64_t end, std::int64_t limit, const std::string &leaving, client &caller,
+                    run_log &runs, recorder &record)
+{
+    std::map<std::string, int> sentLate; // status by request
+    for (int i = 1; nowMs() < end; ++i) {
+        const std::int64_t sentAt = nowMs();
+        const message answer
+                = caller.send("POST", "/sign/2f", requestId(i), "rider " + std::to_string(i),
+                              deadlineMs);
+        record.note("client sent " + requestId(i) + " at " + std::to_string(sentAt)
+                    + " ms and got " + std::to_string(answer.status));
+        if (sentAt > limit)
+            sentLate[requestId(i)] = answer.status;
+        sleepMs(30);
+    }
+    late_work late;
+    for (const run &each : runs.all()) {
+        const auto sent = sentLate.find(each.request);
+        if (each.replica != leaving || sent == sentLate.end())
+            continue;
+        ++late.requests;
+        if (sent->second != 200) {
+            ++late.unanswered;
+            record.note("request " + each.request + " was begun at " + leaving
+                        + " and its client got " + std::to_string(sent->second));
+        }
+    }
+    record.note(std::to_string(late.requests) + " requests sent later than " + std::to_string(limit)
+                + " ms reached " + leaving);
+    return late;
+}
+
+// The list of replicas is read in two pages while the link loses a packet, a replica of the first
+// page leaves and one of the second page is added.
+int playTwoPageList(const case_context &context)
+{
+    constexpr int otherReplicas = 57;
+    constexpr int retransmissionMs = 220;
+    constexpr int contactMs = 3000;
+    constexpr int drainMs = 2000;
+    constexpr int servesOnMs = 9000; // "at times many seconds"
     store platformStore(context.record);
     platformStore.put("keyed.op", "config", configText(7));
     run_log runs;
+    const auto serve = [](replica &self, connection &with, const message &request) {
+        return self.runAndAnswer(with, request, 60);
+    };
+    const auto add = [&](const std::string &id, const char *service) {
+        auto added = std::make_unique<replica>(id, service, "merzouga", platformStore, runs,
+                                               context.record, serve);
+        added->announce("ready");
+        return added;
+    };
+    const auto leaving = add("i-01", deskService);
+    const auto staying = add("i-02", deskService);
+    std::vector<std::unique_ptr<replica>> others;
+    for (int i = 0; i < otherReplicas; ++i)
+        others.push_back(add("m-" + std::to_string(100 + i), "drafting"));
+    gateway_process gateway(context.gateway, context.folder, "front-merzouga-1", "merzouga",
+                            platformStore.port(), context.record);
+    gateway.start();
+    if (!gateway.waitUntilReady(10000))
+        return couldNotRun;
+    sleepMs(contactMs);
+
+    // The planned restart of the gateway.
+    std::atomic<std::int64_t> drainedAt{ -1 };
+    std::unique_ptr<replica> added;
+    std::thread changes;
+    std::atomic<bool> isFirst{ true };
+    platformStore.onNewest = [&](const std::string &topic, bool hasMore, bool isFirstPage) {
+        if (topic != "keyed.servers" || !hasMore || !isFirstPage || !isFirst.exchange(false))
+            return;
+        context.record.note("the store has answered the first page of the list");
+        changes = std::thread([&] {
+            sleepMs(60);
+            leaving->announce("draining");
+            drainedAt = nowMs();
+            context.record.note("the store has accepted that i-01 is draining");
+            sleepMs(60);
+            added = add("m-999", "drafting");
+            context.record.note("the store has accepted the new replica m-999");
+        });
+    };
+    platformStore.delayOfNextPageMs = context.hasTrouble ? retransmissionMs : 0;
+    gateway.sendSignal(SIGTERM);
+    context.record.note("SIGTERM sent to the gateway");
+    const std::int64_t killAt = nowMs() + 8000;
+    while (!gateway.ended() && nowMs() < killAt)
+        sleepMs(20);
+    gateway.kill();
+    gateway.start();
+    if (!gateway.waitUntilReady(10000))
+        return couldNotRun;
+    const std::int64_t inTouchAt = nowMs() + contactMs;
+    while (drainedAt < 0 && nowMs() < inTouchAt)
+        sleepMs(5);
+    if (changes.joinable())
+        changes.join();
+    if (drainedAt < 0)
+        return couldNotRun;
+    const std::int64_t exitAt = drainedAt + servesOnMs;
+    std::thread exits([&] {
+        sleepMs(exitAt - nowMs());
+        leaving->withdraw();
+        leaving->stop();
+        context.record.note("i-01 has exited");
+    });
+    const std::int64_t limit = std::max<std::int64_t>(inTouchAt, drainedAt + drainMs);
+    client caller(gateway.frontPort(), apiKey);
+    const late_work late
+            = sendUntil(exitAt + 500, limit, leaving->id, caller, runs, context.record);
+    exits.join();
+    return late.requests > 0 ? ruleBroken : ruleHeld;
+}
+
+// A replica leaves while the store turns the gateway away. The replica says so in its answers.
+int playLeavingHeader(const case_context &context)
+{
+    constexpr int contactMs = 3000;
+    constexpr int drainMs = 2000;
+    constexpr int outageMs = 7000;
+    constexpr int servesOnMs = 5500;
+    store platformStore(context.record);
+    platformStore.put("keyed.op", "config", configText(7));
+    run_log runs;
+    std::atomic<bool> isLeaving{ false };
+    std::atomic<std::int64_t> firstNoticeAt{ -1 };
     const auto serve = [&](replica &self, connection &with, const message &request) {
-        return self.runAndAnswer(with, request, 20);
+        const bool says = isLeaving && self.id == "i-1";
+        std::map<std::string, std::string> headers;
+        if (says)
+            headers["Server-Leaving"] = "1";
+        const bool isOpen = self.runAndAnswer(with, request, 60, headers);
+        std::int64_t none = -1;
+        if (says && isOpen && firstNoticeAt.compare_exchange_strong(none, nowMs()))
+            context.record.note("the first answer of i-1 with Server-Leaving was written");
+        return isOpen;
     };
     replica first("i-1", deskService, "merzouga", platformStore, runs, context.record, serve);
-    first.announce("ready");
+    replica second("i-2", deskService, "merzouga", platformStore, runs, context.record, serve);
+    replica third("i-3", deskService, "merzouga", platformStore, runs, context.record, serve);
+    for (replica *each : { &first, &second, &third })
+        each->announce("ready");
     gateway_process gateway(context.gateway, context.folder, "front-merzouga-1", "merzouga",
                             platformStore.port(), context.record);
     gateway.start();
     if (!gateway.waitUntilReady(10000))
         return couldNotRun;
-    std::string deep(200000, '[');
-    std::string nested = "{\"service\":\"desk\",\"x\":" + deep + std::string(200000, ']') + "}";
-    std::string good = entryText("desk", 1, "merzouga", "ready", 1, 5);
-    platformStore.put("keyed.servers", "z1", deep);
-    platformStore.put("keyed.servers", "z2", nested);
-    platformStore.put("keyed.servers", "z3",
-                      "{\"x\":" + deep.substr(0, 120000) + std::string(120000, ']') + ","
-                              + good.substr(1));
-    platformStore.put("keyed.servers", std::string(255, 'k'), good);
-    platformStore.put("keyed.servers", "z5",
-                      "{\"service\":\"desk\",\"address\":\"[::1]:99999\",\"slots\":1e300,"
-                      "\"state\":\"ready\",\"born\":1e400,\"sequence\":-9223372036854775808,"
-                      "\"layers\":{\"from\":0,\"to\":99999}}");
-    platformStore.put("keyed.servers", "z6",
-                      "{\"service\":\"desk\",\"address\":\"127.0.0.1:1\",\"slots\":3,"
-                      "\"state\":\"ready\",\"born\":\"x\",\"sequence\":1.5,\"zone\":7,"
-                      "\"layers\":{\"from\":0,\"to\":99999}}");
+    sleepMs(contactMs);
+    if (context.hasTrouble) {
+        platformStore.setSilent(true);
+        context.record.note("the store turns the gateway away without an answer");
+    }
+    const std::int64_t outageEnd = nowMs() + outageMs;
+    sleepMs(500);
+    isLeaving = true;
+    first.announce("draining");
+    context.record.note("the store has accepted that i-1 is draining");
+    const std::int64_t exitAt = nowMs() + servesOnMs;
+    std::thread exits([&] {
+        sleepMs(exitAt - nowMs());
+        first.withdraw();
+        first.stop();
+        context.record.note("i-1 has exited");
+        sleepMs(outageEnd - nowMs());
+        platformStore.setSilent(false);
+    });
     client caller(gateway.frontPort(), apiKey);
-    for (int i = 1; i <= 40; ++i) {
-        const message answer = caller.send("POST", "/sign/2f", requestId(i), "x", deadlineMs);
-        context.record.note("client got " + std::to_string(answer.status));
-        sleepMs(50);
-        if (const auto how = gateway.ended()) {
-            context.record.note("the gateway ended: " + *how);
-            return ruleBroken;
+    const std::int64_t begin = nowMs();
+    // Counted from the first request on; the limit of the rule is later than the first notice.
+    const late_work late = sendUntil(exitAt + 500, begin + 100 + drainMs, first.id, caller, runs,
+                                     context.record);
+    exits.join();
+    if (context.hasTrouble && (firstNoticeAt < 0 || firstNoticeAt > begin + 100))
+        return couldNotRun;
+    return late.requests > 0 ? ruleBroken : ruleHeld;
+}
+
+// The clients of a period and how many of their requests were served.
+struct served_count
+{
+    int sent = 0;
+    int good = 0;
+    double share() const { return sent == 0 ? 0 : static_cast<double>(good) / sent; }
+};
+
+// Callers who look up a few popular things again and again, each on a kept connection.
+class lookup_traffic
+{
+public:
+    lookup_traffic(std::vector<int> ports, recorder &record)
+        : m_ports(std::move(ports))
+        , m_record(record)
+    {
+        for (int i = 0; i < callers; ++i)
+            m_threads.emplace_back([this, i] { run(i); });
+    }
+    ~lookup_traffic()
+    {
+        m_isEnding = true;
+        for (std::thread &each : m_threads)
+            each.join();
+    }
+    lookup_traffic(const lookup_traffic &) = delete;
+    lookup_traffic &operator=(const lookup_traffic &) = delete;
+
+    // Counts the requests that were sent between the two times.
+    served_count between(std::int64_t from, std::int64_t to)
+    {
+        const std::lock_guard lock(m_mutex);
+        served_count count;
+        for (const auto &[sentAt, status] : m_answers) {
+            if (sentAt < from || sentAt >= to)
+                continue;
+            ++count.sent;
+            count.good += status == 200 ? 1 : 0;
         }
+        return count;
     }
-    // started again with these entries
-    gateway.kill();
-    gateway.start();
-    if (!gateway.waitUntilReady(10000))
-        return ruleBroken;
-    return gateway.ended() ? ruleBroken : ruleHeld;
+
+private:
+    static constexpr int callers = 4;
+    static constexpr int intervalMs = 150;
+
+    void run(int number)
+    {
+        client caller(m_ports[static_cast<std::size_t>(number) % m_ports.size()], apiKey);
+        while (!m_isEnding) {
+            const std::int64_t sentAt = nowMs();
+            const std::string id = requestId(++m_lastId);
+            const message answer = caller.send("GET", "/look/lot-" + std::to_string(number), id,
+                                               "", deadlineMs);
+            m_record.note("client sent lookup " + id + " of lot " + std::to_string(number)
+                          + " and got " + std::to_string(answer.status));
+            {
+                const std::lock_guard lock(m_mutex);
+                m_answers.emplace_back(sentAt, answer.status);
+            }
+            sleepMs(intervalMs - (nowMs() - sentAt));
+        }
+    }
+
+    const std::vector<int> m_ports;
+    recorder &m_record;
+    std::atomic<bool> m_isEnding{ false };
+    std::atomic<int> m_lastId{ 0 };
+    std::mutex m_mutex;
+    std::vector<std::pair<std::int64_t, int>> m_answers; // time of sending and status
+    std::vector<std::thread> m_threads;
+};
+
+std::string percent(const served_count &count)
+{
+    return std::to_string(count.good) + " of " + std::to_string(count.sent) + " served";
+}
+
+// Replicas lose answers for some seconds; later all gateways are killed and come back.
+int playLostAnswers(const case_context &context)
+{
+    constexpr int contactMs = 3000;
+    constexpr int calmMs = 5000;
+    constexpr int troubleMs = 4000;
+    constexpr int downMs = 560;
+    constexpr int recoveryMs = 12000;
+    constexpr int judgedMs = 10000;
+    store platformStore(context.record);
+    platformStore.put("keyed.op", "config", configText(7));
+    run_log runs;
+    std::atomic<bool> losesAnswers{ false };
+    std::atomic<int> answers{ 0 };
+    std::atomic<int> lost{ 0 };
+    const auto serve = [&](replica &self, connection &with, const message &request) {
+        // Two of the three replicas lose two of five answers.
+        const bool isLost = losesAnswers && self.id != "i-3" && ++answers % 5 < 2;
+        if (!isLost)
+            return self.runAndAnswer(with, request, 15);
+        self.runs.begin(request.header("request-id"), self.id);
+        sleepMs(15);
+        ++lost;
+        context.record.note(self.id + " has run " + request.header("request-id")
+                            + " and its answer is lost: the connection is reset");
+        with.reset();
+        return false;
+    };
+    replica first("i-1", deskService, "merzouga", platformStore, runs, context.record, serve);
+    replica second("i-2", deskService, "merzouga", platformStore, runs, context.record, serve);
+    replica third("i-3", deskService, "merzouga", platformStore, runs, context.record, serve);
+    for (replica *each : { &first, &second, &third })
+        each->announce("ready");
+    gateway_process one(context.gateway, context.folder, "front-merzouga-1", "merzouga",
+                        platformStore.port(), context.record);
+    gateway_process two(context.gateway, context.folder, "front-merzouga-2", "merzouga",
+                        platformStore.port(), context.record);
+    for (gateway_process *each : { &one, &two })
+        each->start();
+    if (!one.waitUntilReady(10000) || !two.waitUntilReady(10000))
+        return couldNotRun;
+    sleepMs(contactMs);
+    const std::int64_t begin = nowMs();
+    lookup_traffic traffic({ one.frontPort(), two.frontPort() }, context.record);
+    sleepMs(calmMs);
+    losesAnswers = context.hasTrouble;
+    sleepMs(troubleMs);
+    losesAnswers = false;
+    context.record.note(std::to_string(lost) + " answers were lost; all replicas are sound again");
+    sleepMs(1000);
+    const std::int64_t killedAt = nowMs();
+    for (gateway_process *each : { &one, &two })
+        each->kill();
+    context.record.note("all gateways were killed");
+    sleepMs(downMs);
+    for (gateway_process *each : { &one, &two })
+        each->start();
+    if (!one.waitUntilReady(10000) || !two.waitUntilReady(10000))
+        return couldNotRun;
+    const std::int64_t judgedFrom = nowMs() + recoveryMs;
+    sleepMs(recoveryMs + judgedMs);
+    const served_count before = traffic.between(begin, killedAt);
+    const served_count after = traffic.between(judgedFrom, judgedFrom + judgedMs);
+    context.record.note("before the final fault: " + percent(before));
+    context.record.note("later than recoveryS after the machines are back: " + percent(after));
+    if (before.share() < 0.25 || after.sent < 20)
+        return couldNotRun;
+    return after.share() < 0.25 ? ruleBroken : ruleHeld;
 }
 
 } // namespace
@@ -161,8 +446,12 @@
 {
     if (name == "repeated-refusal")
         return playRepeatedRefusal(context);
-    if (name == "odd-entries")
-        return playOddEntries(context);
+    if (name == "two-page-list")
+        return playTwoPageList(context);
+    if (name == "lost-answers")
+        return playLostAnswers(context);
+    if (name == "leaving-header")
+        return playLeavingHeader(context);
     return couldNotRun;
 }
 
--- a/review/standin/net.cc
+++ b/review/standin/net.cc
@@ -205,6 +205,13 @@
     ::shutdown(m_fd, SHUT_RDWR);
 }
 
+void connection::reset()
+{
+    const linger atOnce{ 1, 0 };
+    ::setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    close();
+}
+
 void connection::close()
 {
     if (m_fd >= 0)
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -60,6 +60,8 @@
     bool isClosed() const;
     // Ends both directions, so that a thread that reads or writes returns.
     void shutDown();
+    // Ends the connection with a reset.
+    void reset();
     void close();
     int descriptor() const { return m_fd; }
 
--- a/review/standin/platform.cc
+++ b/review/standin/platform.cc
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr int heartbeatMs = 1200;
-constexpr std::size_t newestPageItems = 500;
+// The pages allow at most 500; the site files say page = 50.
+constexpr std::size_t newestPageItems = 50;
 constexpr std::int64_t leaseMs = 2200;
 
 std::string bigEndian(std::uint64_t value, int bytes)
@@ -100,6 +101,8 @@
 {
     message request;
     while (with.readRequest(request)) {
+        if (request.path == "/api/log-newest" && request.query.count("after") > 0)
+            sleepMs(delayOfNextPageMs);
         const std::string text = answer(request);
         // A connection on which a response is lost returns nothing further.
         while (m_isSilent) {
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -42,6 +42,10 @@
     // Called after each answer of log-newest was computed and before it is sent.
     std::function<void(const std::string &topic, bool hasMore, bool isFirstPage)> onNewest;
 
+    // The link to a reader of log-newest loses a packet: its request for a further page arrives so
+    // much later.
+    std::atomic<int> delayOfNextPageMs{ 0 };
+
     ~store() { stop(); }
     void stop()
     {
