Show that a draining replica is missed while its list is read in pages

Claim: a replica that reports draining between two pages of the list gets requests until it exits, because the gateway goes on reading behind the newest record of all pages (DRAIN).

--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -145,6 +145,24 @@
     return late;
 }
 
+// Ends a replica that has served on long after its report, while it has work if it still gets any.
+void exitAtWork(replica &leaving, run_log &runs, recorder &record)
+{
+    const auto isAtWork = [&] {
+        const std::vector<run> all = runs.all();
+        return std::any_of(all.rbegin(), all.rbegin() + std::min<std::ptrdiff_t>(5, all.size()),
+                           [&](const run &each) {
+                               return each.replica == leaving.id && each.endedAt < 0;
+                           });
+    };
+    const std::int64_t end = nowMs() + 300;
+    while (!isAtWork() && nowMs() < end)
+        sleepMs(1);
+    leaving.stop();
+    leaving.withdraw();
+    record.note(leaving.id + " has exited");
+}
+
 // The list of replicas is read in two pages while the link loses a packet, a replica of the first
 // page leaves and one of the second page is added.
 int playTwoPageList(const case_context &context)
@@ -217,9 +235,7 @@
     const std::int64_t exitAt = drainedAt + servesOnMs;
     std::thread exits([&] {
         sleepMs(exitAt - nowMs());
-        leaving->withdraw();
-        leaving->stop();
-        context.record.note("i-01 has exited");
+        exitAtWork(*leaving, runs, context.record);
     });
     const std::int64_t limit = std::max<std::int64_t>(inTouchAt, drainedAt + drainMs);
     client caller(gateway.frontPort(), apiKey);
@@ -275,9 +291,7 @@
     const std::int64_t exitAt = nowMs() + servesOnMs;
     std::thread exits([&] {
         sleepMs(exitAt - nowMs());
-        first.withdraw();
-        first.stop();
-        context.record.note("i-1 has exited");
+        exitAtWork(first, runs, context.record);
         sleepMs(outageEnd - nowMs());
         platformStore.setSilent(false);
     });
