Show that streams of sound replicas are cut when they pause

Claim: a stream that may not be resumed is broken off after a pause of a few tenths of a second, because the gateway treats it as one that can continue elsewhere (LOST).

--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -1,6 +1,7 @@
 #include "cases.h"
 
 #include <algorithm>
+#include <cstdio>
 
 #include <csignal>
 
@@ -20,11 +21,17 @@
            + ",\"routes\":[{\"name\":\"sign\",\"host\":\"desk.example\",\"pathPrefix\":\"/sign/\","
              "\"kind\":\"unsafe\",\"maxAttempts\":1"
            + common
-           + "},{\"name\":\"look\",\"host\":\"desk.example\",\"pathPrefix\":\"/look/\","
+           + "},{\"name\":\"draft\",\"host\":\"desk.example\",\"pathPrefix\":\"/draft/\","
+             "\"kind\":\"streaming\",\"maxAttempts\":2,\"timeoutMs\":20000,"
+             "\"targetLatencyMs\":500,\"targetGapMs\":200,\"streamResumption\":false,"
+             "\"priority\":1,\"service\":\"writer\",\"public\":false"
+             "},{\"name\":\"look\",\"host\":\"desk.example\",\"pathPrefix\":\"/look/\","
              "\"kind\":\"safe\",\"maxAttempts\":2"
            + common
            + "}],\"services\":[{\"name\":\"desk\",\"healthCheckPath\":\"/health\","
-             "\"connectionLimit\":96,\"protocol\":\"h1\",\"tls\":false}],"
+             "\"connectionLimit\":96,\"protocol\":\"h1\",\"tls\":false},"
+             "{\"name\":\"writer\",\"healthCheckPath\":\"/health\",\"connectionLimit\":96,"
+             "\"protocol\":\"h1\",\"tls\":false}],"
              "\"tenants\":[{\"name\":\"tenant-a\",\"apiKeys\":[\""
            + std::string(apiKey)
            + "\"]}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,"
@@ -454,6 +461,99 @@
     return after.share() < 0.25 ? ruleBroken : ruleHeld;
 }
 
+// Answers with a stream of events. After some of them the replica preempts the request, as it does
+// when its memory runs out, and goes on after a pause. Returns false if the connection has ended.
+bool streamEvents(replica &self, connection &with, const message &request, int pauseMs)
+{
+    constexpr int events = 40;
+    constexpr int eventsBeforePause = 15;
+    constexpr int gapMs = 60;
+    const std::string id = request.header("request-id");
+    const std::size_t number = self.runs.begin(id, self.id);
+    const auto chunk = [&](const std::string &data) {
+        char size[16];
+        std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+        return with.write(size + data + "\r\n");
+    };
+    bool isOpen = with.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " + id
+                             + "\r\nResponse-Seal: 1." + self.id + "." + id
+                             + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int event = 1; isOpen && event <= events; ++event) {
+        sleepMs(gapMs);
+        if (event == eventsBeforePause && pauseMs > 0) {
+            self.record.note(self.id + " preempts " + id);
+            for (const std::int64_t end = nowMs() + pauseMs; nowMs() < end && isOpen; sleepMs(5))
+                isOpen = !with.isClosed();
+            self.record.note(self.id
+                             + (isOpen ? " goes on with " + id
+                                       : ": the gateway has closed the connection of " + id));
+        }
+        isOpen = isOpen
+                 && chunk("id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event)
+                          + "\n\n");
+    }
+    isOpen = isOpen && with.write("0\r\n\r\n");
+    if (isOpen)
+        self.runs.end(number);
+    return isOpen;
+}
+
+// Streams that can't be resumed pause at a sound replica, after a SIGHUP of the gateway.
+int playSilentStream(const case_context &context)
+{
+    constexpr int callers = 6;
+    constexpr int contactMs = 3000;
+    constexpr int pauseMs = 1000; // callers leave after a gap of 2 s
+    store platformStore(context.record);
+    platformStore.put("keyed.op", "config", configText(7));
+    run_log runs;
+    const auto serve = [&](replica &self, connection &with, const message &request) {
+        if (request.method == "GET")
+            return self.runAndAnswer(with, request, 20);
+        return streamEvents(self, with, request, context.hasTrouble ? pauseMs : 0);
+    };
+    replica desk("i-1", deskService, "merzouga", platformStore, runs, context.record, serve);
+    replica first("w-1", "writer", "merzouga", platformStore, runs, context.record, serve);
+    replica second("w-2", "writer", "merzouga", platformStore, runs, context.record, serve);
+    for (replica *each : { &desk, &first, &second })
+        each->announce("ready");
+    gateway_process gateway(context.gateway, context.folder, "front-merzouga-1", "merzouga",
+                            platformStore.port(), context.record);
+    gateway.start();
+    if (!gateway.waitUntilReady(10000))
+        return couldNotRun;
+    sleepMs(contactMs);
+    std::atomic<int> cut{ 0 };
+    std::atomic<int> whole{ 0 };
+    std::vector<std::thread> threads;
+    gateway.sendSignal(SIGHUP);
+    context.record.note("SIGHUP sent to the gateway");
+    for (int i = 0; i < callers; ++i) {
+        threads.emplace_back([&, i] {
+            client caller(gateway.frontPort(), apiKey);
+            const message warm = caller.send("GET", "/look/lot-" + std::to_string(i),
+                                             requestId(100 + i), "", deadlineMs);
+            sleepMs(100 * i);
+            const std::string id = requestId(200 + i);
+            context.record.note("client sends stream " + id + " on a kept connection");
+            const message answer = caller.send("POST", "/draft/2f", id,
+                                               "draft " + std::to_string(i), 20000);
+            context.record.note("stream " + id + ": status " + std::to_string(answer.status)
+                                + (answer.isComplete ? ", complete" : ", cut") + ", "
+                                + std::to_string(answer.body.size()) + " bytes");
+            if (warm.status == 200 && answer.status == 200)
+                ++(answer.isComplete ? whole : cut);
+        });
+    }
+    for (std::thread &each : threads)
+        each.join();
+    context.record.note(std::to_string(whole) + " streams were complete, " + std::to_string(cut)
+                        + " were cut");
+    if (whole + cut < callers)
+        return couldNotRun;
+    return cut > 3 ? ruleBroken : ruleHeld;
+}
+
 } // namespace
 
 int playCase(const std::string &name, const case_context &context)
@@ -462,6 +562,8 @@
         return playRepeatedRefusal(context);
     if (name == "two-page-list")
         return playTwoPageList(context);
+    if (name == "silent-stream")
+        return playSilentStream(context);
     if (name == "lost-answers")
         return playLostAnswers(context);
     if (name == "leaving-header")
