--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -76,8 +76,9 @@
     const auto serve = [&](replica &self, connection &with, const message &request) {
         if (context.hasTrouble && ++served == disturbedRequest) {
             isDisturbed = true;
-            context.record.note(self.id + " sends additional bytes: 503 with Not-Executed and "
-                                          "without Request-Id, before its answer to "
+            context.record.note(self.id
+                                + " sends additional bytes: 503 with Not-Executed and "
+                                  "without Request-Id, before its answer to "
                                 + request.header("request-id"));
             with.write(responseText(503, { { "Not-Executed", "1" } }, ""));
         }
@@ -97,9 +98,8 @@
     client caller(gateway.frontPort(), apiKey);
     int good = 0;
     for (int i = 1; i <= requests; ++i) {
-        const message answer
-                = caller.send("POST", "/sign/2f", requestId(i), "rider " + std::to_string(i),
-                              deadlineMs);
+        const message answer = caller.send("POST", "/sign/2f", requestId(i),
+                                           "rider " + std::to_string(i), deadlineMs);
         context.record.note("client sent " + requestId(i) + " and got "
                             + std::to_string(answer.status));
         good += answer.status == 200 ? 1 : 0;
@@ -120,17 +120,16 @@
 
 // Sends unsafe requests one after the other until the time has come. Counts those that the client
 // sent later than the limit and that the leaving replica ran.
-late_work sendUntil(std::int64_t end, std::int64_t limit, const std::string &leaving, client &caller,
-                    run_log &runs, recorder &record)
+late_work sendUntil(std::int64_t end, std::int64_t limit, const std::string &leaving,
+                    client &caller, run_log &runs, recorder &record)
 {
     std::map<std::string, int> sentLate; // status by request
     for (int i = 1; nowMs() < end; ++i) {
         const std::int64_t sentAt = nowMs();
-        const message answer
-                = caller.send("POST", "/sign/2f", requestId(i), "rider " + std::to_string(i),
-                              deadlineMs);
-        record.note("client sent " + requestId(i) + " at " + std::to_string(sentAt)
-                    + " ms and got " + std::to_string(answer.status));
+        const message answer = caller.send("POST", "/sign/2f", requestId(i),
+                                           "rider " + std::to_string(i), deadlineMs);
+        record.note("client sent " + requestId(i) + " at " + std::to_string(sentAt) + " ms and got "
+                    + std::to_string(answer.status));
         if (sentAt > limit)
             sentLate[requestId(i)] = answer.status;
         sleepMs(30);
@@ -157,10 +156,9 @@
 {
     const auto isAtWork = [&] {
         const std::vector<run> all = runs.all();
-        return std::any_of(all.rbegin(), all.rbegin() + std::min<std::ptrdiff_t>(5, all.size()),
-                           [&](const run &each) {
-                               return each.replica == leaving.id && each.endedAt < 0;
-                           });
+        return std::any_of(
+                all.rbegin(), all.rbegin() + std::min<std::ptrdiff_t>(5, all.size()),
+                [&](const run &each) { return each.replica == leaving.id && each.endedAt < 0; });
     };
     const std::int64_t end = nowMs() + 300;
     while (!isAtWork() && nowMs() < end)
@@ -365,8 +363,8 @@
         while (!m_isEnding) {
             const std::int64_t sentAt = nowMs();
             const std::string id = requestId(++m_lastId);
-            const message answer = caller.send("GET", "/look/lot-" + std::to_string(number), id,
-                                               "", deadlineMs);
+            const message answer
+                    = caller.send("GET", "/look/lot-" + std::to_string(number), id, "", deadlineMs);
             m_record.note("client sent lookup " + id + " of lot " + std::to_string(number)
                           + " and got " + std::to_string(answer.status));
             {
@@ -475,8 +473,8 @@
         std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
         return with.write(size + data + "\r\n");
     };
-    bool isOpen = with.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " + id
-                             + "\r\nResponse-Seal: 1." + self.id + "." + id
+    bool isOpen = with.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: "
+                             + id + "\r\nResponse-Seal: 1." + self.id + "." + id
                              + "\r\nTransfer-Encoding: chunked\r\n\r\n");
     for (int event = 1; isOpen && event <= events; ++event) {
         sleepMs(gapMs);
@@ -536,8 +534,8 @@
             sleepMs(100 * i);
             const std::string id = requestId(200 + i);
             context.record.note("client sends stream " + id + " on a kept connection");
-            const message answer = caller.send("POST", "/draft/2f", id,
-                                               "draft " + std::to_string(i), 20000);
+            const message answer
+                    = caller.send("POST", "/draft/2f", id, "draft " + std::to_string(i), 20000);
             context.record.note("stream " + id + ": status " + std::to_string(answer.status)
                                 + (answer.isComplete ? ", complete" : ", cut") + ", "
                                 + std::to_string(answer.body.size()) + " bytes");
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -1,5 +1,5 @@
-// Blocking HTTP/1.1 over loopback sockets for the stand-ins: servers with one thread per connection,
-// and a client that keeps its connection.
+// Blocking HTTP/1.1 over loopback sockets for the stand-ins: servers with one thread per
+// connection, and a client that keeps its connection.
 #ifndef REVIEW_STANDIN_NET_H
 #define REVIEW_STANDIN_NET_H
 
--- a/review/standin/platform.cc
+++ b/review/standin/platform.cc
@@ -6,8 +6,8 @@
 
 #include <csignal>
 #include <fcntl.h>
-#include <sys/time.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -29,8 +29,7 @@
 
 std::string base64(const std::string &bytes)
 {
-    static const char digits[]
-            = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string text;
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         std::uint32_t group = 0;
@@ -230,9 +229,8 @@
     if (isHolder)
         m_holderSeen = nowMs();
     return responseText(200, { { "Store-Era", "1" }, { "Content-Type", "application/json" } },
-                        "{\"generation\":" + std::to_string(m_generation)
-                                + ",\"parts\":" + (isHolder ? "[[\"placement\",0,0]]" : "[]")
-                                + "}");
+                        "{\"generation\":" + std::to_string(m_generation) + ",\"parts\":"
+                                + (isHolder ? "[[\"placement\",0,0]]" : "[]") + "}");
 }
 
 std::size_t run_log::begin(const std::string &request, const std::string &replica)
