--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A replica leaves while a gateway that starts reads the list of replicas page by page.
+# A sound replica pauses in streams that can't be resumed, after a SIGHUP of the gateway.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../play.sh" "$here" two-page-list
+exec "$here/../play.sh" "$here" silent-stream
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A replica that leaves says so in its answers while the store turns the gateway away.
+# A replica leaves while a gateway that starts reads the list of replicas page by page.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../play.sh" "$here" leaving-header
+exec "$here/../play.sh" "$here" two-page-list
