Do not miss records that are written between two pages of a table

Cause: a whole read went on behind the newest record of all its pages. A key of the first page that is written again before a later page is read is in no page, and lies before that record.

Change: reading goes on behind the newest record of the first page, so whatever is older was in the store when that page was read. Records that are read twice are applied once, and an older record does not replace the newer one of its key.

--- a/src/fescuedeck/gateway/platform_adapter.h
+++ b/src/fescuedeck/gateway/platform_adapter.h
@@ -120,7 +120,9 @@
 struct store_page
 {
     std::vector<store_record> records;
-    std::int64_t next = 0; // offset to read from after this page
+    // Offset to read from after this page. After a read of the newest records, some of these may
+    // have this offset or a later one, and are then read again.
+    std::int64_t next = 0;
     // Increases whenever the store has been restored from an older copy, in which case it gives out
     // offsets again.
     std::int64_t epoch = 0;
--- a/src/fescuedeck/gateway/table_follower.cpp
+++ b/src/fescuedeck/gateway/table_follower.cpp
@@ -102,18 +102,22 @@
         m_firstRetained = 0;
     if (std::exchange(m_wasRestored, false) && m_hooks.onRestored)
         m_hooks.onRestored();
+    const std::int64_t next = std::max(page.next, m_firstRetained);
+    m_position = next; // before the hooks, which may call refresh()
+    m_appliedAhead.clear();
     std::vector<std::string> keys;
     for (const store_record &record : page.records) {
         m_hooks.onRecord(record);
         if (!record.isRemoval)
             keys.push_back(record.key);
+        if (record.offset >= next)
+            m_appliedAhead[record.key] = record.offset;
     }
     m_hooks.onWholeTableRead(keys);
-    m_position = std::max(page.next, m_firstRetained);
     event_line("table_read")
             .field("table", m_settings.name)
             .field("records", static_cast<int>(page.records.size()))
-            .field("offset", *m_position)
+            .field("offset", next)
             .field("epoch", page.epoch);
 }
 
@@ -149,12 +153,20 @@
         m_firstRetained = page.next;
         m_position.reset();
     } else {
-        for (const store_record &record : page.records)
-            m_hooks.onRecord(record);
+        for (const store_record &record : page.records) {
+            if (!isApplied(record))
+                m_hooks.onRecord(record);
+        }
         m_position = page.next;
     }
 }
 
+bool table_follower::isApplied(const store_record &record) const
+{
+    const auto applied = m_appliedAhead.find(record.key);
+    return applied != m_appliedAhead.end() && record.offset <= applied->second;
+}
+
 duration table_follower::currentTimeout() const
 {
     constexpr int maxDoublings = 8;
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -50,6 +51,7 @@
 
 struct table_follower_hooks
 {
+    // Called for each record that is newer than the last one of its key.
     std::function<void(const store_record &)> onRecord;
     // The whole table has been read, after onRecord was called for each of its records. Keys that
     // are not in the list are no longer in the table.
@@ -89,6 +91,7 @@
     bool noteEpoch(const store_page &page);
     void applyWholeTable(const store_page &page);
     void applyNewRecords(const store_page &page);
+    bool isApplied(const store_record &record) const;
     bool readNewRecords(boost::asio::yield_context yield);
     duration currentTimeout() const;
     void recordReadResult(bool isSuccess, const std::string &detail);
@@ -103,8 +106,10 @@
     std::optional<std::int64_t> m_epoch;    // of the store, as last read
     bool m_wasRestored = false;             // since the last whole read
     std::int64_t m_firstRetained = 0;       // offset; the store has dropped the records before it
-    call_cancellation m_cancellation;       // of the current read
-    bool m_expectsRecords = false;          // the table has records that were not read yet
+    // Offsets of the records, by key, that the last whole read returned and that are read again.
+    std::map<std::string, std::int64_t> m_appliedAhead;
+    call_cancellation m_cancellation; // of the current read
+    bool m_expectsRecords = false;    // the table has records that were not read yet
     time_point m_lastRead{};
     bool m_isStoreUnavailable = false;
     int m_failedReads = 0; // consecutive
