Do not cut a silent stream that may not be sent again

Cause: the decision to cancel a silent attempt and the decision to retry it tested different conditions. The first did not ask whether the route allows another run.

Change: both decisions use isRetryable(). A stream that may not follow with another attempt ends at its caller's deadline.

--- a/src/fescuedeck/gateway/attempt_guards.cpp
+++ b/src/fescuedeck/gateway/attempt_guards.cpp
@@ -34,10 +34,11 @@
 
 bool retry_reservation::tryReserve()
 {
+    const double available = m_context.retryBudget.available(m_service, steadyNow());
     if (m_isReserved)
-        return true;
+        return available >= 1; // requests without a reservation may have taken the last retries
     int &reserved = m_context.reservedRetries[m_service];
-    m_isReserved = m_context.retryBudget.available(m_service, steadyNow()) >= reserved + 1;
+    m_isReserved = available >= reserved + 1;
     reserved += m_isReserved ? 1 : 0;
     return m_isReserved;
 }
--- a/src/fescuedeck/gateway/attempt_guards.h
+++ b/src/fescuedeck/gateway/attempt_guards.h
@@ -38,7 +38,8 @@
     retry_reservation(const retry_reservation &) = delete;
     retry_reservation &operator=(const retry_reservation &) = delete;
 
-    // Tries to reserve a retry if none is reserved yet. Returns whether one is reserved.
+    // Tries to reserve a retry if none is reserved yet. Returns whether one is reserved and the
+    // retry budget still has it.
     bool tryReserve();
 
 private:
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -45,6 +45,8 @@
 // memory. That says nothing about later requests, and often no other engine of the domain has its
 // layers.
 constexpr double scarceCacheFill = 0.7;
+// How often a silent stream that must not be sent again is checked for whether that has changed.
+constexpr duration retryCheckInterval = std::chrono::milliseconds(200);
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
 constexpr duration answerMargin = std::chrono::milliseconds(30);
 
@@ -193,24 +195,31 @@
     m_giveUpReason = give_up_reason::AttemptsExhausted;
     if (isQuarantined())
         m_giveUpReason = give_up_reason::Quarantined;
-    if (!isRetryable(last))
+    if (!isRetryable(last, m_possibleRuns))
         return false;
     m_giveUpReason = give_up_reason::RetryBudgetExhausted;
     return m_context.retryBudget.takeRetry(m_service, steadyNow());
 }
 
-bool forwarded_call::isRetryable(attempt_outcome last) const
+bool forwarded_call::isRetryable(attempt_outcome last, int possibleRuns) const
 {
-    const bool isIdempotent = isRetryableRoute();
+    const bool isIdempotent = isRepeatable(m_route);
     const bool mayRunAgain = last == attempt_outcome::NotRun
                              || (last == attempt_outcome::MayHaveRun && isIdempotent)
                              || (last == attempt_outcome::Interrupted && m_route.isResumable);
     if (isQuarantined())
         return false;
-    return mayRunAgain && !m_hasCallerLeft && m_possibleRuns < m_route.maxAttempts
+    return mayRunAgain && !m_hasCallerLeft && possibleRuns < m_route.maxAttempts
            && m_attempts < m_route.maxAttempts + maxExtraAttempts && remainingTime() > answerMargin;
 }
 
+bool forwarded_call::isRetryableIfAttemptFails() const
+{
+    const attempt_outcome outcome
+            = m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
+    return isRetryable(outcome, m_possibleRuns + 1);
+}
+
 double forwarded_call::expectedAnswerTokens() const
 {
     const auto maxTokens = static_cast<double>(m_info.maxAnswerTokens);
@@ -293,14 +302,14 @@
                    static_cast<int>(m_context.retryBudget.available(m_service, steadyNow())));
 }
 
-// Cancelling early helps only if the request can continue: it needs another attempt, another
-// destination and a retry of the budget. Without the retry the stream would be aborted.
+// An attempt is cancelled early only if another one may follow it, because the stream would be
+// aborted otherwise, and a silent endpoint may be sound. Whether one may follow can change.
 duration forwarded_call::timeUntilStall(attempt &current) const
 {
-    const bool canContinue = m_possibleRuns + 1 < m_route.maxAttempts && current.hasAlternative
-                             && current.retry.tryReserve();
+    if (!isRetryableIfAttemptFails() || !current.retry.tryReserve())
+        return retryCheckInterval;
     const duration limit = current.timing.stallLimit(
-            { m_route.latencyObjective, m_route.gapObjective }, canContinue);
+            { m_route.latencyObjective, m_route.gapObjective }, current.hasAlternative);
     return fescuedeck::timeUntilStall(current.stages, current.timing.lastActivityAt(), limit,
                                       steadyNow());
 }
@@ -427,7 +436,7 @@
     ++m_possibleRuns;
     // Callers read these statuses as a promise that the request has not run. On a route that must
     // not run twice, that promise would make callers repeat a request that may have run.
-    const bool isMisleadingStatus = answer.statusImpliesNotRun && !isRetryableRoute();
+    const bool isMisleadingStatus = answer.statusImpliesNotRun && !isRepeatable(m_route);
     if (current.isUnusable || isMisleadingStatus || !isValidAnswer(answer, response)) {
         event_line("answer_unusable", event_level::Warning)
                 .field("request", m_info.id)
@@ -444,7 +453,8 @@
         return attempt_outcome::Interrupted;
     // The endpoint itself failed, so another endpoint may succeed.
     const bool isEndpointFailure = response.status >= firstErrorStatus;
-    const bool isRetried = isEndpointFailure && isRetryable(attempt_outcome::MayHaveRun)
+    const bool isRetried = isEndpointFailure
+                           && isRetryable(attempt_outcome::MayHaveRun, m_possibleRuns)
                            && m_context.retryBudget.available(m_service, steadyNow()) >= 1;
     if (isEndpointFailure) {
         event_line("endpoint_failed_request", event_level::Warning)
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -96,9 +96,11 @@
     // Decides whether another attempt follows, and if so takes a retry from the retry budget. Sets
     // m_giveUpReason.
     bool acquireRetry(attempt_outcome last);
-    // Whether another attempt is allowed, regardless of the retry budget.
-    bool isRetryable(attempt_outcome last) const;
-    bool isRetryableRoute() const { return m_route.kind == call_kind::Safe || m_route.isResumable; }
+    // Whether another attempt is allowed, regardless of the retry budget, if the request may have
+    // run in this many attempts.
+    bool isRetryable(attempt_outcome last, int possibleRuns) const;
+    // Whether another attempt may follow the current one if that fails after it may have run.
+    bool isRetryableIfAttemptFails() const;
     bool isQuarantined() const { return m_context.crashes.isQuarantined(identity, steadyNow()); }
     // The endpoint closed the connection, which it also does when it crashes.
     void recordIfAbandoned(const destination &to, const attempt &current,
@@ -108,7 +110,8 @@
     void recordEarlyEnd(const destination &to);
     // Ends the request without a good answer: refuses it, or aborts a stream that has started.
     void giveUp(attempt_outcome last);
-    // Time until the attempt is cancelled if the stream produces no event.
+    // Time until the attempt is cancelled if the stream produces no event, or until this must be
+    // asked again.
     duration timeUntilStall(attempt &current) const;
     void recordReceivedEvents(attempt &current);
     void recordRelayedEvents(time_point now);
--- a/src/fescuedeck/gateway/gateway_config.h
+++ b/src/fescuedeck/gateway/gateway_config.h
@@ -140,6 +140,12 @@
     std::unordered_map<std::string, const service_rule *> m_services;
 };
 
+// Whether a request of the route may run more than once.
+inline bool isRepeatable(const route_rule &route)
+{
+    return route.kind == call_kind::Safe || (route.kind == call_kind::Stream && route.isResumable);
+}
+
 // Selects one service of the route at random, with probabilities in proportion to the weights.
 const std::string &drawService(const route_rule &route, const random_fn &random);
 
