Do not take a late refusal without an id for one of the next request

Cause: an endpoint may send an additional response, late, where the next one is expected. If that was a refusal without a Request-Id, the request that waited on the connection was sent to a second endpoint while the first was running it. The connection was also used again, although the real response was still to come on it.

Change: the HTTP client asks whether a response belongs to the request. One that does not ends the use of its connection. Requests that can be retried fail at once and go elsewhere; others wait up to 2 s for their own response, so that their callers get it.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -45,6 +45,8 @@
 // memory. That says nothing about later requests, and often no other engine of the domain has its
 // layers.
 constexpr double scarceCacheFill = 0.7;
+// How long a request that cannot be retried waits for its response after one to another request.
+constexpr duration maxWaitAfterUnexpected = std::chrono::seconds(2);
 // How often a silent stream that must not be sent again is checked for whether that has changed.
 constexpr duration retryCheckInterval = std::chrono::milliseconds(200);
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
@@ -250,6 +252,13 @@
     call.timeout = remainingTime();
     call.connectTimeout = connectTimeout;
     call.cancellation = current.cancellation;
+    // Without an id, a late response to an earlier request cannot be told from the expected one.
+    call.freshConnection = m_info.id.empty();
+    call.isExpected = [this](const http_response &head, bool isReusedConnection) {
+        return isResponseToThisRequest(m_context.adapter.readResponse(head), isReusedConnection);
+    };
+    if (!isRetryableIfAttemptFails())
+        call.waitAfterUnexpected = maxWaitAfterUnexpected;
     if (m_route.kind == call_kind::Stream) {
         current.hasAlternative = m_destinations.hasAlternativeTo(to);
         call.timeUntilStall = [this, &current] { return timeUntilStall(current); };
@@ -395,6 +404,12 @@
     return answer;
 }
 
+bool forwarded_call::isResponseToThisRequest(const response_info &answer,
+                                             bool isReusedConnection) const
+{
+    return answer.id == m_info.id || (answer.id.empty() && !isReusedConnection);
+}
+
 bool forwarded_call::isValidAnswer(const response_info &answer, const http_response &response) const
 {
     return answer.id == m_info.id && !answer.isEncoded
@@ -413,16 +428,14 @@
                                          : readNewResponse(*to.first, response);
     m_endpointFailure.reset();
     to.first->lastProgressAt = steadyNow();
-    // A faulty endpoint may repeat its refusal of an earlier request, which says nothing about this
-    // one.
-    const bool namesAnotherRequest = !answer.id.empty() && answer.id != m_info.id;
-    if ((answer.didNotRun || answer.isMisdirected) && !namesAnotherRequest) {
+    if (answer.didNotRun || answer.isMisdirected) {
         m_wasEndpointBusy = m_wasEndpointBusy || !answer.isMisdirected;
         event_line("sending_refused", event_level::Warning)
                 .field("request", m_info.id)
                 .field("endpoint", to.first->entry.id)
                 .field("sending", m_attempts)
                 .field("status", response.status)
+                .field("answers", answer.id)
                 .field("at_fault", answer.faultAddress);
         const endpoint_ptr fault = stageAt(to, answer.faultAddress);
         const bool isFull
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -127,6 +127,9 @@
     // a chain, asks it for a report.
     void suspectEndpoint(const destination &to, const std::string &faultAddress);
     duration remainingTime() const { return deadline - steadyNow(); }
+    // Whether the answer belongs to this request. A faulty endpoint may send additional responses,
+    // late, where the next one is expected. They name an earlier request, or none.
+    bool isResponseToThisRequest(const response_info &answer, bool isReusedConnection) const;
     // Whether the answer belongs to this request, has the requested encoding and, if it is a
     // success, is sealed by the endpoint.
     bool isValidAnswer(const response_info &answer, const http_response &response) const;
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -241,8 +241,15 @@
     return static_cast<int>(count);
 }
 
-// A server that sends more of them before its response is in trouble.
-constexpr int maxInterimResponses = 16;
+// A server that sends more interim and unexpected responses before the expected one is in trouble.
+constexpr int maxSkippedResponses = 16;
+
+bool isInterim(const http::response<http::string_body> &message)
+{
+    const http::status status = message.result();
+    return http::to_status_class(status) == http::status_class::informational
+           && status != http::status::switching_protocols;
+}
 
 // One call: up to two attempts under one deadline.
 class http_call
@@ -280,7 +287,10 @@
     result<http_response> exchange();
     std::size_t writeRequest(error_code &error);
     result<http_response> readResponse();
+    std::optional<failure> readExpectedHead(error_code &error);
+    bool isExpected() const;
     void readHead(error_code &error);
+    void dropBody(error_code &error);
     void readBody(error_code &error);
     void limitNextStep(duration limit);
     void watchForStall();
@@ -304,6 +314,7 @@
     bool m_isReused = false;   // connection of the current attempt
     bool m_wroteBytes = false; // by the current attempt
     bool m_gotBytes = false;
+    bool m_gotUnexpected = false; // a response that does not belong to the request
     bool m_mayHaveBeenSent = false;
 };
 
@@ -379,7 +390,7 @@
     // read even if writing failed.
     auto response = readResponse();
     const bool mayReuse = response && !writeError && m_parser->keep_alive() && m_buffer.size() == 0
-                          && m_socket.is_open() && !isAborted();
+                          && !m_gotUnexpected && m_socket.is_open() && !isAborted();
     if (mayReuse)
         m_core.put(m_address, std::move(m_socket));
     return response;
@@ -396,12 +407,8 @@
 {
     error_code error;
     watchForStall();
-    int heads = 0;
-    do {
-        readHead(error);
-        if (++heads > maxInterimResponses)
-            return describe(errc::InvalidMessage, "too many interim responses");
-    } while (!error && m_parser->get().result() == http::status::continue_);
+    if (const auto unusable = readExpectedHead(error))
+        return *unusable;
     if (!error && m_options.onHead)
         m_options.onHead(toHead(m_parser->get()));
     if (!error)
@@ -411,6 +418,44 @@
     return toResponse(m_parser->release());
 }
 
+// Reads heads until one belongs to the request. Returns a failure if the responses cannot be used;
+// error is set if reading has failed.
+std::optional<failure> http_call::readExpectedHead(error_code &error)
+{
+    for (int skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
+        readHead(error);
+        if (error)
+            return std::nullopt;
+        if (isInterim(m_parser->get()))
+            continue;
+        if (isExpected()) {
+            limitNextStep({});
+            return std::nullopt;
+        }
+        m_gotUnexpected = true;
+        if (m_options.waitAfterUnexpected <= duration::zero())
+            return describe(errc::InvalidMessage, "the response belongs to another request");
+        limitNextStep(m_options.waitAfterUnexpected);
+        dropBody(error);
+        if (error)
+            return std::nullopt;
+    }
+    return describe(errc::InvalidMessage, "too many responses before the expected one");
+}
+
+bool http_call::isExpected() const
+{
+    return !m_options.isExpected || m_options.isExpected(toHead(m_parser->get()), m_isReused);
+}
+
+void http_call::dropBody(error_code &error)
+{
+    while (!error && !m_parser->is_done()) {
+        http::async_read_some(m_socket, m_buffer, *m_parser, m_yield[error]);
+        m_parser->get().body().clear();
+    }
+}
+
 void http_call::readHead(error_code &error)
 {
     m_parser.emplace();
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -57,6 +57,13 @@
     // a new connection. Without this flag that happens only if no byte had been written.
     bool idempotent = false;
     std::optional<call_cancellation> cancellation;
+    // Whether a response with this head belongs to the request. isReusedConnection says whether the
+    // connection has served earlier requests, whose responses may still arrive on it. Without this
+    // hook every response belongs to the request.
+    std::function<bool(const http_response &head, bool isReusedConnection)> isExpected;
+    // How long the call waits for the response to its request after one that does not belong to it.
+    // Zero lets the call fail at once. In both cases the connection serves no further requests.
+    duration waitAfterUnexpected{};
     // Gets status and headers before the body arrives, on the strand of the caller.
     std::function<void(const http_response &)> onHead;
     // Gets each part of the response body as it arrives, on the strand of the caller.
@@ -88,8 +95,8 @@
 // behind it; a call that fails in any way closes its connection.
 //
 // Failures: ConnectionFailed (no connection), Timeout, ConnectionClosed (by the other end or by
-// cancellation), TooLarge (response), InvalidMessage (response is not HTTP), InvalidRequest and
-// InvalidSettings (the request or address cannot be sent).
+// cancellation), TooLarge (response), InvalidMessage (response is not HTTP, or belongs to another
+// request), InvalidRequest and InvalidSettings (the request or address cannot be sent).
 class http_client
 {
 public:
