Limit the memory of all response bodies together

Operators reported: endpoints that sent bytes without end filled the memory of the host that had called them, and the requests of others ended with its process.

Change: the bodies that a client collects at the same time share a limit of 48 MiB. Beyond it, those that are larger than an equal share fail, so that small ones go on. A failure on a route with streams may have 1 MiB.

Test: "responses that outgrow the memory of all calls fail, and small ones do not". Not measured with a gateway process.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -47,6 +47,8 @@
 constexpr double scarceCacheFill = 0.7;
 // How long a request that cannot be retried waits for its response after one to another request.
 constexpr duration maxWaitAfterUnexpected = std::chrono::seconds(2);
+// Largest body of a failure response on a route with streams.
+constexpr std::size_t maxFailureBytes = 1024 * 1024;
 // How often a silent stream that must not be sent again is checked for whether that has changed.
 constexpr duration retryCheckInterval = std::chrono::milliseconds(200);
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
@@ -362,6 +364,10 @@
 {
     if (!current.isStream) {
         current.head.body += part; // of a failure, which is relayed as a whole
+        if (current.head.body.size() > maxFailureBytes) {
+            current.isUnusable = true;
+            current.cancellation.cancel();
+        }
         return;
     }
     const std::size_t eventsBefore = current.events.completeEvents();
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "fescuedeck/net/http_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <mutex>
 #include <unordered_map>
 #include <vector>
@@ -155,6 +156,8 @@
 
     asio::io_context &ioContext;
     const http_client_limits limits;
+    std::atomic<std::size_t> collectedBytes{ 0 }; // of all bodies that are being collected
+    std::atomic<std::size_t> collectedBodies{ 0 };
 
 private:
     struct idle_connection
@@ -251,6 +254,37 @@
            && status != http::status::switching_protocols;
 }
 
+// Counts the bytes of one body that is being collected.
+class collected_body
+{
+public:
+    explicit collected_body(http_client_core &core)
+        : m_core(core)
+    {
+        ++m_core.collectedBodies;
+    }
+    ~collected_body()
+    {
+        m_core.collectedBytes -= m_size;
+        --m_core.collectedBodies;
+    }
+    collected_body(const collected_body &) = delete;
+    collected_body &operator=(const collected_body &) = delete;
+
+    // Returns whether the body may grow further.
+    bool resize(std::size_t size)
+    {
+        m_core.collectedBytes += size - m_size; // unsigned arithmetic, so that it may shrink
+        m_size = size;
+        const std::size_t limit = m_core.limits.maxCollectedBytes;
+        return m_core.collectedBytes <= limit || m_size <= limit / m_core.collectedBodies;
+    }
+
+private:
+    http_client_core &m_core;
+    std::size_t m_size = 0;
+};
+
 // One call: up to two attempts under one deadline.
 class http_call
 {
@@ -468,23 +502,21 @@
 
 void http_call::readBody(error_code &error)
 {
-    if (!m_options.onBodyPart) {
-        if (!m_parser->is_done())
-            http::async_read(m_socket, m_buffer, *m_parser, m_yield[error]);
-        return;
-    }
     // An eager parser would also wait for the header of the next chunk.
-    m_parser->eager(false);
+    m_parser->eager(!m_options.onBodyPart);
+    collected_body collected(m_core);
     std::size_t delivered = 0;
     while (!error && !m_parser->is_done()) {
         watchForStall();
         http::async_read_some(m_socket, m_buffer, *m_parser, m_yield[error]);
         std::string &body = m_parser->get().body();
-        if (body.size() > delivered)
+        if (m_options.onBodyPart && body.size() > delivered)
             m_options.onBodyPart(std::string_view(body).substr(delivered));
-        if (!m_options.collectsBody)
+        if (m_options.onBodyPart && !m_options.collectsBody)
             body.clear();
         delivered = body.size();
+        if (!collected.resize(body.size()) && !m_parser->is_done())
+            error = http::error::body_limit;
     }
 }
 
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -85,6 +85,10 @@
 {
     std::size_t maxResponseHeaderBytes = 16 * 1024;
     std::size_t maxResponseBytes = 16 * 1024 * 1024;
+    // Of the bodies that are being collected at the same time. Beyond it, the responses that are
+    // larger than an equal share of this size fail, so that servers that send without end do not
+    // use up the memory of all calls.
+    std::size_t maxCollectedBytes = 48 * 1024 * 1024;
     int maxIdlePerAddress = 64;
     // Idle connections beyond this age are closed. It must be below the idle timeout of the
     // servers, so that a request rarely meets a connection that the server is closing.
--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -211,6 +211,41 @@
     CHECK(outcome.response.error().code == answer.second);
 }
 
+// Guards against servers that send without end and use up the memory which all calls need.
+TEST_CASE("responses that outgrow the memory of all calls fail, and small ones do not", "[net]")
+{
+    constexpr std::size_t limit = 1024 * 1024;
+    std::atomic<bool> isOver{ false };
+    const auto sendWithoutEnd = [&](tcp::acceptor &acceptor) {
+        raw_connection connection(acceptor);
+        connection.receiveUntil("body");
+        connection.send("HTTP/1.1 500 Error\r\n\r\n" + std::string(limit / 2, 'x'));
+        while (!isOver)
+            connection.send(std::string(64 * 1024, 'x'));
+    };
+    scripted_server first(sendWithoutEnd);
+    scripted_server second(sendWithoutEnd);
+    http_client_limits limits;
+    limits.maxCollectedBytes = limit;
+    test_io io;
+    http_client client(io.context(), limits);
+    http_server sound(io.context(), {}, [](http_exchange &exchange) {
+        exchange.respond({ 200, {}, std::string(1000, 'x') });
+    });
+    REQUIRE_FALSE(sound.listen("127.0.0.1:0"));
+    auto one = std::async([&] { return call(io, client, first.port()); });
+    auto other = std::async([&] { return call(io, client, second.port()); });
+    for (int i = 0; i < 20; ++i)
+        CHECK(call(io, client, sound.port()).response);
+    const auto oneOutcome = one.get();
+    const auto otherOutcome = other.get();
+    isOver = true;
+    REQUIRE_FALSE(oneOutcome.response);
+    REQUIRE_FALSE(otherOutcome.response);
+    CHECK(oneOutcome.response.error().code == errc::TooLarge);
+    CHECK(otherOutcome.response.error().code == errc::TooLarge);
+}
+
 // Guards against a server in trouble that sends bytes which are no answer until its client closes
 // the connection. The parts are repeated without end after the beginning.
 TEST_CASE("a response without end fails soon and closes its connection", "[net]")
