Refuse what a stopping gateway could cut off

Operators reported: in a planned stop, requests that came late in the grace period were passed on and cut at its end, also some that may not be repeated (LOST). It can happen here if the grace period is short or a route has a long timeout, because requests were taken for 3 s after SIGTERM whatever the period and the route.

Change: the times of a stop are limited to shares of the grace period, which leaves them unchanged for one of 8 s. A request that must not be repeated is refused as not run if its time limit lies beyond the end of the process.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -72,6 +72,14 @@
 constexpr duration shutdownPollInterval = std::chrono::milliseconds(20);
 // The process ends this long before the end of the grace period, when it would be killed.
 constexpr duration shutdownMargin = std::chrono::milliseconds(400);
+// In a short grace period, the two times above take no more than these shares of it.
+constexpr double maxNoticeShare = 0.32;
+constexpr double maxAcceptanceShare = 0.4;
+
+duration shareOf(duration time, double share)
+{
+    return std::chrono::duration_cast<duration>(time * share);
+}
 
 // A quarantine is stored with its end as Unix time in milliseconds, so that a gateway which starts
 // later does not apply one that is over.
@@ -516,12 +524,15 @@
 void gateway::shutDown(boost::asio::yield_context yield)
 {
     event_line("stopping").field("open_requests", m_callerServer.openExchanges());
-    const time_point deadline = steadyNow() + m_context.settings.gracePeriod - shutdownMargin;
+    const duration gracePeriod = m_context.settings.gracePeriod;
+    const time_point now = steadyNow();
     m_context.isStopping = true;
-    m_context.acceptsRequestsUntil = steadyNow() + acceptanceTime;
-    sleepFor(shutdownNotice, yield);
+    m_context.endsAt = now + gracePeriod - shutdownMargin;
+    m_context.acceptsRequestsUntil
+            = now + std::min<duration>(acceptanceTime, shareOf(gracePeriod, maxAcceptanceShare));
+    sleepFor(std::min<duration>(shutdownNotice, shareOf(gracePeriod, maxNoticeShare)), yield);
     m_callerServer.stopAccepting();
-    while (m_callerServer.openConnections() > 0 && steadyNow() < deadline)
+    while (m_callerServer.openConnections() > 0 && steadyNow() < m_context.endsAt)
         sleepFor(shutdownPollInterval, yield);
     event_line("stopped").field("open_requests", m_callerServer.openExchanges());
     flushEventLog();
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -67,6 +67,8 @@
     bool isStopping = false;
     // Requests that are read later are refused.
     time_point acceptsRequestsUntil = time_point::max();
+    // The process ends then, whatever requests are open. Set once it is stopping.
+    time_point endsAt = time_point::max();
     // The estimated time at which layers that are missing now will have been loaded.
     time_point layersExpectedAt{};
 };
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -93,6 +93,11 @@
         return refuse(refusal_reason::NoKey);
     // A workspace may have several keys and change them.
     const std::string caller = workspace == nullptr ? info.key : workspace->name;
+    const duration timeLimit = timeLimitOf(info, *route);
+    // A request that must not be repeated and that the end of this process may cut off is lost,
+    // while another gateway can still run it.
+    if (!isRepeatable(*route) && arrivedAt + timeLimit > m_context.endsAt)
+        return refuse(refusal_reason::Stopping);
     request_identity identity{ fingerprintOf(exchange.request(), caller),
                                sharedSegmentsOf(info.promptSegments) };
     if (m_context.crashes.isQuarantined(identity, steadyNow()))
@@ -101,7 +106,7 @@
     call.workspace = workspace == nullptr ? std::string() : workspace->name;
     call.identity = std::move(identity);
     call.arrivedAt = arrivedAt;
-    call.deadline = arrivedAt + timeLimitOf(info, *route);
+    call.deadline = arrivedAt + timeLimit;
     call.run();
 }
 
