--- a/src/fescuedeck/net/http_server.cpp
+++ b/src/fescuedeck/net/http_server.cpp
@@ -92,6 +92,13 @@
     return request;
 }
 
+// Whether the body ends where the parser cannot tell. The bytes of such a body would be taken for
+// further requests.
+bool hasUnknownFraming(const http::request<http::string_body> &message)
+{
+    return message.find(http::field::transfer_encoding) != message.end() && !message.chunked();
+}
+
 bool hasBody(int status)
 {
     return status >= 200 && status != 204 && status != 304;
@@ -190,6 +197,7 @@
     bool readRequest();
     bool sendContinue();
     void reject(const error_code &error);
+    void rejectFraming();
     void runExchange();
     std::optional<std::string> callHandler();
     void endExchange();
@@ -308,6 +316,10 @@
     }
     if (!m_parser->is_done())
         return false;
+    if (hasUnknownFraming(m_parser->get())) {
+        rejectFraming();
+        return false;
+    }
     m_keepAlive = m_parser->get().keep_alive();
     m_version = m_parser->get().version() == 10 ? 10 : 11;
     m_isHead = m_parser->get().method() == http::verb::head;
@@ -332,6 +344,12 @@
         respond(*response);
 }
 
+void http_connection::rejectFraming()
+{
+    const char *detail = "the last transfer encoding of the body must be chunked";
+    respond(errorResponse(400, makeFailure(errc::InvalidRequest, detail), "not-run"));
+}
+
 void http_connection::runExchange()
 {
     const auto exceptionText = callHandler();
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -84,6 +84,26 @@
     CHECK(answerTo("GET /ok HTTP/1.0\r\n\r\n").find("echo /ok") != std::string::npos);
 }
 
+// Guards against taking the bytes of a body for further requests.
+TEST_CASE("a body whose end cannot be found is refused and ends the connection", "[net]")
+{
+    const std::string encoding = GENERATE(as<std::string>{}, "gzip", "chunked, gzip", "identity");
+    test_io io;
+    std::atomic<int> handled{ 0 };
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        ++handled;
+        exchange.respond({});
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection caller(server.port());
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + encoding
+                + "\r\n\r\nGET /inner HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answer = caller.receiveAll();
+    CHECK(answer.rfind("HTTP/1.1 400 ", 0) == 0);
+    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(handled == 0);
+}
+
 TEST_CASE("a handler that throws gives status 500 and an unknown outcome", "[net]")
 {
     test_io io;
