Move the idle connections and the limit of bodies out of the HTTP client

The pool of idle connections and the memory limit of the bodies being collected are modules of their own now. No change of behaviour.

--- /dev/null
+++ b/src/fescuedeck/net/connection_pool.cpp
@@ -0,0 +1,91 @@
+#include "fescuedeck/net/connection_pool.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "fescuedeck/net/tcp_socket.h"
+
+namespace fescuedeck::detail {
+namespace {
+
+constexpr duration sweepInterval = std::chrono::seconds(1);
+
+} // namespace
+
+connection_pool::connection_pool(int maxPerAddress, duration maxAge)
+    : m_maxPerAddress(maxPerAddress)
+    , m_maxAge(maxAge)
+{
+}
+
+std::optional<connection_pool::tcp::socket> connection_pool::take(const std::string &address)
+{
+    idle_list aged;
+    std::optional<tcp::socket> socket;
+    do {
+        const std::lock_guard lock(m_mutex);
+        if (aged.empty())
+            aged = sweep(steadyNow());
+        const auto found = m_idle.find(address);
+        if (found == m_idle.end() || found->second.empty())
+            return std::nullopt;
+        socket = std::move(found->second.back().socket);
+        const bool isAged = steadyNow() - found->second.back().since > m_maxAge;
+        found->second.pop_back();
+        if (isAged)
+            socket.reset();
+    } while (!socket || probeSocket(*socket) != socket_state::Quiet);
+    return socket;
+}
+
+void connection_pool::put(const std::string &address, tcp::socket socket)
+{
+    idle_list aged;
+    const std::lock_guard lock(m_mutex);
+    aged = sweep(steadyNow());
+    idle_list &list = m_idle[address];
+    if (static_cast<int>(list.size()) < m_maxPerAddress)
+        list.push_back({ std::move(socket), steadyNow() });
+}
+
+connection_pool::idle_list connection_pool::sweep(time_point now)
+{
+    idle_list aged;
+    if (now - m_lastSweep < sweepInterval)
+        return aged;
+    m_lastSweep = now;
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        idle_list &list = entry->second;
+        const auto firstKept
+                = std::find_if(list.begin(), list.end(), [&](const idle_connection &idle) {
+                      return now - idle.since <= m_maxAge;
+                  });
+        std::move(list.begin(), firstKept, std::back_inserter(aged));
+        list.erase(list.begin(), firstKept);
+        entry = list.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+    return aged;
+}
+
+void connection_pool::drop(const std::string &address)
+{
+    idle_list dropped;
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return;
+    dropped = std::move(found->second);
+    m_idle.erase(found);
+}
+
+int connection_pool::size()
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t count = 0;
+    for (const auto &entry : m_idle)
+        count += entry.second.size();
+    return static_cast<int>(count);
+}
+
+} // namespace fescuedeck::detail
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -1,15 +1,14 @@
 #include "fescuedeck/net/http_client.h"
 
 #include <algorithm>
-#include <atomic>
 #include <mutex>
-#include <unordered_map>
-#include <vector>
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "fescuedeck/net/collected_bodies.h"
+#include "fescuedeck/net/connection_pool.h"
 #include "fescuedeck/net/tcp_socket.h"
 
 namespace fescuedeck {
@@ -22,7 +21,6 @@
 using boost::system::error_code;
 
 constexpr std::size_t readChunkBytes = 64 * 1024;
-constexpr duration sweepInterval = std::chrono::seconds(1);
 
 bool isTargetCharacter(char c)
 {
@@ -139,111 +137,24 @@
     std::shared_ptr<cancellable_socket> m_socket;
 };
 
+// Shared by a client and its calls, which may outlive it.
 class http_client_core
 {
 public:
     http_client_core(asio::io_context &io, http_client_limits clientLimits)
         : ioContext(io)
         , limits(clientLimits)
+        , idle(clientLimits.maxIdlePerAddress, clientLimits.maxIdleAge)
+        , bodies(clientLimits.maxCollectedBytes)
     {
     }
 
-    // An open idle connection, or none.
-    std::optional<tcp::socket> take(const std::string &address);
-    void put(const std::string &address, tcp::socket socket);
-    void dropIdle(const std::string &address);
-    int idleConnections();
-
     asio::io_context &ioContext;
     const http_client_limits limits;
-    std::atomic<std::size_t> collectedBytes{ 0 }; // of all bodies that are being collected
-    std::atomic<std::size_t> collectedBodies{ 0 };
-
-private:
-    struct idle_connection
-    {
-        tcp::socket socket;
-        time_point since;
-    };
-    using idle_list = std::vector<idle_connection>;
-
-    // Returns the connections beyond the age limit, to be closed after the lock is released.
-    idle_list sweep(time_point now);
-
-    std::mutex m_mutex;                                // leaf lock
-    std::unordered_map<std::string, idle_list> m_idle; // the newest connection is last
-    time_point m_lastSweep{};
+    connection_pool idle;
+    collected_bodies bodies;
 };
 
-std::optional<tcp::socket> http_client_core::take(const std::string &address)
-{
-    idle_list aged;
-    std::optional<tcp::socket> socket;
-    do {
-        const std::lock_guard lock(m_mutex);
-        if (aged.empty())
-            aged = sweep(steadyNow());
-        const auto found = m_idle.find(address);
-        if (found == m_idle.end() || found->second.empty())
-            return std::nullopt;
-        socket = std::move(found->second.back().socket);
-        const bool isAged = steadyNow() - found->second.back().since > limits.maxIdleAge;
-        found->second.pop_back();
-        if (isAged)
-            socket.reset();
-    } while (!socket || probeSocket(*socket) != socket_state::Quiet);
-    return socket;
-}
-
-void http_client_core::put(const std::string &address, tcp::socket socket)
-{
-    idle_list aged;
-    const std::lock_guard lock(m_mutex);
-    aged = sweep(steadyNow());
-    idle_list &list = m_idle[address];
-    if (static_cast<int>(list.size()) < limits.maxIdlePerAddress)
-        list.push_back({ std::move(socket), steadyNow() });
-}
-
-http_client_core::idle_list http_client_core::sweep(time_point now)
-{
-    idle_list aged;
-    if (now - m_lastSweep < sweepInterval)
-        return aged;
-    m_lastSweep = now;
-    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
-        idle_list &list = entry->second;
-        const auto firstKept
-                = std::find_if(list.begin(), list.end(), [&](const idle_connection &idle) {
-                      return now - idle.since <= limits.maxIdleAge;
-                  });
-        std::move(list.begin(), firstKept, std::back_inserter(aged));
-        list.erase(list.begin(), firstKept);
-        entry = list.empty() ? m_idle.erase(entry) : std::next(entry);
-    }
-    return aged;
-}
-
-void http_client_core::dropIdle(const std::string &address)
-{
-    idle_list dropped;
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_idle.find(address);
-    if (found == m_idle.end())
-        return;
-    dropped = std::move(found->second);
-    m_idle.erase(found);
-}
-
-int http_client_core::idleConnections()
-{
-    const std::lock_guard lock(m_mutex);
-    std::size_t count = 0;
-    for (const auto &entry : m_idle)
-        count += entry.second.size();
-    return static_cast<int>(count);
-}
-
 // A server that sends more interim and unexpected responses before the expected one is in trouble.
 constexpr int maxSkippedResponses = 16;
 
@@ -254,37 +165,6 @@
            && status != http::status::switching_protocols;
 }
 
-// Counts the bytes of one body that is being collected.
-class collected_body
-{
-public:
-    explicit collected_body(http_client_core &core)
-        : m_core(core)
-    {
-        ++m_core.collectedBodies;
-    }
-    ~collected_body()
-    {
-        m_core.collectedBytes -= m_size;
-        --m_core.collectedBodies;
-    }
-    collected_body(const collected_body &) = delete;
-    collected_body &operator=(const collected_body &) = delete;
-
-    // Returns whether the body may grow further.
-    bool resize(std::size_t size)
-    {
-        m_core.collectedBytes += size - m_size; // unsigned arithmetic, so that it may shrink
-        m_size = size;
-        const std::size_t limit = m_core.limits.maxCollectedBytes;
-        return m_core.collectedBytes <= limit || m_size <= limit / m_core.collectedBodies;
-    }
-
-private:
-    http_client_core &m_core;
-    std::size_t m_size = 0;
-};
-
 // One call: up to two attempts under one deadline.
 class http_call
 {
@@ -361,7 +241,7 @@
     m_end = steadyNow() + m_options.timeout;
     limitNextStep({});
     if (!m_options.freshConnection) {
-        if (auto idle = m_core.take(m_address)) {
+        if (auto idle = m_core.idle.take(m_address)) {
             m_socket = std::move(*idle);
             m_isReused = true;
             auto response = exchange();
@@ -426,7 +306,7 @@
     const bool mayReuse = response && !writeError && m_parser->keep_alive() && m_buffer.size() == 0
                           && !m_gotUnexpected && m_socket.is_open() && !isAborted();
     if (mayReuse)
-        m_core.put(m_address, std::move(m_socket));
+        m_core.idle.put(m_address, std::move(m_socket));
     return response;
 }
 
@@ -504,7 +384,7 @@
 {
     // An eager parser would also wait for the header of the next chunk.
     m_parser->eager(!m_options.onBodyPart);
-    collected_body collected(m_core);
+    collected_body collected(m_core.bodies);
     std::size_t delivered = 0;
     while (!error && !m_parser->is_done()) {
         watchForStall();
@@ -587,12 +467,12 @@
 
 void http_client::dropIdle(const std::string &address)
 {
-    m_core->dropIdle(address);
+    m_core->idle.drop(address);
 }
 
 int http_client::idleConnections() const
 {
-    return m_core->idleConnections();
+    return m_core->idle.size();
 }
 
 } // namespace fescuedeck
