--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -16,6 +16,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -70,6 +71,20 @@
     return bound;
 }
 
+// Keeps other test processes, and later calls in this one, from taking the port. The lock ends with
+// this process.
+bool reservePort(int port)
+{
+    const auto folder = std::filesystem::temp_directory_path() / "fescuedeck-test-ports";
+    std::filesystem::create_directories(folder);
+    const std::string file = (folder / std::to_string(port)).string();
+    const int descriptor = open(file.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0666);
+    const bool isReserved = descriptor >= 0 && flock(descriptor, LOCK_EX | LOCK_NB) == 0;
+    if (!isReserved && descriptor >= 0)
+        close(descriptor);
+    return isReserved;
+}
+
 std::vector<char *> argumentPointers(std::vector<std::string> *arguments)
 {
     std::vector<char *> pointers;
@@ -104,7 +119,7 @@
     const std::lock_guard lock(mutex);
     for (int i = 0; i < portTries; ++i) {
         const int port = firstPort + static_cast<int>(engine() % portCount);
-        if (canListen(port))
+        if (canListen(port) && reservePort(port))
             return port;
     }
     throw std::runtime_error("no free loopback port found");
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -32,7 +32,8 @@
 // Path of a program of the same build.
 std::string programPath(const std::string &name);
 
-// A loopback port that is free now. It lies below the ports that the kernel gives to clients, so
+// A loopback port that is free now and that no other call returns, in any test process, until this
+// process ends. It lies below the ports that the kernel gives to clients, so
 // that no outgoing connection takes it before a child listens on it.
 int freePort();
 
