Send orders to engines on connections of their own

The same cause as for callers' requests: on a reused connection, a late response to an earlier request could be taken for the outcome of an order. Reports need no change: a response that is no report is ignored.

Test: "an order gets a connection of its own" fails without the change (one order on a reused connection).

--- a/src/fescuedeck/gateway/placement_lease.cpp
+++ b/src/fescuedeck/gateway/placement_lease.cpp
@@ -164,6 +164,8 @@
         return controller.clear();
     call_options options;
     options.timeout = m_settings.orderTimeout;
+    // On a reused connection a late response to an earlier request could be taken for the outcome.
+    options.freshConnection = true;
     const std::int64_t fencingToken
             = m_fencingToken; // a renewal can change the member during the call
     const call_result result = m_context.client.send(
--- a/src/fescuedeck/gateway/placement_lease_test.cpp
+++ b/src/fescuedeck/gateway/placement_lease_test.cpp
@@ -3,6 +3,7 @@
 #include "fescuedeck/gateway/placement_lease.h"
 
 #include <atomic>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -89,7 +90,12 @@
         , m_inspector(context)
         , m_lease(context, "one", shortLease())
         , m_engine(io.context(), {}, [this](http_exchange &exchange) {
-            orders += exchange.request().method == "POST" ? 1 : 0;
+            const bool isOrder = exchange.request().method == "POST";
+            if (isOrder && !m_engineCallers.insert(exchange.callerAddress()).second)
+                ++ordersOnReusedConnections;
+            if (!isOrder)
+                m_engineCallers.insert(exchange.callerAddress());
+            orders += isOrder ? 1 : 0;
             exchange.respond({ 200, {}, "" });
         })
     {
@@ -125,6 +131,17 @@
     std::atomic<int> joins{ 0 };
     std::atomic<int> refusedReleases{ 0 };
     std::atomic<int> orders{ 0 }; // received by the live engine
+    std::atomic<int> ordersOnReusedConnections{ 0 };
+    // Leaves an idle connection to the live engine.
+    void fetchReport()
+    {
+        io.run([this](boost::asio::yield_context yield) {
+            call_options options;
+            options.timeout = testWaitLimit;
+            return m_client.send(liveAddress(), { "GET", "/report", {}, "" }, options, yield)
+                    .mayHaveBeenSent;
+        });
+    }
 
 private:
     http_client m_client;
@@ -135,6 +152,7 @@
 private:
     engine_inspector m_inspector;
     placement_lease m_lease;
+    std::set<std::string> m_engineCallers; // addresses of connections to the live engine
     http_server m_engine;
 };
 
@@ -153,6 +171,18 @@
     CHECK(eventually([&] { return fixture.orders > 0; }));
 }
 
+// Guards against taking a late response to an earlier request for the outcome of an order.
+TEST_CASE("an order gets a connection of its own", "[gateway]")
+{
+    lease_fixture fixture;
+    fixture.fetchReport();
+    fixture.add("a-live", fixture.liveAddress(), std::nullopt);
+    fixture.add("b-live", fixture.liveAddress(), layer_range{ 4, 8 });
+    fixture.start();
+    CHECK(eventually([&] { return fixture.orders > 0; }));
+    CHECK(fixture.ordersOnReusedConnections == 0);
+}
+
 // Guards against lost layers that no gateway reloads. If a holder that is stopped during an outage
 // of the store gave up its lease, no other gateway could acquire the lease until the store is back.
 TEST_CASE("a holder that is stopped during an outage sends orders until it can release the lease",
