--- a/src/fescuedeck/gateway/attempt_guards.cpp
+++ b/src/fescuedeck/gateway/attempt_guards.cpp
@@ -36,7 +36,7 @@
 {
     const double available = m_context.retryBudget.available(m_service, steadyNow());
     if (m_isReserved)
-        return available >= 1; // requests without a reservation may have taken the last retries
+        return available >= 1;
     int &reserved = m_context.reservedRetries[m_service];
     m_isReserved = available >= reserved + 1;
     reserved += m_isReserved ? 1 : 0;
--- a/src/fescuedeck/gateway/attempt_guards.h
+++ b/src/fescuedeck/gateway/attempt_guards.h
@@ -38,8 +38,8 @@
     retry_reservation(const retry_reservation &) = delete;
     retry_reservation &operator=(const retry_reservation &) = delete;
 
-    // Tries to reserve a retry if none is reserved yet. Returns whether one is reserved and the
-    // retry budget still has it.
+    // Tries to reserve a retry if none is reserved yet. Returns false if none is reserved, or if
+    // requests without a reservation have used the budget up.
     bool tryReserve();
 
 private:
--- a/src/fescuedeck/gateway/event_timing.cpp
+++ b/src/fescuedeck/gateway/event_timing.cpp
@@ -15,8 +15,8 @@
 constexpr int usualGapFactor = 4;
 constexpr int usualFirstEventFactor = 3;
 constexpr duration minStallLimit = std::chrono::milliseconds(100);
-// The limit of a stream that cannot continue elsewhere is this many times the default.
-constexpr int noContinuationFactor = 4;
+// The limit without another destination is this many times the default.
+constexpr int noAlternativeFactor = 4;
 // The usual gap moves towards each new gap by one part in this many.
 constexpr int gapSmoothing = 4;
 
@@ -35,10 +35,10 @@
     m_lastEventAt = now;
 }
 
-duration event_timing::stallLimit(const event_objectives &objectives, bool canContinue) const
+duration event_timing::stallLimit(const event_objectives &objectives, bool hasAlternative) const
 {
-    constexpr duration maxStallLimit = defaultStallLimit * noContinuationFactor;
-    if (!canContinue)
+    constexpr duration maxStallLimit = defaultStallLimit * noAlternativeFactor;
+    if (!hasAlternative)
         return maxStallLimit;
     const duration objective = hasBegun() ? objectives.gap : objectives.firstEvent;
     const double share = hasBegun() ? gapObjectiveShare : firstEventObjectiveShare;
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -45,11 +45,11 @@
 // memory. That says nothing about later requests, and often no other engine of the domain has its
 // layers.
 constexpr double scarceCacheFill = 0.7;
-// How long a request that cannot be retried waits for its response after one to another request.
+// How long a request that cannot be retried waits for its own response after another one arrived.
 constexpr duration maxWaitAfterUnexpected = std::chrono::seconds(2);
 // Largest body of a failure response on a route with streams.
 constexpr std::size_t maxFailureBytes = 1024 * 1024;
-// How often a silent stream that must not be sent again is checked for whether that has changed.
+// A silent stream that cannot be retried is checked this often, because it may become retryable.
 constexpr duration retryCheckInterval = std::chrono::milliseconds(200);
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
 constexpr duration answerMargin = std::chrono::milliseconds(30);
@@ -313,8 +313,8 @@
                    static_cast<int>(m_context.retryBudget.available(m_service, steadyNow())));
 }
 
-// An attempt is cancelled early only if another one may follow it, because the stream would be
-// aborted otherwise, and a silent endpoint may be sound. Whether one may follow can change.
+// A silent endpoint may be sound. Its attempt is cancelled only if another one may follow, because
+// the stream would be aborted otherwise.
 duration forwarded_call::timeUntilStall(attempt &current) const
 {
     if (!isRetryableIfAttemptFails() || !current.retry.tryReserve())
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -96,10 +96,10 @@
     // Decides whether another attempt follows, and if so takes a retry from the retry budget. Sets
     // m_giveUpReason.
     bool acquireRetry(attempt_outcome last);
-    // Whether another attempt is allowed, regardless of the retry budget, if the request may have
-    // run in this many attempts.
+    // Whether another attempt is allowed, regardless of the retry budget, after possibleRuns
+    // attempts in which the request may have run.
     bool isRetryable(attempt_outcome last, int possibleRuns) const;
-    // Whether another attempt may follow the current one if that fails after it may have run.
+    // Whether another attempt is allowed if the current one fails and may have run the request.
     bool isRetryableIfAttemptFails() const;
     bool isQuarantined() const { return m_context.crashes.isQuarantined(identity, steadyNow()); }
     // The endpoint closed the connection, which it also does when it crashes.
@@ -110,8 +110,8 @@
     void recordEarlyEnd(const destination &to);
     // Ends the request without a good answer: refuses it, or aborts a stream that has started.
     void giveUp(attempt_outcome last);
-    // Time until the attempt is cancelled if the stream produces no event, or until this must be
-    // asked again.
+    // Time until the attempt is cancelled if the stream produces no event, or until it is checked
+    // again.
     duration timeUntilStall(attempt &current) const;
     void recordReceivedEvents(attempt &current);
     void recordRelayedEvents(time_point now);
@@ -127,8 +127,8 @@
     // a chain, asks it for a report.
     void suspectEndpoint(const destination &to, const std::string &faultAddress);
     duration remainingTime() const { return deadline - steadyNow(); }
-    // Whether the answer belongs to this request. A faulty endpoint may send additional responses,
-    // late, where the next one is expected. They name an earlier request, or none.
+    // Whether the answer belongs to this request. A faulty endpoint may send additional responses
+    // late, in place of the next one. They name an earlier request, or none.
     bool isResponseToThisRequest(const response_info &answer, bool isReusedConnection) const;
     // Whether the answer belongs to this request, has the requested encoding and, if it is a
     // success, is sealed by the endpoint.
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -72,7 +72,7 @@
 constexpr duration shutdownPollInterval = std::chrono::milliseconds(20);
 // The process ends this long before the end of the grace period, when it would be killed.
 constexpr duration shutdownMargin = std::chrono::milliseconds(400);
-// In a short grace period, the two times above take no more than these shares of it.
+// shutdownNotice and acceptanceTime take no more than these shares of a short grace period.
 constexpr double maxNoticeShare = 0.32;
 constexpr double maxAcceptanceShare = 0.4;
 
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -94,8 +94,8 @@
     // A workspace may have several keys and change them.
     const std::string caller = workspace == nullptr ? info.key : workspace->name;
     const duration timeLimit = timeLimitOf(info, *route);
-    // A request that must not be repeated and that the end of this process may cut off is lost,
-    // while another gateway can still run it.
+    // The end of this process could cut the request off, and nobody may repeat it then. Another
+    // gateway can still run it.
     if (!isRepeatable(*route) && arrivedAt + timeLimit > m_context.endsAt)
         return refuse(refusal_reason::Stopping);
     request_identity identity{ fingerprintOf(exchange.request(), caller),
--- a/src/fescuedeck/gateway/table_follower.h
+++ b/src/fescuedeck/gateway/table_follower.h
@@ -106,7 +106,8 @@
     std::optional<std::int64_t> m_epoch;    // of the store, as last read
     bool m_wasRestored = false;             // since the last whole read
     std::int64_t m_firstRetained = 0;       // offset; the store has dropped the records before it
-    // Offsets of the records, by key, that the last whole read returned and that are read again.
+    // By key, the offsets of the records that the last whole read has returned and that lie behind
+    // the offset from which reading continues.
     std::map<std::string, std::int64_t> m_appliedAhead;
     call_cancellation m_cancellation; // of the current read
     bool m_expectsRecords = false;    // the table has records that were not read yet
--- a/src/fescuedeck/net/collected_bodies.h
+++ b/src/fescuedeck/net/collected_bodies.h
@@ -1,7 +1,7 @@
-// A memory limit for the response bodies that are being collected at the same time.
+// A memory limit for all response bodies that are collected at the same time.
 //
-// Once the limit is reached, only bodies that are larger than an equal share of it must end. So
-// servers that send without end do not use up the memory that all calls need.
+// Once it is exceeded, only the bodies that are larger than an equal share of it must end. So a
+// server that sends without end does not use up the memory that other calls need.
 #ifndef FESCUEDECK_NET_COLLECTED_BODIES_H
 #define FESCUEDECK_NET_COLLECTED_BODIES_H
 
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -155,7 +155,8 @@
     collected_bodies bodies;
 };
 
-// A server that sends more interim and unexpected responses before the expected one is in trouble.
+// Of interim and unexpected responses before the expected one. A faulty server may send them for
+// ever.
 constexpr int maxSkippedResponses = 16;
 
 bool isInterim(const http::response<http::string_body> &message)
@@ -201,10 +202,10 @@
     result<http_response> exchange();
     std::size_t writeRequest(error_code &error);
     result<http_response> readResponse();
-    std::optional<failure> readExpectedHead(error_code &error);
+    std::optional<failure> readExpectedHead();
     bool isExpected() const;
     void readHead(error_code &error);
-    void dropBody(error_code &error);
+    void skipResponse(error_code &error);
     void readBody(error_code &error);
     void limitNextStep(duration limit);
     void watchForStall();
@@ -228,7 +229,7 @@
     bool m_isReused = false;   // connection of the current attempt
     bool m_wroteBytes = false; // by the current attempt
     bool m_gotBytes = false;
-    bool m_gotUnexpected = false; // a response that does not belong to the request
+    bool m_gotUnexpected = false; // a response that was skipped
     bool m_mayHaveBeenSent = false;
 };
 
@@ -319,40 +320,36 @@
 
 result<http_response> http_call::readResponse()
 {
-    error_code error;
     watchForStall();
-    if (const auto unusable = readExpectedHead(error))
-        return *unusable;
-    if (!error && m_options.onHead)
+    if (const auto failed = readExpectedHead())
+        return *failed;
+    if (m_options.onHead)
         m_options.onHead(toHead(m_parser->get()));
-    if (!error)
-        readBody(error);
+    error_code error;
+    readBody(error);
     if (error)
         return describe(kindOfReadError(error), error.message());
     return toResponse(m_parser->release());
 }
 
-// Reads heads until one belongs to the request. Returns a failure if the responses cannot be used;
-// error is set if reading has failed.
-std::optional<failure> http_call::readExpectedHead(error_code &error)
+// Reads heads until one belongs to the request.
+std::optional<failure> http_call::readExpectedHead()
 {
     for (int skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
+        error_code error;
         readHead(error);
-        if (error)
-            return std::nullopt;
-        if (isInterim(m_parser->get()))
+        if (!error && isInterim(m_parser->get()))
             continue;
-        if (isExpected()) {
-            limitNextStep({});
+        if (!error && isExpected()) {
+            limitNextStep({}); // ends the shorter limit after an unexpected response
             return std::nullopt;
         }
-        m_gotUnexpected = true;
-        if (m_options.waitAfterUnexpected <= duration::zero())
+        if (!error && m_options.waitAfterUnexpected <= duration::zero())
             return describe(errc::InvalidMessage, "the response belongs to another request");
-        limitNextStep(m_options.waitAfterUnexpected);
-        dropBody(error);
+        if (!error)
+            skipResponse(error);
         if (error)
-            return std::nullopt;
+            return describe(kindOfReadError(error), error.message());
     }
     return describe(errc::InvalidMessage, "too many responses before the expected one");
 }
@@ -362,8 +359,10 @@
     return !m_options.isExpected || m_options.isExpected(toHead(m_parser->get()), m_isReused);
 }
 
-void http_call::dropBody(error_code &error)
+void http_call::skipResponse(error_code &error)
 {
+    m_gotUnexpected = true;
+    limitNextStep(m_options.waitAfterUnexpected);
     while (!error && !m_parser->is_done()) {
         http::async_read_some(m_socket, m_buffer, *m_parser, m_yield[error]);
         m_parser->get().body().clear();
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -57,12 +57,12 @@
     // a new connection. Without this flag that happens only if no byte had been written.
     bool idempotent = false;
     std::optional<call_cancellation> cancellation;
-    // Whether a response with this head belongs to the request. isReusedConnection says whether the
-    // connection has served earlier requests, whose responses may still arrive on it. Without this
-    // hook every response belongs to the request.
+    // Whether a response with this head belongs to the request. On a reused connection, additional
+    // responses to earlier requests may arrive late. Without this hook every response belongs to
+    // the request.
     std::function<bool(const http_response &head, bool isReusedConnection)> isExpected;
-    // How long the call waits for the response to its request after one that does not belong to it.
-    // Zero lets the call fail at once. In both cases the connection serves no further requests.
+    // How long the call waits for its response after one that is not expected; zero if it fails at
+    // once. The connection serves no further requests then.
     duration waitAfterUnexpected{};
     // Gets status and headers before the body arrives, on the strand of the caller.
     std::function<void(const http_response &)> onHead;
@@ -85,9 +85,8 @@
 {
     std::size_t maxResponseHeaderBytes = 16 * 1024;
     std::size_t maxResponseBytes = 16 * 1024 * 1024;
-    // Of the bodies that are being collected at the same time. Beyond it, the responses that are
-    // larger than an equal share of this size fail, so that servers that send without end do not
-    // use up the memory of all calls.
+    // Of all response bodies that are collected at the same time. Once it is exceeded, those that
+    // are larger than an equal share of it fail, so that small ones go on.
     std::size_t maxCollectedBytes = 48 * 1024 * 1024;
     int maxIdlePerAddress = 64;
     // Idle connections beyond this age are closed. It must be below the idle timeout of the
--- a/src/fescuedeck/net/http_server.cpp
+++ b/src/fescuedeck/net/http_server.cpp
@@ -92,8 +92,8 @@
     return request;
 }
 
-// Whether the body ends where the parser cannot tell. The bytes of such a body would be taken for
-// further requests.
+// Whether the parser cannot tell where the body ends. It would take the body's bytes for further
+// requests.
 bool hasUnknownFraming(const http::request<http::string_body> &message)
 {
     return message.find(http::field::transfer_encoding) != message.end() && !message.chunked();
