Log the connection of a sending that was refused, failed or unusable

The log could not tell whether the second refusal of a request came on the connection of the first one, which is what distinguishes the hypotheses of the incident. The local port of the connection identifies it.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -442,7 +442,9 @@
                 .field("sending", m_attempts)
                 .field("status", response.status)
                 .field("answers", answer.id)
-                .field("at_fault", answer.faultAddress);
+                .field("at_fault", answer.faultAddress)
+                .field("connection", static_cast<int>(result.localPort))
+                .field("reused", result.reusedConnection);
         const endpoint_ptr fault = stageAt(to, answer.faultAddress);
         const bool isFull
                 = !answer.isMisdirected && (answer.faultAddress.empty() || isShortOfMemory(*fault));
@@ -462,7 +464,8 @@
                 .field("endpoint", to.first->entry.id)
                 .field("status", response.status)
                 .field("answers", answer.id)
-                .field("sealed", answer.isSealed);
+                .field("sealed", answer.isSealed)
+                .field("connection", static_cast<int>(result.localPort));
         suspectEndpoint(to, {});
         return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
     }
@@ -502,6 +505,7 @@
             .field("sending", m_attempts)
             .field("may_have_run", result.mayHaveBeenSent)
             .field("begun", m_hasStreamStarted)
+            .field("connection", static_cast<int>(result.localPort))
             .field("cause", errorName(static_cast<errc>(error.code.value())));
     if (!result.mayHaveBeenSent) {
         m_context.endpoints.suspect(to.first->entry.id, steadyNow());
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -200,6 +200,7 @@
 
     std::optional<failure> connect(const tcp::endpoint &endpoint);
     result<http_response> exchange();
+    call_result resultOf(result<http_response> response) const;
     std::size_t writeRequest(error_code &error);
     result<http_response> readResponse();
     std::optional<failure> readExpectedHead();
@@ -225,8 +226,9 @@
 
     beast::flat_buffer m_buffer;
     std::optional<response_parser> m_parser;
-    time_point m_end{};        // of the whole call
-    bool m_isReused = false;   // connection of the current attempt
+    time_point m_end{};      // of the whole call
+    bool m_isReused = false; // connection of the current attempt
+    std::uint16_t m_localPort = 0;
     bool m_wroteBytes = false; // by the current attempt
     bool m_gotBytes = false;
     bool m_gotUnexpected = false; // a response that was skipped
@@ -247,7 +249,7 @@
             m_isReused = true;
             auto response = exchange();
             if (response || !mayRetry())
-                return { std::move(response), m_mayHaveBeenSent, m_isReused };
+                return resultOf(std::move(response));
         }
     }
     m_isReused = false;
@@ -255,8 +257,12 @@
     if (const auto error = connect(endpoint))
         return { *error, m_mayHaveBeenSent };
     limitNextStep({});
-    auto response = exchange();
-    return { std::move(response), m_mayHaveBeenSent };
+    return resultOf(exchange());
+}
+
+call_result http_call::resultOf(result<http_response> response) const
+{
+    return { std::move(response), m_mayHaveBeenSent, m_isReused, m_localPort };
 }
 
 // limit is zero if only the end of the whole call counts.
@@ -296,6 +302,8 @@
     m_buffer.clear();
     m_buffer.max_size(m_core.limits.maxResponseHeaderBytes + readChunkBytes);
 
+    error_code ignored;
+    m_localPort = m_socket.local_endpoint(ignored).port();
     error_code writeError;
     m_wroteBytes = writeRequest(writeError) > 0;
     m_mayHaveBeenSent = m_mayHaveBeenSent || m_wroteBytes;
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -4,6 +4,7 @@
 #define FESCUEDECK_NET_HTTP_CLIENT_H
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -79,6 +80,9 @@
     bool mayHaveBeenSent = false;
     // Whether the request went out on a connection that had served others before.
     bool reusedConnection = false;
+    // Local port of that connection, which tells the connections to an address apart; 0 if there
+    // was none.
+    std::uint16_t localPort = 0;
 };
 
 struct http_client_limits
