Do not send a request again on a connection on which it was refused

What callers saw: a write that an endpoint had refused ran twice, or its caller was told with 503 that it had not run although it ran.

Cause: an endpoint may send a copy of a refusal later. The gateway recognizes a late response by its id, but the copy bears the id of the refused request. The gateway sends such a request again itself, and it avoids the endpoint that refused, not the connection: an endpoint that has started again is sent the request under its old and its new id at the same address, and the first engine of a chain that refuses for another engine is sent the request with another chain. The pool gives out the connection that was used last, which is the one that still owes the copy. The copy then counts as the refusal of the second sending.

Change: a pooled connection remembers the ids of the requests that got an error response on it, and a request does not use a connection that remembers its id. This works because a copy can only arrive on the connection of the original. The memory belongs to the connection rather than to the request, so that it also holds if a request comes to the gateway twice. It is bounded: a connection with 16 such ids is closed. Only requests that are sent to the same address again open a further connection.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -254,6 +254,7 @@
     call.timeout = remainingTime();
     call.connectTimeout = connectTimeout;
     call.cancellation = current.cancellation;
+    call.requestId = m_info.id;
     // Without an id, a late response to an earlier request cannot be told from the expected one.
     call.freshConnection = m_info.id.empty();
     call.isExpected = [this](const http_response &head, bool isReusedConnection) {
--- a/src/fescuedeck/net/connection_pool.cpp
+++ b/src/fescuedeck/net/connection_pool.cpp
@@ -13,40 +13,62 @@
 
 } // namespace
 
+bool failed_request_ids::contains(const std::string &id) const
+{
+    return std::find(m_ids.begin(), m_ids.end(), id) != m_ids.end();
+}
+
 connection_pool::connection_pool(int maxPerAddress, duration maxAge)
     : m_maxPerAddress(maxPerAddress)
     , m_maxAge(maxAge)
 {
 }
 
-std::optional<connection_pool::tcp::socket> connection_pool::take(const std::string &address)
+std::optional<pooled_connection> connection_pool::take(const std::string &address,
+                                                       const std::string &requestId)
 {
     idle_list aged;
-    std::optional<tcp::socket> socket;
+    std::optional<idle_connection> taken;
+    bool isUsable = false;
     do {
         const std::lock_guard lock(m_mutex);
         if (aged.empty())
             aged = sweep(steadyNow());
         const auto found = m_idle.find(address);
-        if (found == m_idle.end() || found->second.empty())
+        if (found == m_idle.end())
+            return std::nullopt;
+        taken = takeLast(found->second, requestId);
+        if (!taken)
             return std::nullopt;
-        socket = std::move(found->second.back().socket);
-        const bool isAged = steadyNow() - found->second.back().since > m_maxAge;
-        found->second.pop_back();
-        if (isAged)
-            socket.reset();
-    } while (!socket || probeSocket(*socket) != socket_state::Quiet);
-    return socket;
+        isUsable = steadyNow() - taken->since <= m_maxAge
+                   && probeSocket(taken->connection.socket) == socket_state::Quiet;
+    } while (!isUsable);
+    return std::move(taken->connection);
 }
 
-void connection_pool::put(const std::string &address, tcp::socket socket)
+std::optional<connection_pool::idle_connection>
+connection_pool::takeLast(idle_list &list, const std::string &requestId)
 {
+    const auto last = std::find_if(list.rbegin(), list.rend(), [&](const idle_connection &idle) {
+        return !idle.connection.failedRequests.contains(requestId);
+    });
+    if (last == list.rend())
+        return std::nullopt;
+    idle_connection taken = std::move(*last);
+    list.erase(std::next(last).base());
+    return taken;
+}
+
+void connection_pool::put(const std::string &address, pooled_connection connection)
+{
+    if (connection.failedRequests.isFull())
+        return;
     idle_list aged;
     const std::lock_guard lock(m_mutex);
     aged = sweep(steadyNow());
     idle_list &list = m_idle[address];
     if (static_cast<int>(list.size()) < m_maxPerAddress)
-        list.push_back({ std::move(socket), steadyNow() });
+        list.push_back({ std::move(connection), steadyNow() });
 }
 
 connection_pool::idle_list connection_pool::sweep(time_point now)
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -21,6 +21,7 @@
 using boost::system::error_code;
 
 constexpr std::size_t readChunkBytes = 64 * 1024;
+constexpr int firstErrorStatus = 400;
 
 bool isTargetCharacter(char c)
 {
@@ -229,7 +230,8 @@
     time_point m_end{};      // of the whole call
     bool m_isReused = false; // connection of the current attempt
     std::uint16_t m_localPort = 0;
-    bool m_wroteBytes = false; // by the current attempt
+    failed_request_ids m_failedRequests; // on the connection of the current attempt
+    bool m_wroteBytes = false;           // by the current attempt
     bool m_gotBytes = false;
     bool m_gotUnexpected = false; // a response that was skipped
     bool m_mayHaveBeenSent = false;
@@ -244,8 +246,9 @@
     m_end = steadyNow() + m_options.timeout;
     limitNextStep({});
     if (!m_options.freshConnection) {
-        if (auto idle = m_core.idle.take(m_address)) {
-            m_socket = std::move(*idle);
+        if (auto idle = m_core.idle.take(m_address, m_options.requestId)) {
+            m_socket = std::move(idle->socket);
+            m_failedRequests = std::move(idle->failedRequests);
             m_isReused = true;
             auto response = exchange();
             if (response || !mayRetry())
@@ -253,6 +256,7 @@
         }
     }
     m_isReused = false;
+    m_failedRequests = {};
     limitNextStep(m_options.connectTimeout);
     if (const auto error = connect(endpoint))
         return { *error, m_mayHaveBeenSent };
@@ -314,8 +318,11 @@
     auto response = readResponse();
     const bool mayReuse = response && !writeError && m_parser->keep_alive() && m_buffer.size() == 0
                           && !m_gotUnexpected && m_socket.is_open() && !isAborted();
-    if (mayReuse)
-        m_core.idle.put(m_address, std::move(m_socket));
+    if (mayReuse) {
+        if (response.value().status >= firstErrorStatus && !m_options.requestId.empty())
+            m_failedRequests.add(m_options.requestId);
+        m_core.idle.put(m_address, { std::move(m_socket), std::move(m_failedRequests) });
+    }
     return response;
 }
 
--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -176,6 +176,46 @@
     CHECK(outcome.response.value().body == "ok");
 }
 
+// Guards against taking the copy of an error response for the response to the same request, which
+// was sent again on the same connection.
+TEST_CASE("a request that has failed on a connection does not use it again", "[net]")
+{
+    test_io io;
+    std::vector<std::string> callers;
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        callers.push_back(exchange.callerAddress());
+        exchange.respond({ 503, {}, "" });
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    http_client client(io.context());
+    for (const char *id : { "a", "b", "a", "b" }) {
+        call_options sameId = options();
+        sameId.requestId = id;
+        REQUIRE(call(io, client, server.port(), sameId).response);
+    }
+    CHECK(callers[0] == callers[1]);
+    CHECK(callers[0] != callers[2]);
+    CHECK(callers[2] == callers[3]);
+}
+
+// Guards against connections that remember failed requests without a limit, or forget one.
+TEST_CASE("a connection on which many requests have failed is closed", "[net]")
+{
+    constexpr int maxFailures = 16;
+    test_io io;
+    http_server server(io.context(), {}, [](http_exchange &exchange) {
+        exchange.respond({ 503, {}, "" });
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    http_client client(io.context());
+    for (int i = 1; i <= maxFailures; ++i) {
+        call_options numbered = options();
+        numbered.requestId = std::to_string(i);
+        REQUIRE(call(io, client, server.port(), numbered).response);
+        CHECK(client.idleConnections() == (i < maxFailures ? 1 : 0));
+    }
+}
+
 TEST_CASE("an aged idle connection is not reused", "[net]")
 {
     http_client_limits limits;
