Remember failed requests on a connection only while they can be sent again

Ids were kept as they are, and callers choose their length.

An id matters only until the deadline of its request, because nothing is sent again after that. A connection now remembers up to 64 requests with their deadlines, forgets those that are over, and is closed only if 64 can still be sent again. It keeps hashes; a collision costs one connection.

--- a/src/fescuedeck/net/connection_pool.cpp
+++ b/src/fescuedeck/net/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "fescuedeck/base/hash.h"
 #include "fescuedeck/net/tcp_socket.h"
 
 namespace fescuedeck::detail {
@@ -13,9 +14,25 @@
 
 } // namespace
 
-bool failed_request_ids::contains(const std::string &id) const
+bool failed_requests::contains(const std::string &id) const
 {
-    return std::find(m_ids.begin(), m_ids.end(), id) != m_ids.end();
+    return std::any_of(m_requests.begin(), m_requests.end(),
+                       [hash = stableHash(id)](const failed_request &request) {
+                           return request.idHash == hash;
+                       });
+}
+
+void failed_requests::add(const std::string &id, time_point until)
+{
+    m_requests.push_back({ stableHash(id), until });
+}
+
+bool failed_requests::isFull(time_point now)
+{
+    const auto isOver = [now](const failed_request &request) { return request.until <= now; };
+    m_requests.erase(std::remove_if(m_requests.begin(), m_requests.end(), isOver),
+                     m_requests.end());
+    return m_requests.size() >= maxRequests;
 }
 
 connection_pool::connection_pool(int maxPerAddress, duration maxAge)
@@ -61,7 +78,7 @@
 
 void connection_pool::put(const std::string &address, pooled_connection connection)
 {
-    if (connection.failedRequests.isFull())
+    if (connection.failedRequests.isFull(steadyNow()))
         return;
     idle_list aged;
     const std::lock_guard lock(m_mutex);
--- a/src/fescuedeck/net/connection_pool.h
+++ b/src/fescuedeck/net/connection_pool.h
@@ -3,6 +3,7 @@
 #define FESCUEDECK_NET_CONNECTION_POOL_H
 
 #include <cstddef>
+#include <cstdint>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -15,27 +16,36 @@
 
 namespace fescuedeck::detail {
 
-// Ids of the requests that got an error response on a connection. A faulty server may send a copy
-// of such a response later. If the request is under way again on the same connection then, its id
-// does not tell the copy from the response to the second sending.
-class failed_request_ids
+// The requests that got an error response on a connection. A faulty server may send a copy of such
+// a response later. If the request is under way again on the same connection then, its id does not
+// tell the copy from the response to the second sending.
+//
+// Ids are kept as hashes, because callers choose their length. A collision costs a connection.
+class failed_requests
 {
 public:
     bool contains(const std::string &id) const;
-    void add(const std::string &id) { m_ids.push_back(id); }
-    // A full connection is to be closed, because it could not remember a further id.
-    bool isFull() const { return m_ids.size() >= maxIds; }
+    // The request may be sent again until the given time.
+    void add(const std::string &id, time_point until);
+    // Whether the connection is to be closed, because it could not remember a further request.
+    // Forgets the requests that cannot be sent again.
+    bool isFull(time_point now);
 
 private:
-    static constexpr std::size_t maxIds = 16;
+    struct failed_request
+    {
+        std::uint64_t idHash = 0;
+        time_point until{};
+    };
+    static constexpr std::size_t maxRequests = 64;
 
-    std::vector<std::string> m_ids;
+    std::vector<failed_request> m_requests;
 };
 
 struct pooled_connection
 {
     boost::asio::ip::tcp::socket socket;
-    failed_request_ids failedRequests;
+    failed_requests failedRequests;
 };
 
 // Thread-safe.
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -230,8 +230,8 @@
     time_point m_end{};      // of the whole call
     bool m_isReused = false; // connection of the current attempt
     std::uint16_t m_localPort = 0;
-    failed_request_ids m_failedRequests; // on the connection of the current attempt
-    bool m_wroteBytes = false;           // by the current attempt
+    failed_requests m_failedRequests; // on the connection of the current attempt
+    bool m_wroteBytes = false;        // by the current attempt
     bool m_gotBytes = false;
     bool m_gotUnexpected = false; // a response that was skipped
     bool m_mayHaveBeenSent = false;
@@ -320,7 +320,7 @@
                           && !m_gotUnexpected && m_socket.is_open() && !isAborted();
     if (mayReuse) {
         if (response.value().status >= firstErrorStatus && !m_options.requestId.empty())
-            m_failedRequests.add(m_options.requestId);
+            m_failedRequests.add(m_options.requestId, m_end);
         m_core.idle.put(m_address, { std::move(m_socket), std::move(m_failedRequests) });
     }
     return response;
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -55,8 +55,8 @@
     // Opens a new connection instead of reusing an idle one.
     bool freshConnection = false;
     // Id that responses repeat; empty if they repeat none. A request that has got an error response
-    // does not use the same connection again, because a faulty server may send a copy of that
-    // response there, under the same id.
+    // does not use the same connection again before the timeout has passed, because a faulty server
+    // may send a copy of that response there, under the same id.
     std::string requestId;
     // A call that fails on a reused connection before any byte of the response is sent once more on
     // a new connection. Without this flag that happens only if no byte had been written.
