Do not believe a success that is marked as not run

Found by review; no caller has seen it. A response with the mark of a refusal and a success status counted as a refusal. A write that an endpoint answers in this way might run twice, because connections remember only error responses, and a stream could be sent again after its events had reached the caller. Such a response contradicts itself: it now counts as unusable, after which a request that must run once is not sent again.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -419,7 +419,7 @@
 
 bool forwarded_call::isValidAnswer(const response_info &answer, const http_response &response) const
 {
-    return answer.id == m_info.id && !answer.isEncoded
+    return answer.id == m_info.id && !answer.isEncoded && !answer.isContradictory
            && (answer.isSealed || !isSuccess(response.status));
 }
 
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -130,8 +130,8 @@
     // Whether the answer belongs to this request. A faulty endpoint may send additional responses
     // late, in place of the next one. They name an earlier request, or none.
     bool isResponseToThisRequest(const response_info &answer, bool isReusedConnection) const;
-    // Whether the answer belongs to this request, has the requested encoding and, if it is a
-    // success, is sealed by the endpoint.
+    // Whether the answer belongs to this request, has the requested encoding, does not contradict
+    // itself and, if it is a success, is sealed by the endpoint.
     bool isValidAnswer(const response_info &answer, const http_response &response) const;
     // Records the log line and the metrics of the request.
     void finish(const char *outcome);
--- a/src/fescuedeck/gateway/platform_adapter.h
+++ b/src/fescuedeck/gateway/platform_adapter.h
@@ -54,9 +54,10 @@
 // What the head of an endpoint's response states.
 struct response_info
 {
-    std::string id;         // id of the request that it responds to; empty if it names none
-    bool isSealed = false;  // carries a seal, by which the endpoint confirms it
-    bool didNotRun = false; // the endpoint states that it has not run the request
+    std::string id;               // id of the request that it responds to; empty if it names none
+    bool isSealed = false;        // carries a seal, by which the endpoint confirms it
+    bool didNotRun = false;       // the endpoint states that it has not run the request
+    bool isContradictory = false; // states that it has not run the request, with a success
     bool statusImpliesNotRun = false; // callers conclude from the status that it has not run
     bool isMisdirected = false; // another endpoint has the address, or a layer range is not there
     bool isEncoded = false;     // the body has a content encoding, which was not requested
