Tests: children inherit no sockets of the stand-ins

A gateway that the soak started again inherited the listening sockets and the connections of the endpoints of that moment. An endpoint that ended kept its address for as long as that gateway lived: new connections to it hung instead of being refused, those of other gateways stayed open, and no other endpoint could listen there ("Address already in use" for 10 s, when the soak started an endpoint again at its address). Children now get descriptors 0 to 2 only.

--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -163,6 +163,8 @@
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_outputFile.c_str(), flags, mode);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, m_errorFile.c_str(), flags, mode);
+    // A child that inherits the sockets of stand-ins keeps them open after the stand-in has ended.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error
             = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
