--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -59,6 +59,11 @@
     // their hosts. Work that a few gateways can do for all is left to these. A gateway that reaches
     // no other one is always among them.
     std::function<bool(int count)> isAmongFirst = [](int) { return true; };
+    // Whether this gateway reaches no endpoint, so that its own observations of endpoints say nothing
+    // about them. Set by the owner.
+    std::function<bool()> isIsolated = [] { return false; };
+    // Whether some live peer reports that it reaches endpoints. Set by the owner.
+    std::function<bool()> hasVouchingPeer = [] { return false; };
     bool hasEndpointList = false; // the endpoint table has been read at least once
     // After this time an endpoint that is not in the endpoint table has really gone. Before it, an
     // endpoint may be missing because its announcement expired during an outage of the store.
