Decide whether the links to the endpoints are lost, and do not blame endpoints then

Callers saw refusals and moved layers after a gateway had lost its links: it called sound engines lost, and its peers believed it. Now the outcomes of new connections, with a few probes, decide whether the gateway is isolated. What it has found since the last new connection is withdrawn then.

--- a/src/fescuedeck/gateway/crash_correlator.cpp
+++ b/src/fescuedeck/gateway/crash_correlator.cpp
@@ -237,6 +237,12 @@
     return requests;
 }
 
+void crash_correlator::withdrawCrashes(time_point since)
+{
+    for (auto it = m_crashes.begin(); it != m_crashes.end();)
+        it = it->second.at >= since ? m_crashes.erase(it) : std::next(it);
+}
+
 void crash_correlator::expire(time_point now)
 {
     for (auto it = m_crashes.begin(); it != m_crashes.end();)
--- a/src/fescuedeck/gateway/crash_correlator.h
+++ b/src/fescuedeck/gateway/crash_correlator.h
@@ -73,6 +73,9 @@
     // Fingerprints of the requests that may have caused a crash which no segment explains, by the
     // incarnation name of the engine. Only crashes of engines that findCause() has seen to be down.
     std::map<std::string, std::set<std::string>> requestsOfUnexplained() const;
+    // Forgets the crashes that were recorded at the given time or later. Peers that have observed
+    // one of them tell it again.
+    void withdrawCrashes(time_point since);
     void expire(time_point now);
 
 private:
--- a/src/fescuedeck/gateway/crash_quarantine.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine.cpp
@@ -80,6 +80,15 @@
         m_abandoned.pop_front();
 }
 
+void crash_quarantine::withdrawCrashes(time_point since, time_point now)
+{
+    m_correlator.withdrawCrashes(since);
+    m_tracker.withdrawCrashes(since, now);
+    const auto isWithdrawn = [since](const abandoned_run &run) { return run.at >= since; };
+    m_abandoned.erase(std::remove_if(m_abandoned.begin(), m_abandoned.end(), isWithdrawn),
+                      m_abandoned.end());
+}
+
 void crash_quarantine::checkAbandoned(time_point now)
 {
     const auto isDone = [&](const abandoned_run &run) {
--- a/src/fescuedeck/gateway/crash_quarantine.h
+++ b/src/fescuedeck/gateway/crash_quarantine.h
@@ -63,6 +63,11 @@
     void recordAbandoned(const request_identity &request, const std::string &incarnation,
                          time_point now);
 
+    // The links of this gateway have failed, so that connections were closed without a crash.
+    // Withdraws the crashes that were recorded at the given time or later, and the quarantines that
+    // they caused.
+    void withdrawCrashes(time_point since, time_point now);
+
     // Applies a quarantine that a peer or the store has told, for the remaining time.
     void apply(const std::string &toldKey, duration remaining, time_point now);
     // The remaining times of the quarantines to tell peers, by key.
--- a/src/fescuedeck/gateway/crash_tracker.cpp
+++ b/src/fescuedeck/gateway/crash_tracker.cpp
@@ -17,7 +17,7 @@
     if (hasEnded)
         crash.crashes.clear(); // they have led to the quarantine that has ended
     crash.isCounted = crash.isCounted && !hasEnded;
-    crash.crashes.push_back(incarnation);
+    crash.crashes.push_back({ incarnation, now });
     crash.lastCrashAt = now;
     const bool isNew = !crash.isQuarantined(now) && hasTooManyCrashes(crash);
     if (isNew) {
@@ -43,10 +43,21 @@
 }
 
 void crash_tracker::discountCrash(const std::string &incarnation, time_point now)
+{
+    discount([&](const crash &counted) { return counted.incarnation == incarnation; }, now);
+}
+
+void crash_tracker::withdrawCrashes(time_point since, time_point now)
+{
+    discount([since](const crash &counted) { return counted.at >= since; }, now);
+}
+
+void crash_tracker::discount(const std::function<bool(const crash &)> &isDiscounted,
+                             time_point now)
 {
     for (auto &[fingerprint, crash] : m_entries) {
         auto &crashes = crash.crashes;
-        crashes.erase(std::remove(crashes.begin(), crashes.end(), incarnation), crashes.end());
+        crashes.erase(std::remove_if(crashes.begin(), crashes.end(), isDiscounted), crashes.end());
         if (crash.isCounted && crash.isQuarantined(now) && !hasTooManyCrashes(crash)) {
             crash.isCounted = false;
             crash.quarantinedUntil = {};
@@ -90,7 +101,9 @@
     if (found == m_entries.end())
         return false;
     const auto &crashes = found->second.crashes;
-    return std::find(crashes.begin(), crashes.end(), incarnation) != crashes.end();
+    return std::any_of(crashes.begin(), crashes.end(), [&](const crash &counted) {
+        return counted.incarnation == incarnation;
+    });
 }
 
 int crash_tracker::crashesOf(const std::string &fingerprint) const
--- a/src/fescuedeck/gateway/crash_tracker.h
+++ b/src/fescuedeck/gateway/crash_tracker.h
@@ -7,6 +7,7 @@
 #define FESCUEDECK_GATEWAY_CRASH_TRACKER_H
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -42,6 +43,9 @@
     bool hasCounted(const std::string &fingerprint, const std::string &incarnation) const;
     // The crash had another cause: no longer counts it, and ends the quarantines that it caused.
     void discountCrash(const std::string &incarnation, time_point now);
+    // The connections were closed by the links of this gateway and not by endpoints: no longer
+    // counts the crashes that were recorded at the given time or later, as discountCrash().
+    void withdrawCrashes(time_point since, time_point now);
     // Quarantines a request, for longer if it was quarantined before. Returns the end.
     time_point quarantine(const std::string &fingerprint, time_point now);
     // Quarantines a request until a time that a peer or the store has told. A report of a
@@ -55,9 +59,14 @@
     void expire(time_point now);
 
 private:
+    struct crash
+    {
+        std::string incarnation; // of the endpoint
+        time_point at{};
+    };
     struct entry
     {
-        std::vector<std::string> crashes; // incarnation names of the endpoints
+        std::vector<crash> crashes;
         bool isCounted = false;           // quarantined because of the crashes counted here
         int quarantines = 0;
         time_point quarantinedUntil{};
@@ -69,6 +78,7 @@
     void beginQuarantine(entry &crash, time_point now) const;
     time_point expiryOf(const entry &crash) const;
     bool hasTooManyCrashes(const entry &crash) const;
+    void discount(const std::function<bool(const crash &)> &isDiscounted, time_point now);
     // Drops the entry that expires first if there are more than maxFingerprints.
     void evictFirst();
 
--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -38,6 +38,8 @@
     const bool isNew = !record || record->entry.startedAt != entry.startedAt
                        || record->entry.address != entry.address;
     if (isNew) {
+        if (record)
+            unindexAddress(record->entry);
         record = std::make_shared<endpoint_record>();
         record->firstSeenAt = now;
         m_newestSince = now;
@@ -45,7 +47,9 @@
     const std::optional<layer_range> seenLayers = record->entry.layers;
     const bool mayBeOlder
             = record->layersSeenAt && now - *record->layersSeenAt < maxAnnouncementLag;
+    unindexAddress(record->entry);
     record->entry = entry;
+    indexAddress(entry);
     record->losses = 0;
     record->isMissing = false;
     m_departed.erase(incarnationName(entry));
@@ -87,6 +91,7 @@
     found->second->entry.phase = endpoint_phase_announced::Draining;
     expireDepartures(now);
     m_departed[incarnationName(found->second->entry)] = { now, found->second->entry.sequence };
+    unindexAddress(found->second->entry);
     m_endpoints.erase(found);
     ++m_revision;
 }
@@ -146,16 +151,18 @@
     record->suspectUntil
             = now
               + exponentialDuration(m_policy.minDuration, record->suspicions, m_policy.maxDuration);
+    record->suspectedAt = now;
     ++record->suspicions;
     ++m_revision;
 }
 
-void endpoint_registry::suspectBriefly(const std::string &id, time_point until)
+void endpoint_registry::suspectBriefly(const std::string &id, time_point now, time_point until)
 {
     const endpoint_ptr record = find(id);
     if (!record || record->suspectUntil >= until)
         return;
     record->suspectUntil = until;
+    record->suspectedAt = now;
     ++m_revision;
 }
 
@@ -171,6 +178,7 @@
                         + exponentialDuration(m_policy.minLossDuration, record->losses,
                                               m_policy.maxLossDuration);
     record->lossSource = loss_source::Own;
+    record->lostAt = now;
     ++record->losses;
     ++m_revision;
 }
@@ -185,6 +193,38 @@
     ++m_revision;
 }
 
+int endpoint_registry::withdrawFindings(time_point since)
+{
+    int losses = 0;
+    for (auto &[id, record] : m_endpoints) {
+        if (record->suspectUntil != time_point{} && record->suspectedAt >= since) {
+            record->suspectUntil = {};
+            record->suspicions = 0;
+        }
+        const bool isOwnLoss = record->lostUntil != time_point{}
+                               && record->lossSource == loss_source::Own
+                               && record->lostAt >= since;
+        if (isOwnLoss) {
+            record->lostUntil = {};
+            record->losses = std::max(0, record->losses - 1);
+            ++losses;
+        }
+    }
+    ++m_revision;
+    return losses;
+}
+
+void endpoint_registry::withdrawPeerLoss(const std::string &id)
+{
+    const endpoint_ptr record = find(id);
+    const bool isPeerLoss = record && record->lostUntil != time_point{}
+                            && record->lossSource == loss_source::Peer;
+    if (!isPeerLoss)
+        return;
+    record->lostUntil = {};
+    ++m_revision;
+}
+
 void endpoint_registry::clearSuspicion(const std::string &id)
 {
     const endpoint_ptr record = find(id);
@@ -230,11 +270,23 @@
 
 endpoint_ptr endpoint_registry::findByAddress(const std::string &address) const
 {
-    for (const auto &[id, record] : m_endpoints) {
-        if (record->entry.address == address)
-            return record;
-    }
-    return nullptr;
+    const auto found = m_idsByAddress.find(address);
+    return found == m_idsByAddress.end() ? nullptr : find(*found->second.begin());
+}
+
+void endpoint_registry::indexAddress(const endpoint_entry &entry)
+{
+    m_idsByAddress[entry.address].insert(entry.id);
+}
+
+void endpoint_registry::unindexAddress(const endpoint_entry &entry)
+{
+    const auto found = m_idsByAddress.find(entry.address);
+    if (found == m_idsByAddress.end())
+        return;
+    found->second.erase(entry.id);
+    if (found->second.empty())
+        m_idsByAddress.erase(found);
 }
 
 std::vector<endpoint_ptr> endpoint_registry::all() const
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -11,7 +11,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "fescuedeck/base/layer_range.h"
@@ -56,9 +58,11 @@
     std::int64_t orders = 0;                // accepted by this incarnation, as last reported
     std::optional<time_point> layersSeenAt; // when the engine last reported its layers
     time_point suspectUntil{};              // gets no requests before, but may be alive
+    time_point suspectedAt{};               // when the suspicion began
     loss_source lossSource = loss_source::Own;
     bool isMissing = false;        // its removal is deferred; see deferRemovals()
     time_point lostUntil{};        // until then its layers count as missing
+    time_point lostAt{};           // when the loss was found
     int losses = 0;                // consecutive, found by this gateway
     int suspicions = 0;            // consecutive, without a success between them
     int inFlight = 0;              // requests of this gateway
@@ -129,11 +133,17 @@
     void suspect(const std::string &id, time_point now);
     // Marks the endpoint as suspect until the given time, without counting a suspicion. Use it for
     // a group of endpoints of which at most one is at fault.
-    void suspectBriefly(const std::string &id, time_point until);
+    void suspectBriefly(const std::string &id, time_point now, time_point until);
     // Marks the endpoint as lost, because this gateway saw that it does not answer or refuses.
     void markLost(const std::string &id, time_point now);
     // Marks the endpoint as lost until the given time, because another gateway reported it.
     void markLostByPeer(const std::string &id, time_point until);
+    // Ends the suspicions, and the losses found by this gateway, that began at the given time or
+    // later, because the links of this gateway were their cause and not the endpoints. Returns the
+    // number of losses.
+    int withdrawFindings(time_point since);
+    // Ends a loss that another gateway reported, because this gateway has contrary evidence.
+    void withdrawPeerLoss(const std::string &id);
     // Ends the suspicion after a successful call. It does not end a loss, because an engine that is
     // leaving refuses new requests but still completes the ones that it has.
     void clearSuspicion(const std::string &id);
@@ -168,9 +178,14 @@
 
     bool isOutdated(const endpoint_entry &entry) const;
     void expireDepartures(time_point now);
+    void indexAddress(const endpoint_entry &entry);
+    void unindexAddress(const endpoint_entry &entry);
 
     suspicion_policy m_policy;
     std::map<std::string, endpoint_ptr> m_endpoints; // by id
+    // Ids by address. A restarted endpoint with another id may take over an address before the
+    // earlier one is removed.
+    std::unordered_map<std::string, std::set<std::string>> m_idsByAddress;
     std::uint64_t m_revision = 0;
     time_point m_newestSince{};
     time_point m_removalsFrom{};
--- a/src/fescuedeck/gateway/engine_inspector.cpp
+++ b/src/fescuedeck/gateway/engine_inspector.cpp
@@ -48,15 +48,38 @@
     options.timeout = m_settings.timeout;
     // A reused connection may be dead although the engine is healthy.
     options.freshConnection = true;
+    const time_point startedAt = steadyNow();
     const call_result result = m_context.client.send(
             engine->entry.address, m_context.adapter.encodeReportRequest(), options, yield);
-    if (!result.response)
-        return markLost(engine, "no_answer");
+    if (!result.response) {
+        if (!isAtFault(result, startedAt, yield))
+            return;
+        markLost(engine, "no_answer");
+        // The links have worked since the inspection began, so that the loss stays when they fail
+        // later.
+        if (!result.mayHaveBeenSent)
+            engine->lostAt = startedAt;
+        return;
+    }
     const auto report = m_context.adapter.decodeReport(result.response.value());
     if (report)
         applyReport(engine, suspicion, report.value());
 }
 
+// Whether the engine, and not the links of this gateway, is the reason for a request without an
+// answer.
+bool engine_inspector::isAtFault(const call_result &result, time_point startedAt,
+                                 boost::asio::yield_context yield) const
+{
+    const bool hasConnected = result.mayHaveBeenSent;
+    const bool areLinksUp = hasConnected || m_context.hasReachedEndpoints(startedAt, yield);
+    if (m_context.isIsolated())
+        return !m_context.hasVouchingPeer();
+    if (!areLinksUp)
+        m_context.counters.counterOf("fescuedeck_unsettled_inspections_total").add();
+    return areLinksUp;
+}
+
 // Whether an engine that refuses requests is shutting down: it answers, executes no order, has free
 // memory and holds its announced layers.
 bool engine_inspector::refusesWithoutCause(const endpoint_record &engine,
--- a/src/fescuedeck/gateway/engine_inspector.h
+++ b/src/fescuedeck/gateway/engine_inspector.h
@@ -2,7 +2,8 @@
 //
 // The first engine of a chain reports which engines its requests wait for. An engine that does not
 // answer a report request at all counts as lost until it announces itself as a new incarnation or
-// the time that suspicion_policy sets has passed.
+// the time that suspicion_policy sets has passed. If the gateway could not connect to it, that
+// applies only if the gateway reaches other endpoints meanwhile.
 #ifndef FESCUEDECK_GATEWAY_ENGINE_INSPECTOR_H
 #define FESCUEDECK_GATEWAY_ENGINE_INSPECTOR_H
 
@@ -40,6 +41,8 @@
 private:
     void fetchReport(const endpoint_ptr &engine, engine_suspicion suspicion,
                      boost::asio::yield_context yield);
+    bool isAtFault(const call_result &result, time_point startedAt,
+                   boost::asio::yield_context yield) const;
     bool refusesWithoutCause(const endpoint_record &engine, const engine_report &report) const;
     void applyReport(const endpoint_ptr &engine, engine_suspicion suspicion,
                      const engine_report &report);
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -508,7 +508,8 @@
             .field("connection", static_cast<int>(result.localPort))
             .field("cause", errorName(static_cast<errc>(error.code.value())));
     if (!result.mayHaveBeenSent) {
-        m_context.endpoints.suspect(to.first->entry.id, steadyNow());
+        if (!m_context.blamesLinks())
+            m_context.endpoints.suspect(to.first->entry.id, steadyNow());
         m_destinations.exclude(to.first->entry.id);
         if (!to.chain.empty() && m_context.inspectEngine)
             m_context.inspectEngine(to.first->entry.id, engine_suspicion::Stalled);
@@ -532,12 +533,15 @@
 void forwarded_call::recordIfAbandoned(const destination &to, const attempt &current,
                                        const call_result &result)
 {
-    if (!result.response && result.mayHaveBeenSent && !current.hasSurelyBegun())
+    const bool isUnanswered = !result.response && result.mayHaveBeenSent;
+    if (isUnanswered && !current.hasSurelyBegun() && !m_context.blamesLinks())
         m_context.crashes.recordAbandoned(identity, incarnationName(to.first->entry), steadyNow());
 }
 
 void forwarded_call::recordCrash(const destination &to, const attempt &current)
 {
+    if (m_context.blamesLinks())
+        return;
     const time_point now = steadyNow();
     const bool hadBegun = current.hasSurelyBegun();
     const std::string incarnation = incarnationName(to.first->entry);
@@ -556,6 +560,8 @@
 
 void forwarded_call::recordEarlyEnd(const destination &to)
 {
+    if (m_context.blamesLinks())
+        return;
     m_context.crashes.recordEarlyEnd(identity, incarnationName(to.first->entry), steadyNow());
     // Gateways count a crash that others have seen only once the engine is known to be down.
     const bool isEngine = m_engine != nullptr || !identity.sharedSegments.empty();
@@ -606,6 +612,8 @@
 {
     const endpoint_ptr fault = stageAt(to, faultAddress);
     m_destinations.exclude(fault->entry.id);
+    if (m_context.blamesLinks())
+        return;
     m_context.endpoints.suspect(fault->entry.id, steadyNow());
     if (!to.chain.empty() && !faultAddress.empty() && m_context.inspectEngine)
         m_context.inspectEngine(fault->entry.id, engine_suspicion::Refused);
@@ -613,6 +621,11 @@
 
 void forwarded_call::suspectChain(const destination &to, const attempt &current)
 {
+    if (m_context.blamesLinks()) {
+        for (const endpoint_ptr &stage : to.stages)
+            m_destinations.exclude(stage->entry.id);
+        return;
+    }
     // A late first event is weak evidence, because load delays it as well. Later streams therefore
     // get more time at this chain, and other requests do not avoid it.
     const bool isWeakEvidence = !current.timing.hasBegun();
@@ -623,7 +636,7 @@
     for (const endpoint_ptr &stage : to.stages) {
         m_destinations.exclude(stage->entry.id);
         if (!isWeakEvidence)
-            m_context.endpoints.suspectBriefly(stage->entry.id,
+            m_context.endpoints.suspectBriefly(stage->entry.id, steadyNow(),
                                                steadyNow() + chainSuspicionDuration);
     }
     if (m_context.inspectEngine)
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "fescuedeck/base/ids.h"
+#include "fescuedeck/gateway/endpoint_prober.h"
 #include "fescuedeck/gateway/engine_inspector.h"
 #include "fescuedeck/gateway/gateway_context.h"
 #include "fescuedeck/gateway/gateway_peers.h"
@@ -128,6 +129,8 @@
     void storeMissingQuarantines(const std::vector<std::string> &keys);
     void storeQuarantine(const std::string &key, duration remaining);
     void onProcessPause(duration time);
+    endpoint_prober_hooks proberHooks();
+    void withdrawFindings(time_point since);
     void runExpiryLoop(boost::asio::yield_context yield);
     void onEndpointRecord(const store_record &record);
     void awaitAnnouncements();
@@ -159,6 +162,7 @@
     table_follower m_configTable;
     table_follower m_endpointTable;
     table_follower m_quarantineTable;
+    endpoint_prober m_prober;
     engine_inspector m_inspector;
     placement_lease m_placementLease;
     gateway_peers m_peers;
@@ -192,6 +196,7 @@
                               return read_pace{ quarantineWait, {} };
                           } },
                         quarantineHooks(), m_context.random)
+    , m_prober(m_context, proberHooks())
     , m_inspector(m_context)
     , m_placementLease(m_context, settings.id + "." + m_incarnation)
     , m_peers(m_context, m_incarnation,
@@ -199,6 +204,10 @@
                 [this] { return m_endpointTable.position(); }, [this] { readMissedEndpoints(); } })
 {
     m_context.isAmongFirst = [this](int count) { return m_peers.isAmongFirst(count, steadyNow()); };
+    m_context.isIsolated = [this] { return m_prober.state() == link_state::Isolated; };
+    m_context.hasReachedEndpoints = [this](time_point since, boost::asio::yield_context yield) {
+        return m_prober.hasReachedEndpoints(since, yield);
+    };
     m_context.inspectEngine = [this](const std::string &endpoint, engine_suspicion suspicion) {
         m_inspector.inspect(endpoint, suspicion);
     };
@@ -233,6 +242,8 @@
                       [this, ageOf] { return ageOf(m_configTable); });
     counters.setGauge("fescuedeck_table_age_seconds", { { "table", "endpoints" } },
                       [this, ageOf] { return ageOf(m_endpointTable); });
+    counters.setGauge("fescuedeck_isolated", {},
+                      [this] { return m_context.isIsolated() ? 1.0 : 0.0; });
     counters.setGauge("fescuedeck_endpoints", {},
                       [this] { return static_cast<double>(m_context.endpoints.size()); });
     counters.setGauge("fescuedeck_live_peers", {},
@@ -373,6 +384,25 @@
     m_endpointTable.refresh();
 }
 
+endpoint_prober_hooks gateway::proberHooks()
+{
+    endpoint_prober_hooks hooks;
+    hooks.onIsolated = [this](time_point reachedAt) { withdrawFindings(reachedAt); };
+    hooks.onReached = [this](time_point isolatedSince) { withdrawFindings(isolatedSince); };
+    return hooks;
+}
+
+// What has failed since that time has failed because of the links, so the endpoints are not blamed
+// for it. Peers are told at once, so that they stop avoiding these endpoints.
+void gateway::withdrawFindings(time_point since)
+{
+    const int losses = m_context.endpoints.withdrawFindings(since);
+    m_context.crashes.withdrawCrashes(since, steadyNow());
+    if (losses > 0)
+        event_line("losses_withdrawn").field("losses", losses);
+    m_peers.announceChange();
+}
+
 void gateway::runExpiryLoop(boost::asio::yield_context yield)
 {
     while (true) {
@@ -559,6 +589,7 @@
     boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { runExpiryLoop(yield); });
     boost::asio::spawn(m_io,
                        [this](boost::asio::yield_context yield) { runSettingsReloadLoop(yield); });
+    m_prober.start();
     m_configTable.start();
     m_endpointTable.start();
     m_quarantineTable.start();
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
 
 #include "fescuedeck/base/random.h"
 #include "fescuedeck/gateway/crash_quarantine.h"
@@ -64,6 +65,13 @@
     std::function<bool()> isIsolated = [] { return false; };
     // Whether some live peer reports that it reaches endpoints. Set by the owner.
     std::function<bool()> hasVouchingPeer = [] { return false; };
+    // Whether a new connection to an endpoint has succeeded since the given time. Has the links
+    // checked if none has, and waits for the outcome. Set by the owner.
+    std::function<bool(time_point since, boost::asio::yield_context)> hasReachedEndpoints
+            = [](time_point, boost::asio::yield_context) { return true; };
+    // Whether failures of calls to endpoints are blamed on the links of this gateway. If no peer
+    // reaches the endpoints either, the endpoints themselves are more likely to have failed.
+    bool blamesLinks() const { return isIsolated() && hasVouchingPeer(); }
     bool hasEndpointList = false; // the endpoint table has been read at least once
     // After this time an endpoint that is not in the endpoint table has really gone. Before it, an
     // endpoint may be missing because its announcement expired during an outage of the store.
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -36,6 +36,9 @@
 // The suspicions of peers are ignored if they name more than one endpoint in this many.
 constexpr std::size_t endpointsPerSuspect = 4;
 constexpr duration peerSuspicionDuration = std::chrono::milliseconds(500);
+// An endpoint that has sent something so recently may do so again. Until then the suspicion of a
+// peer does not apply.
+constexpr duration activeTime = std::chrono::milliseconds(200);
 constexpr duration configRequestInterval = std::chrono::milliseconds(300);
 
 std::string cellOf(const gateway_settings &settings)
@@ -346,16 +349,33 @@
     return before < count;
 }
 
+void gateway_peers::updateSuspectedSince(const std::set<std::string> &suspects, time_point now)
+{
+    for (auto it = m_suspectedSince.begin(); it != m_suspectedSince.end();)
+        it = suspects.count(it->first) == 0 ? m_suspectedSince.erase(it) : std::next(it);
+    for (const std::string &id : suspects)
+        m_suspectedSince.try_emplace(id, now);
+}
+
 // Marks engines as lost that peers have found lost themselves. A gateway that is cut off from the
-// engines reports most of them, so a large number of suspects is ignored.
+// engines reports most of them, so a large number of suspects is ignored. So is a suspicion of an
+// endpoint that has sent something to this gateway meanwhile.
 void gateway_peers::applyPeerSuspicions(const std::set<std::string> &suspects, time_point now)
 {
+    updateSuspectedSince(suspects, now);
     const std::size_t limit = m_context.endpoints.size() / endpointsPerSuspect;
     if (suspects.size() > limit)
         return;
     for (const std::string &id : suspects) {
         const endpoint_ptr endpoint = m_context.endpoints.find(id);
-        if (endpoint && !endpoint->isLost(now))
+        if (!endpoint)
+            continue;
+        const time_point progressAt = endpoint->lastProgressAt;
+        const bool isContradicted = progressAt > m_suspectedSince[id];
+        const bool isActive = progressAt != time_point{} && now - progressAt < activeTime;
+        if (isContradicted)
+            m_context.endpoints.withdrawPeerLoss(id);
+        else if (!isActive && !endpoint->isLost(now))
             m_context.endpoints.markLostByPeer(id, now + peerSuspicionDuration);
     }
 }
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -71,6 +71,7 @@
     void applyPeerView(time_point now);
     void updateRetryBudgetShare(const peer_view &ownDomain, time_point now);
     void applyPeerSuspicions(const std::set<std::string> &suspects, time_point now);
+    void updateSuspectedSince(const std::set<std::string> &suspects, time_point now);
     void requestNewerConfig(time_point now);
     void checkEndpointOffset(time_point now);
     peer_view mergedView(time_point now) const;
@@ -91,6 +92,7 @@
     // When peers had first read the endpoint table further than this gateway; zero if they have
     // not.
     time_point m_behindSince{};
+    std::map<std::string, time_point> m_suspectedSince; // by id, of the suspects of peers
     std::string m_configText;
     time_point m_lastConfigRequest{};
 };
--- a/src/fescuedeck/gateway/placement_lease.cpp
+++ b/src/fescuedeck/gateway/placement_lease.cpp
@@ -25,6 +25,8 @@
 
 bool placement_lease::isHolder(time_point now) const
 {
+    if (m_context.blamesLinks())
+        return false;
     // The lease can be extended while the store does not answer, because engines that check the
     // fencing token refuse the orders of this holder once they have seen a newer holder's token.
     const bool isExtended = m_isStoreUnavailable && m_context.settings.enginesCheckFencing
@@ -38,15 +40,20 @@
     m_extendedUntil = {};
 }
 
-// A holder stays a candidate, so that a gateway that returns does not take the lease from it.
+// A holder stays a candidate, so that a gateway that returns does not take the lease from it. A
+// gateway that reaches no engine leaves the lease to a peer that does.
 bool placement_lease::isCandidate() const
 {
+    if (m_context.blamesLinks())
+        return false;
     return isHolder(steadyNow()) || m_context.isAmongFirst(m_settings.candidatesPerDomain);
 }
 
 void placement_lease::renewForever(boost::asio::yield_context yield)
 {
     while (!m_context.isStopping) {
+        if (m_context.blamesLinks())
+            markExpired();
         if (isCandidate()) {
             renew(yield);
         } else if (m_isMember) {
--- a/src/fescuedeck/gateway/placement_lease.h
+++ b/src/fescuedeck/gateway/placement_lease.h
@@ -45,7 +45,8 @@
 
     // Starts the coroutines that renew the lease and plan.
     void start();
-    // Whether this gateway may send orders now.
+    // Whether this gateway may send orders now. It may not while it reaches no engine but some peer
+    // does.
     bool isHolder(time_point now) const;
     // Treats the lease as expired until the next renewal, without telling the store. Call it after
     // a process pause, during which the lease may have expired unnoticed.
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "fescuedeck/net/http_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <mutex>
 
 #include <boost/asio/post.hpp>
@@ -153,6 +154,8 @@
     const http_client_limits limits;
     connection_pool idle;
     collected_bodies bodies;
+    connection_observer observer;
+    std::atomic<std::uint64_t> lastAttempt{ 0 }; // number of the last attempt to connect
 };
 
 // Of interim and unexpected responses before the expected one. A faulty server may send them for
@@ -194,6 +197,8 @@
     http_call &operator=(const http_call &) = delete;
 
     call_result run(const tcp::endpoint &endpoint);
+    // Connects without sending a request, and puts the connection into the pool.
+    bool open(const tcp::endpoint &endpoint);
 
 private:
     using response_parser = http::response_parser<http::string_body>;
@@ -260,6 +265,16 @@
     return resultOf(exchange());
 }
 
+bool http_call::open(const tcp::endpoint &endpoint)
+{
+    m_end = steadyNow() + m_options.timeout;
+    limitNextStep({});
+    if (connect(endpoint))
+        return false;
+    m_core.idle.put(m_address, std::move(m_socket));
+    return true;
+}
+
 call_result http_call::resultOf(result<http_response> response) const
 {
     return { std::move(response), m_mayHaveBeenSent, m_isReused, m_localPort };
@@ -289,7 +304,17 @@
 {
     error_code error;
     m_socket = tcp::socket(m_core.ioContext);
+    const std::uint64_t number = ++m_core.lastAttempt;
+    m_core.observer.onBegin(number, m_address);
     m_socket.async_connect(endpoint, m_yield[error]);
+    // The deadline may close the socket just after it has connected.
+    if (!error && isAborted())
+        error = asio::error::operation_aborted;
+    connection_outcome outcome
+            = error ? connection_outcome::Failed : connection_outcome::Connected;
+    if (isAborted())
+        outcome = connection_outcome::GivenUpOn;
+    m_core.observer.onEnd(number, outcome);
     if (error)
         return describe(errc::ConnectionFailed, error.message());
     m_socket.set_option(tcp::no_delay(true), error);
@@ -472,6 +497,25 @@
     return call.run(endpoint.value());
 }
 
+bool http_client::openIdle(const std::string &address, duration limit,
+                           boost::asio::yield_context yield)
+{
+    const auto endpoint = parseAddress(address);
+    if (!endpoint)
+        return false;
+    const http_request none{ "CONNECT", address, {}, "" };
+    call_options options;
+    options.timeout = limit;
+    const auto core = m_core; // outlives the call even if this client does not
+    detail::http_call call(*core, address, none, options, yield);
+    return call.open(endpoint.value());
+}
+
+void http_client::observeConnections(connection_observer observer)
+{
+    m_core->observer = std::move(observer);
+}
+
 void http_client::dropIdle(const std::string &address)
 {
     m_core->idle.drop(address);
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -16,6 +16,7 @@
 
 #include "fescuedeck/base/error.h"
 #include "fescuedeck/base/time.h"
+#include "fescuedeck/net/connection_observer.h"
 #include "fescuedeck/net/http_message.h"
 
 namespace fescuedeck {
@@ -116,6 +117,12 @@
     call_result send(const std::string &address, const http_request &request,
                      const call_options &options, boost::asio::yield_context yield);
 
+    // Opens a connection to the address within the limit and keeps it for later requests. Returns
+    // whether that succeeded.
+    bool openIdle(const std::string &address, duration limit, boost::asio::yield_context yield);
+    // Sets who is told about each attempt to open a connection. Not thread-safe: call it before the
+    // first request.
+    void observeConnections(connection_observer observer);
     // Closes the idle connections to an address, for example when its host is leaving.
     void dropIdle(const std::string &address);
     int idleConnections() const;
