--- a/src/fescuedeck/gateway/endpoint_prober.h
+++ b/src/fescuedeck/gateway/endpoint_prober.h
@@ -18,10 +18,10 @@
 struct endpoint_prober_settings
 {
     endpoint_reachability_settings reachability;
-    duration updateInterval = std::chrono::milliseconds(40);
+    duration updateInterval = std::chrono::milliseconds(25);
     // The links are checked if requests are in flight and no endpoint has sent anything for this
     // long.
-    duration silenceLimit = std::chrono::milliseconds(200);
+    duration silenceLimit = std::chrono::milliseconds(150);
     // Silence is no reason for a check until this long after the last new connection, because an
     // endpoint may be silent for a while although the links work.
     duration silenceCheckInterval = std::chrono::milliseconds(500);
--- a/src/fescuedeck/gateway/endpoint_reachability.h
+++ b/src/fescuedeck/gateway/endpoint_reachability.h
@@ -45,7 +45,7 @@
     // settle most doubts. The next step follows when the probes of the last one have failed, or
     // after this time.
     std::size_t probesPerStep = 2;
-    duration stepInterval = std::chrono::milliseconds(60);
+    duration stepInterval = std::chrono::milliseconds(40);
     std::size_t probesPerCheck = 4;
     // The gateway counts as isolated only if so many endpoints were tried, or all that are known.
     std::size_t minTried = 2;
