--- a/src/fescuedeck/gateway/crash_quarantine_test.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine_test.cpp
@@ -194,4 +194,30 @@
     CHECK(sharedSegmentsOf({}).empty());
 }
 
+// Guards against refusing sound requests whose connections were reset because the links of this
+// gateway were cut.
+TEST_CASE("crashes recorded since the links failed are withdrawn, earlier ones stay", "[gateway]")
+{
+    crash_quarantine quarantine;
+    quarantine.isDown = [](const std::string &) { return true; };
+    std::vector<std::string> told;
+    quarantine.onQuarantine = [&](const std::string &key, duration) { told.push_back(key); };
+    const request_identity sound{ "sound", { "a", "b" } };
+    const request_identity bad{ "bad", {} };
+    const time_point cutAt = start + 500ms;
+    for (int i = 0; i < 3; ++i) {
+        quarantine.recordCrash(bad, "bad-e" + std::to_string(i), start);
+        quarantine.recordCrash(sound, "e" + std::to_string(i), cutAt);
+        quarantine.recordEarlyEnd(sound, "e" + std::to_string(i), cutAt);
+    }
+    quarantine.recordAbandoned(sound, "e3", cutAt);
+    quarantine.recordAbandoned(sound, "e4", cutAt);
+    CHECK(quarantine.isQuarantined(sound, cutAt));
+    quarantine.withdrawCrashes(cutAt, cutAt);
+    CHECK_FALSE(quarantine.isQuarantined(sound, cutAt));
+    CHECK(quarantine.isQuarantined(bad, cutAt));
+    quarantine.update(cutAt + 2s);
+    CHECK(told == std::vector<std::string>{ "bad" });
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/endpoint_prober.cpp
+++ b/src/fescuedeck/gateway/endpoint_prober.cpp
@@ -145,21 +145,21 @@
     if (!isIsolated) {
         event_line("endpoints_reachable").field("isolated_ms", duration(now - m_isolatedSince));
         if (m_hooks.onReached)
-            m_hooks.onReached(m_isolatedSince);
+            m_hooks.onReached(m_reachedBefore);
         return;
     }
     m_isolatedSince = now;
     m_context.counters.counterOf("fescuedeck_isolations_total").add();
-    const time_point reachedAt = m_reachability.lastConnectedAt();
+    m_reachedBefore = m_reachability.lastConnectedAt();
     event_line("endpoints_unreachable", event_level::Warning)
             .field("evidence", m_isSilent ? "silence" : "failed_connections")
             .field("tried", static_cast<int>(m_reachability.failedEndpoints()))
             .field("known", static_cast<int>(m_context.endpoints.size()))
             .field("check_ms", duration(now - m_doubtfulSince))
-            .field("since_connected_ms", duration(now - reachedAt))
+            .field("since_connected_ms", duration(now - m_reachedBefore))
             .field("peer_reaches_endpoints", m_context.hasVouchingPeer());
     if (m_hooks.onIsolated)
-        m_hooks.onIsolated(reachedAt);
+        m_hooks.onIsolated(m_reachedBefore);
 }
 
 bool endpoint_prober::hasReachedEndpoints(time_point since, boost::asio::yield_context yield)
--- a/src/fescuedeck/gateway/endpoint_prober.h
+++ b/src/fescuedeck/gateway/endpoint_prober.h
@@ -35,8 +35,9 @@
     // Called when no endpoint can be reached any more. reachedAt is the time of the last new
     // connection.
     std::function<void(time_point reachedAt)> onIsolated;
-    // Called when an endpoint is reached again.
-    std::function<void(time_point isolatedSince)> onReached;
+    // Called when an endpoint is reached again. reachedBefore is the time of the last new connection
+    // before the isolation.
+    std::function<void(time_point reachedBefore)> onReached;
 };
 
 // Not thread-safe. Must outlive the run of its io_context.
@@ -70,6 +71,7 @@
     endpoint_reachability m_reachability;
     bool m_isIsolated = false; // as last reported
     time_point m_isolatedSince{};
+    time_point m_reachedBefore{}; // the time of the last new connection before the isolation
     time_point m_doubtfulSince{}; // when the last check began
     bool m_isSilent = false;      // the last check began because the endpoints were silent
     time_point m_busySince{};     // requests have been in flight since; zero if there are none
--- a/src/fescuedeck/gateway/endpoint_reachability.cpp
+++ b/src/fescuedeck/gateway/endpoint_reachability.cpp
@@ -148,8 +148,23 @@
     enter(isIsolated ? link_state::Isolated : link_state::Connected, now);
 }
 
-// Spreads the probes over failure domains and services. A check leaves out the endpoints that have
-// failed already; while isolated, those come first that were probed longest ago.
+// Endpoints that have failed, or that an attempt is under way to. A check leaves them out.
+std::set<std::string> endpoint_reachability::triedEndpoints() const
+{
+    std::set<std::string> tried;
+    if (m_state == link_state::Checking)
+        tried = m_failed;
+    for (const auto &[id, startedAt] : m_probes)
+        tried.insert(id);
+    for (const auto &[number, attempt] : m_open) {
+        if (isEvidence(attempt) && m_state == link_state::Checking)
+            tried.insert(attempt.endpoint);
+    }
+    return tried;
+}
+
+// Spreads the probes over failure domains and services. While isolated, the endpoints come first
+// that were probed longest ago.
 std::vector<std::string>
 endpoint_reachability::chooseProbes(const std::vector<probe_candidate> &known, std::size_t count,
                                     time_point now)
@@ -157,22 +172,19 @@
     if (m_lastProbeAt.size() > maxProbeTimes)
         m_lastProbeAt.clear();
     std::vector<std::string> chosen;
+    const std::set<std::string> tried = triedEndpoints();
     std::map<std::string, int> domains;
     std::map<std::string, int> services;
     for (const probe_candidate &candidate : known) {
-        const bool isUsed = m_failed.count(candidate.id) + m_probes.count(candidate.id) > 0;
-        if (m_state == link_state::Checking && isUsed) {
-            ++domains[candidate.failureDomain];
-            ++services[candidate.service];
-        }
+        const int count = tried.count(candidate.id) > 0 ? 1 : 0;
+        domains[candidate.failureDomain] += count;
+        services[candidate.service] += count;
     }
     while (chosen.size() < count) {
         const probe_candidate *best = nullptr;
         std::tuple<bool, int, time_point, std::uint64_t> bestRank;
         for (const probe_candidate &candidate : known) {
-            const bool isFailed
-                    = m_state == link_state::Checking && m_failed.count(candidate.id) > 0;
-            if (isFailed || m_probes.count(candidate.id) > 0)
+            if (tried.count(candidate.id) > 0 || m_probes.count(candidate.id) > 0)
                 continue;
             const auto last = m_lastProbeAt.find(candidate.id);
             const std::tuple rank{ candidate.isLost,
--- a/src/fescuedeck/gateway/endpoint_reachability.h
+++ b/src/fescuedeck/gateway/endpoint_reachability.h
@@ -108,6 +108,7 @@
     bool isDoubtful(time_point now) const;
     void expireAttempts(time_point now);
     std::vector<std::string> startStep(time_point now);
+    std::set<std::string> triedEndpoints() const;
     std::vector<std::string> chooseProbes(const std::vector<probe_candidate> &known,
                                           std::size_t count, time_point now);
     void conclude(std::size_t knownEndpoints, time_point now);
--- a/src/fescuedeck/gateway/endpoint_registry_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry_test.cpp
@@ -169,4 +169,46 @@
     CHECK(registry.ofService("model").size() == 1);
 }
 
+// Guards against sound endpoints that are avoided because the links of this gateway were cut.
+TEST_CASE("findings since the links failed are withdrawn, earlier ones and those of peers stay",
+          "[gateway]")
+{
+    endpoint_registry registry;
+    for (const char *id : { "crashed", "cut", "suspect", "told" })
+        registry.announce(entryOf(id), 1, start);
+    const time_point cutAt = start + std::chrono::milliseconds(500);
+    const time_point now = start + std::chrono::seconds(1);
+    registry.markLost("crashed", start);
+    registry.markLost("cut", now);
+    registry.suspect("suspect", now);
+    registry.markLostByPeer("told", now + std::chrono::seconds(2));
+    const std::uint64_t revision = registry.revision();
+    CHECK(registry.withdrawFindings(cutAt) == 1);
+    CHECK(registry.revision() > revision);
+    CHECK(registry.find("crashed")->isLost(now));
+    CHECK(registry.find("told")->isLost(now));
+    CHECK(registry.find("suspect")->isUsable(now));
+    CHECK(registry.find("cut")->isUsable(now));
+    // The withdrawn loss does not prolong a later one.
+    registry.markLost("cut", now);
+    CHECK_FALSE(registry.find("cut")->isLost(now + std::chrono::seconds(2)));
+}
+
+// Guards against connections whose outcome is credited to an endpoint that has moved or left.
+TEST_CASE("an endpoint is found by its present address", "[gateway]")
+{
+    endpoint_registry registry;
+    registry.announce(entryOf("x"), 1, start);
+    endpoint_entry successor = entryOf("y");
+    successor.address = "x:80";
+    registry.announce(successor, 2, start);
+    registry.remove("x", start);
+    REQUIRE(registry.findByAddress("x:80") != nullptr);
+    CHECK(registry.findByAddress("x:80")->entry.id == "y");
+    successor.address = "z:80";
+    registry.announce(successor, 3, start);
+    CHECK(registry.findByAddress("x:80") == nullptr);
+    CHECK(registry.findByAddress("z:80") == registry.find("y"));
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/engine_inspector_test.cpp
+++ b/src/fescuedeck/gateway/engine_inspector_test.cpp
@@ -85,6 +85,64 @@
     engine_inspector m_inspector;
 };
 
+// An engine that refuses connections, as one that has crashed.
+class refusing_engine
+{
+public:
+    refusing_engine()
+        : m_client(m_io.context())
+        , m_context({}, adapter(), m_io.context(), m_client, seededRandom(1))
+        , m_inspector(m_context)
+    {
+        const endpoint_entry entry{ "e",    "engines",  "127.0.0.1:1",
+                                    "a",    8,          endpoint_phase_announced::Ready,
+                                    "card", heldLayers, 1 };
+        m_context.endpoints.announce(entry, 1, steadyNow());
+    }
+    ~refusing_engine() { m_io.stop(); }
+
+    bool isLostAfterInspection(bool areLinksUp, bool isIsolated, bool hasVouchingPeer)
+    {
+        std::atomic<bool> isDone{ false };
+        m_context.isIsolated = [=] { return isIsolated; };
+        m_context.hasVouchingPeer = [=] { return hasVouchingPeer; };
+        m_context.hasReachedEndpoints = [&, areLinksUp](time_point since,
+                                                        boost::asio::yield_context) {
+            m_inspectedSince = since;
+            isDone = true;
+            return areLinksUp;
+        };
+        boost::asio::post(m_io.context(),
+                          [this] { m_inspector.inspect("e", engine_suspicion::Stalled); });
+        REQUIRE(eventually([&] { return isDone.load(); }));
+        // The loss is recorded by the same handler that asks for the links, before this one runs.
+        return m_io.run([this](boost::asio::yield_context) {
+            return m_context.endpoints.find("e")->isLost(steadyNow());
+        });
+    }
+    // Whether the loss stays when the links fail later.
+    bool isLossKept()
+    {
+        return m_io.run([this](boost::asio::yield_context) {
+            return m_context.endpoints.withdrawFindings(m_inspectedSince + duration(1)) == 0;
+        });
+    }
+
+private:
+    static platform_adapter adapter()
+    {
+        platform_adapter adapter;
+        adapter.encodeReportRequest = [] { return http_request{ "GET", "/report", {}, "" }; };
+        return adapter;
+    }
+
+    test_io m_io{ 1 };
+    http_client m_client;
+    gateway_context m_context;
+    engine_inspector m_inspector;
+    time_point m_inspectedSince{};
+};
+
 engine_report reportOf(std::optional<layer_range> layers, bool isBusy, double cacheShare)
 {
     engine_report report;
@@ -125,4 +183,22 @@
     CHECK_FALSE(engine.isLostAfterRefusal());
 }
 
+// Guards against sound engines that are replaced because the links of one gateway are cut.
+TEST_CASE("an engine is not lost because it cannot be reached, unless other endpoints can",
+          "[gateway]")
+{
+    CHECK_FALSE(refusing_engine().isLostAfterInspection(false, false, true));
+    CHECK_FALSE(refusing_engine().isLostAfterInspection(false, true, true));
+    refusing_engine crashed;
+    CHECK(crashed.isLostAfterInspection(true, false, true));
+    CHECK(crashed.isLossKept());
+}
+
+// Guards against a fleet whose engines have all crashed and whose gateways never notice it.
+TEST_CASE("an engine that cannot be reached is lost if no peer reaches endpoints either",
+          "[gateway]")
+{
+    CHECK(refusing_engine().isLostAfterInspection(false, true, false));
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -388,7 +388,7 @@
 {
     endpoint_prober_hooks hooks;
     hooks.onIsolated = [this](time_point reachedAt) { withdrawFindings(reachedAt); };
-    hooks.onReached = [this](time_point isolatedSince) { withdrawFindings(isolatedSince); };
+    hooks.onReached = [this](time_point reachedBefore) { withdrawFindings(reachedBefore); };
     return hooks;
 }
 
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -333,4 +333,44 @@
     CHECK(gateways.onThread([&] { return gateways.first.timesBehind; }) == 0);
 }
 
+// Guards against a gateway that is cut off from a few engines and shuts them out at its peers.
+TEST_CASE("a loss that a peer reports is ignored while the endpoint sends to this gateway",
+          "[gateway]")
+{
+    peers_fixture gateways;
+    gateways.onThread([&] {
+        for (int i = 0; i < 8; ++i) {
+            gateways.first.addEndpoint("e" + std::to_string(i));
+            gateways.second.addEndpoint("e" + std::to_string(i));
+        }
+        constexpr int lossesInRow = 8; // a single loss would expire during the test
+        for (int i = 0; i < lossesInRow; ++i) {
+            for (const char *id : { "e0", "e1" })
+                gateways.first.context.endpoints.markLost(id, steadyNow());
+        }
+        gateways.second.context.endpoints.find("e0")->lastProgressAt = steadyNow();
+    });
+    const auto isLost = [&](const char *id) {
+        return gateways.onThread(
+                [&] { return gateways.second.context.endpoints.find(id)->isLost(steadyNow()); });
+    };
+    const auto wasEverLost = [&](const char *id) {
+        gateways.onThread([&] {
+            gateways.second.context.endpoints.find("e0")->lastProgressAt = steadyNow();
+        });
+        return isLost(id);
+    };
+    bool wasLost = false;
+    CHECK(eventually([&] {
+        wasLost = wasLost || wasEverLost("e0");
+        return isLost("e1");
+    }));
+    CHECK_FALSE(wasLost);
+    // The endpoint is silent from now on. Its last progress is later than the report.
+    const auto until = steadyNow() + std::chrono::milliseconds(600);
+    while (steadyNow() < until)
+        wasLost = wasLost || isLost("e0");
+    CHECK_FALSE(wasLost);
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/placement_lease_test.cpp
+++ b/src/fescuedeck/gateway/placement_lease_test.cpp
@@ -20,7 +20,7 @@
 // A store that grants the lease to every member while it is up, and engines that accept every order
 // and always report that they are busy.
 platform_adapter testAdapter(const std::atomic<bool> &isStoreDown, std::atomic<int> &joins,
-                             std::atomic<int> &refusedReleases)
+                             std::atomic<int> &refusedReleases, std::atomic<int> &releases)
 {
     platform_adapter adapter;
     adapter.store.joinLease = [&](const std::string &, duration, duration,
@@ -36,6 +36,7 @@
             ++refusedReleases;
             return makeFailure(errc::LogUnavailable, "down");
         }
+        ++releases;
         return std::nullopt;
     };
     adapter.encodeOrder = [](const placement_order &order, std::int64_t) {
@@ -85,8 +86,8 @@
 public:
     lease_fixture()
         : m_client(io.context())
-        , context(testSettings(), testAdapter(isStoreDown, joins, refusedReleases), io.context(),
-                  m_client, seededRandom(1))
+        , context(testSettings(), testAdapter(isStoreDown, joins, refusedReleases, releases),
+                  io.context(), m_client, seededRandom(1))
         , m_inspector(context)
         , m_lease(context, "one", shortLease())
         , m_engine(io.context(), {}, [this](http_exchange &exchange) {
@@ -130,6 +131,7 @@
     std::atomic<bool> isStoreDown{ false };
     std::atomic<int> joins{ 0 };
     std::atomic<int> refusedReleases{ 0 };
+    std::atomic<int> releases{ 0 };
     std::atomic<int> orders{ 0 }; // received by the live engine
     std::atomic<int> ordersOnReusedConnections{ 0 };
     // Leaves an idle connection to the live engine.
@@ -230,4 +232,27 @@
     CHECK(fixture.isHolder());
 }
 
+// Guards against layers that nobody reloads while the gateway that holds the lease reaches no
+// engine.
+TEST_CASE("an isolated holder leaves the lease to a peer that reaches engines, if there is one",
+          "[gateway]")
+{
+    lease_fixture fixture;
+    std::atomic<bool> hasPeer{ false };
+    std::atomic<bool> isIsolated{ false };
+    fixture.context.isIsolated = [&] { return isIsolated.load(); };
+    fixture.context.hasVouchingPeer = [&] { return hasPeer.load(); };
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isHolder(); }));
+    isIsolated = true;
+    const int joins = fixture.joins;
+    CHECK(eventually([&] { return fixture.joins > joins + 3; }));
+    CHECK(fixture.isHolder());
+    hasPeer = true;
+    CHECK_FALSE(fixture.isHolder());
+    CHECK(eventually([&] { return fixture.releases > 0; }));
+    isIsolated = false;
+    CHECK(eventually([&] { return fixture.isHolder(); }));
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -381,4 +381,66 @@
     CHECK(call(io, client, 1, options(), spaced).response.error().code == errc::InvalidRequest);
 }
 
+// Guards against a gateway that takes refused connections for sound ones, or learns nothing of
+// them.
+TEST_CASE("attempts to connect are reported, and a connection opened ahead is used", "[net]")
+{
+    test_io io;
+    http_server server(io.context(), {},
+                       [](http_exchange &exchange) { exchange.respond({ 200, {}, "" }); });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    http_client client(io.context());
+    std::vector<std::string> addresses;
+    std::vector<connection_outcome> outcomes;
+    connection_observer observer;
+    observer.onBegin = [&](std::uint64_t, const std::string &address) {
+        addresses.push_back(address);
+    };
+    observer.onEnd = [&](std::uint64_t, connection_outcome outcome) {
+        outcomes.push_back(outcome);
+    };
+    client.observeConnections(observer);
+    const auto open = [&](std::uint16_t port) {
+        return io.run([&](boost::asio::yield_context yield) {
+            return client.openIdle(loopback(port), testWaitLimit, yield);
+        });
+    };
+    CHECK(open(server.port()));
+    CHECK_FALSE(open(1)); // nothing listens there
+    CHECK(addresses == std::vector<std::string>{ loopback(server.port()), loopback(1) });
+    const std::vector expected{ connection_outcome::Connected, connection_outcome::Failed };
+    CHECK(outcomes == expected);
+    CHECK(call(io, client, server.port()).reusedConnection);
+    CHECK(outcomes.size() == 2);
+}
+
+// Guards against counting a connection that was never answered as refused: a caller may have left.
+TEST_CASE("an attempt that is given up on is reported as such", "[net]")
+{
+    // The queue of a listening socket that accepts nothing is full after a few connections, and
+    // further attempts hang.
+    boost::asio::io_context idle;
+    tcp::acceptor acceptor(idle);
+    const tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
+    acceptor.open(any.protocol());
+    acceptor.bind(any);
+    acceptor.listen(0);
+    test_io io;
+    http_client client(io.context());
+    std::vector<connection_outcome> outcomes;
+    connection_observer observer;
+    observer.onEnd = [&](std::uint64_t, connection_outcome outcome) {
+        outcomes.push_back(outcome);
+    };
+    client.observeConnections(observer);
+    const std::string address = loopback(acceptor.local_endpoint().port());
+    constexpr int attempts = 3;
+    for (int i = 0; i < attempts; ++i) {
+        io.run([&](boost::asio::yield_context yield) {
+            return client.openIdle(address, std::chrono::milliseconds(100), yield);
+        });
+    }
+    CHECK(outcomes.back() == connection_outcome::GivenUpOn);
+}
+
 } // namespace fescuedeck
