--- a/src/fescuedeck/gateway/crash_tracker.cpp
+++ b/src/fescuedeck/gateway/crash_tracker.cpp
@@ -52,8 +52,7 @@
     discount([since](const crash &counted) { return counted.at >= since; }, now);
 }
 
-void crash_tracker::discount(const std::function<bool(const crash &)> &isDiscounted,
-                             time_point now)
+void crash_tracker::discount(const std::function<bool(const crash &)> &isDiscounted, time_point now)
 {
     for (auto &[fingerprint, crash] : m_entries) {
         auto &crashes = crash.crashes;
@@ -101,9 +100,8 @@
     if (found == m_entries.end())
         return false;
     const auto &crashes = found->second.crashes;
-    return std::any_of(crashes.begin(), crashes.end(), [&](const crash &counted) {
-        return counted.incarnation == incarnation;
-    });
+    return std::any_of(crashes.begin(), crashes.end(),
+                       [&](const crash &counted) { return counted.incarnation == incarnation; });
 }
 
 int crash_tracker::crashesOf(const std::string &fingerprint) const
--- a/src/fescuedeck/gateway/crash_tracker.h
+++ b/src/fescuedeck/gateway/crash_tracker.h
@@ -67,7 +67,7 @@
     struct entry
     {
         std::vector<crash> crashes;
-        bool isCounted = false;           // quarantined because of the crashes counted here
+        bool isCounted = false; // quarantined because of the crashes counted here
         int quarantines = 0;
         time_point quarantinedUntil{};
         time_point lastCrashAt{};
--- a/src/fescuedeck/gateway/endpoint_prober.cpp
+++ b/src/fescuedeck/gateway/endpoint_prober.cpp
@@ -45,7 +45,8 @@
     for (const endpoint_ptr &endpoint : m_context.endpoints.all()) {
         const endpoint_entry &entry = endpoint->entry;
         if (entry.phase == endpoint_phase_announced::Ready)
-            found.push_back({ entry.id, entry.failureDomain, entry.service, endpoint->isLost(now) });
+            found.push_back(
+                    { entry.id, entry.failureDomain, entry.service, endpoint->isLost(now) });
     }
     return found;
 }
@@ -143,6 +144,7 @@
     const time_point now = steadyNow();
     m_isIsolated = isIsolated;
     if (!isIsolated) {
+        m_returnedAt = now;
         event_line("endpoints_reachable").field("isolated_ms", duration(now - m_isolatedSince));
         if (m_hooks.onReached)
             m_hooks.onReached(m_reachedBefore);
@@ -165,15 +167,15 @@
 bool endpoint_prober::hasReachedEndpoints(time_point since, boost::asio::yield_context yield)
 {
     const time_point end = steadyNow() + m_settings.outcomeWait;
+    const auto wasIsolated = [&] { return m_isIsolated || m_returnedAt >= since; };
     while (m_reachability.lastConnectedAt() < since) {
-        const bool isSettled = m_reachability.state() == link_state::Isolated;
-        if (isSettled || steadyNow() >= end)
+        if (wasIsolated() || steadyNow() >= end)
             return false;
         m_reachability.requestCheck(steadyNow());
         update();
         sleepFor(outcomePollInterval, yield);
     }
-    return true;
+    return !wasIsolated();
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/endpoint_prober.h
+++ b/src/fescuedeck/gateway/endpoint_prober.h
@@ -35,8 +35,8 @@
     // Called when no endpoint can be reached any more. reachedAt is the time of the last new
     // connection.
     std::function<void(time_point reachedAt)> onIsolated;
-    // Called when an endpoint is reached again. reachedBefore is the time of the last new connection
-    // before the isolation.
+    // Called when an endpoint is reached again. reachedBefore is the time of the last new
+    // connection before the isolation.
     std::function<void(time_point reachedBefore)> onReached;
 };
 
@@ -50,8 +50,8 @@
     // Call it before the client of the context sends the first request.
     void start();
     link_state state() const { return m_reachability.state(); }
-    // Whether a new connection to an endpoint has succeeded since the given time. Has the links
-    // checked if none has, and waits for the outcome.
+    // Whether a new connection to an endpoint has succeeded since the given time, and the gateway
+    // was not isolated since. Has the links checked if needed, and waits for the outcome.
     bool hasReachedEndpoints(time_point since, boost::asio::yield_context yield);
 
 private:
@@ -71,6 +71,7 @@
     endpoint_reachability m_reachability;
     bool m_isIsolated = false; // as last reported
     time_point m_isolatedSince{};
+    time_point m_returnedAt{};    // when the last isolation ended
     time_point m_reachedBefore{}; // the time of the last new connection before the isolation
     time_point m_doubtfulSince{}; // when the last check began
     bool m_isSilent = false;      // the last check began because the endpoints were silent
--- a/src/fescuedeck/gateway/endpoint_prober_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_prober_test.cpp
@@ -17,7 +17,9 @@
 public:
     prober_fixture()
         : m_server(m_io.context(), {},
-                   [](http_exchange &exchange) { exchange.respond({ 200, {}, "" }); })
+                   [](http_exchange &exchange) {
+                       exchange.respond({ 200, {}, "" });
+                   })
         , m_client(m_io.context())
         , m_context({}, {}, m_io.context(), m_client, seededRandom(1))
         , m_prober(m_context, hooks())
@@ -33,22 +35,22 @@
     {
         m_io.run([&](boost::asio::yield_context) {
             for (const char *id : { "e0", "e1", "e2" }) {
-                const endpoint_entry entry{ id,   "service",
-                                            address, "a",
-                                            8,    endpoint_phase_announced::Ready,
-                                            "",   std::nullopt,
-                                            1 };
+                const endpoint_entry entry{
+                    id, "service",    address, "a", 8, endpoint_phase_announced::Ready,
+                    "", std::nullopt, 1
+                };
                 m_context.endpoints.announce(entry, 1, steadyNow());
             }
             return true;
         });
     }
-    bool hasReachedEndpoints()
+    bool hasReachedEndpointsSince(time_point since)
     {
-        return m_io.run([this](boost::asio::yield_context yield) {
-            return m_prober.hasReachedEndpoints(steadyNow(), yield);
+        return m_io.run([this, since](boost::asio::yield_context yield) {
+            return m_prober.hasReachedEndpoints(since, yield);
         });
     }
+    bool hasReachedEndpoints() { return hasReachedEndpointsSince(steadyNow()); }
     void connectTo(const std::string &address)
     {
         m_io.run([&](boost::asio::yield_context yield) {
@@ -98,9 +100,12 @@
     fixture.moveEndpoints(deadAddress);
     CHECK_FALSE(fixture.hasReachedEndpoints());
     CHECK(fixture.isolations == 1);
+    const time_point whileIsolated = steadyNow();
     fixture.moveEndpoints(fixture.liveAddress());
     CHECK(eventually([&] { return fixture.returns == 1; }));
     CHECK(fixture.hasReachedEndpoints());
+    // Calls that began before the links returned may have failed because of them.
+    CHECK_FALSE(fixture.hasReachedEndpointsSince(whileIsolated));
     CHECK(fixture.isolations == 1);
 }
 
--- a/src/fescuedeck/gateway/endpoint_reachability.cpp
+++ b/src/fescuedeck/gateway/endpoint_reachability.cpp
@@ -81,8 +81,7 @@
 bool endpoint_reachability::isDoubtful(time_point now) const
 {
     const bool isSlow = std::any_of(m_open.begin(), m_open.end(), [&](const auto &entry) {
-        return isEvidence(entry.second)
-               && now - entry.second.startedAt >= m_settings.slowAttempt;
+        return isEvidence(entry.second) && now - entry.second.startedAt >= m_settings.slowAttempt;
     });
     // A second endpoint that fails after a check is evidence that the check did not have.
     const bool isNewEvidence
--- a/src/fescuedeck/gateway/endpoint_reachability.h
+++ b/src/fescuedeck/gateway/endpoint_reachability.h
@@ -40,7 +40,7 @@
     // is given up on. A host that is up accepts a connection much faster.
     duration slowAttempt = std::chrono::milliseconds(100);
     // A probe or another attempt that takes longer has failed.
-    duration attemptLimit = std::chrono::milliseconds(300);
+    duration attemptLimit = std::chrono::milliseconds(250);
     // Probes are started in steps, because each costs the endpoint a connection and the first ones
     // settle most doubts. The next step follows when the probes of the last one have failed, or
     // after this time.
@@ -103,7 +103,8 @@
 
     void enter(link_state state, time_point now);
     void recordFailure(const std::string &endpoint);
-    // Whether the attempt began after the last success. An earlier one says nothing about the links.
+    // Whether the attempt began after the last success. An earlier one says nothing about the
+    // links.
     bool isEvidence(const open_attempt &attempt) const;
     bool isDoubtful(time_point now) const;
     void expireAttempts(time_point now);
--- a/src/fescuedeck/gateway/endpoint_reachability_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_reachability_test.cpp
@@ -88,7 +88,8 @@
         for (auto it = m_attempts.begin(); it != m_attempts.end();) {
             const attempt &current = it->second;
             const link state = links[current.endpoint];
-            const bool isAnswered = state != link::Hanging && now >= current.startedAt + connectTime;
+            const bool isAnswered
+                    = state != link::Hanging && now >= current.startedAt + connectTime;
             if (!isAnswered && now < current.end) {
                 ++it;
                 continue;
@@ -206,7 +207,8 @@
 }
 
 // Guards against an attempt that began before the links were seen to work and fails later.
-TEST_CASE("a failed attempt is no evidence if another one has succeeded since it began", "[gateway]")
+TEST_CASE("a failed attempt is no evidence if another one has succeeded since it began",
+          "[gateway]")
 {
     virtual_gateway gateway(12);
     gateway.links["e3"] = link::Hanging;
--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -202,8 +202,7 @@
             record->suspicions = 0;
         }
         const bool isOwnLoss = record->lostUntil != time_point{}
-                               && record->lossSource == loss_source::Own
-                               && record->lostAt >= since;
+                               && record->lossSource == loss_source::Own && record->lostAt >= since;
         if (isOwnLoss) {
             record->lostUntil = {};
             record->losses = std::max(0, record->losses - 1);
--- a/src/fescuedeck/gateway/engine_inspector_test.cpp
+++ b/src/fescuedeck/gateway/engine_inspector_test.cpp
@@ -106,12 +106,12 @@
         std::atomic<bool> isDone{ false };
         m_context.isIsolated = [=] { return isIsolated; };
         m_context.hasVouchingPeer = [=] { return hasVouchingPeer; };
-        m_context.hasReachedEndpoints = [&, areLinksUp](time_point since,
-                                                        boost::asio::yield_context) {
-            m_inspectedSince = since;
-            isDone = true;
-            return areLinksUp;
-        };
+        m_context.hasReachedEndpoints
+                = [&, areLinksUp](time_point since, boost::asio::yield_context) {
+                      m_inspectedSince = since;
+                      isDone = true;
+                      return areLinksUp;
+                  };
         boost::asio::post(m_io.context(),
                           [this] { m_inspector.inspect("e", engine_suspicion::Stalled); });
         REQUIRE(eventually([&] { return isDone.load(); }));
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -57,6 +57,8 @@
 constexpr duration reannouncementTime = std::chrono::milliseconds(2300);
 // In a shorter outage of the store no announcement expires.
 constexpr duration shortestExpiryOutage = std::chrono::milliseconds(2500);
+// A call that began while the links to the endpoints were cut fails to connect within this time.
+constexpr duration maxCutCallTime = std::chrono::milliseconds(400);
 constexpr duration sweepInterval = std::chrono::milliseconds(200);
 constexpr duration quarantineTimeout = std::chrono::seconds(2);
 // The settings file is read this often without a signal. A change that needs to apply sooner is
@@ -388,7 +390,10 @@
 {
     endpoint_prober_hooks hooks;
     hooks.onIsolated = [this](time_point reachedAt) { withdrawFindings(reachedAt); };
-    hooks.onReached = [this](time_point reachedBefore) { withdrawFindings(reachedBefore); };
+    hooks.onReached = [this](time_point reachedBefore) {
+        m_context.linksBlamedUntil = steadyNow() + maxCutCallTime;
+        withdrawFindings(reachedBefore);
+    };
     return hooks;
 }
 
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -60,18 +60,25 @@
     // their hosts. Work that a few gateways can do for all is left to these. A gateway that reaches
     // no other one is always among them.
     std::function<bool(int count)> isAmongFirst = [](int) { return true; };
-    // Whether this gateway reaches no endpoint, so that its own observations of endpoints say nothing
-    // about them. Set by the owner.
+    // Whether this gateway reaches no endpoint, so that its own observations of endpoints say
+    // nothing about them. Set by the owner.
     std::function<bool()> isIsolated = [] { return false; };
     // Whether some live peer reports that it reaches endpoints. Set by the owner.
     std::function<bool()> hasVouchingPeer = [] { return false; };
-    // Whether a new connection to an endpoint has succeeded since the given time. Has the links
-    // checked if none has, and waits for the outcome. Set by the owner.
+    // Whether a new connection to an endpoint has succeeded since the given time, and this gateway
+    // was not isolated since. Has the links checked if needed, and waits for the outcome. Set by
+    // the owner.
     std::function<bool(time_point since, boost::asio::yield_context)> hasReachedEndpoints
             = [](time_point, boost::asio::yield_context) { return true; };
+    // After the links have returned, failures count as theirs until this time, because the calls
+    // began before.
+    time_point linksBlamedUntil{};
     // Whether failures of calls to endpoints are blamed on the links of this gateway. If no peer
     // reaches the endpoints either, the endpoints themselves are more likely to have failed.
-    bool blamesLinks() const { return isIsolated() && hasVouchingPeer(); }
+    bool blamesLinks() const
+    {
+        return (isIsolated() || steadyNow() < linksBlamedUntil) && hasVouchingPeer();
+    }
     bool hasEndpointList = false; // the endpoint table has been read at least once
     // After this time an endpoint that is not in the endpoint table has really gone. Before it, an
     // endpoint may be missing because its announcement expired during an outage of the store.
--- a/src/fescuedeck/gateway/placement_lease.cpp
+++ b/src/fescuedeck/gateway/placement_lease.cpp
@@ -25,7 +25,7 @@
 
 bool placement_lease::isHolder(time_point now) const
 {
-    if (m_context.blamesLinks())
+    if (leavesDutyToPeer())
         return false;
     // The lease can be extended while the store does not answer, because engines that check the
     // fencing token refuse the orders of this holder once they have seen a newer holder's token.
@@ -40,11 +40,17 @@
     m_extendedUntil = {};
 }
 
+// While no peer reaches the engines either, nobody could do better than this gateway.
+bool placement_lease::leavesDutyToPeer() const
+{
+    return m_context.isIsolated() && m_context.hasVouchingPeer();
+}
+
 // A holder stays a candidate, so that a gateway that returns does not take the lease from it. A
 // gateway that reaches no engine leaves the lease to a peer that does.
 bool placement_lease::isCandidate() const
 {
-    if (m_context.blamesLinks())
+    if (leavesDutyToPeer())
         return false;
     return isHolder(steadyNow()) || m_context.isAmongFirst(m_settings.candidatesPerDomain);
 }
@@ -52,7 +58,7 @@
 void placement_lease::renewForever(boost::asio::yield_context yield)
 {
     while (!m_context.isStopping) {
-        if (m_context.blamesLinks())
+        if (leavesDutyToPeer())
             markExpired();
         if (isCandidate()) {
             renew(yield);
--- a/src/fescuedeck/gateway/placement_lease.h
+++ b/src/fescuedeck/gateway/placement_lease.h
@@ -54,6 +54,7 @@
 
 private:
     bool isCandidate() const;
+    bool leavesDutyToPeer() const;
     void renew(boost::asio::yield_context yield);
     void renewForever(boost::asio::yield_context yield);
     void release(boost::asio::yield_context yield);
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -310,8 +310,7 @@
     // The deadline may close the socket just after it has connected.
     if (!error && isAborted())
         error = asio::error::operation_aborted;
-    connection_outcome outcome
-            = error ? connection_outcome::Failed : connection_outcome::Connected;
+    connection_outcome outcome = error ? connection_outcome::Failed : connection_outcome::Connected;
     if (isAborted())
         outcome = connection_outcome::GivenUpOn;
     m_core.observer.onEnd(number, outcome);
--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -386,19 +386,18 @@
 TEST_CASE("attempts to connect are reported, and a connection opened ahead is used", "[net]")
 {
     test_io io;
-    http_server server(io.context(), {},
-                       [](http_exchange &exchange) { exchange.respond({ 200, {}, "" }); });
+    http_server server(io.context(), {}, [](http_exchange &exchange) {
+        exchange.respond({ 200, {}, "" });
+    });
     REQUIRE_FALSE(server.listen("127.0.0.1:0"));
     http_client client(io.context());
     std::vector<std::string> addresses;
     std::vector<connection_outcome> outcomes;
     connection_observer observer;
-    observer.onBegin = [&](std::uint64_t, const std::string &address) {
-        addresses.push_back(address);
-    };
-    observer.onEnd = [&](std::uint64_t, connection_outcome outcome) {
-        outcomes.push_back(outcome);
-    };
+    observer.onBegin
+            = [&](std::uint64_t, const std::string &address) { addresses.push_back(address); };
+    observer.onEnd
+            = [&](std::uint64_t, connection_outcome outcome) { outcomes.push_back(outcome); };
     client.observeConnections(observer);
     const auto open = [&](std::uint16_t port) {
         return io.run([&](boost::asio::yield_context yield) {
@@ -429,9 +428,8 @@
     http_client client(io.context());
     std::vector<connection_outcome> outcomes;
     connection_observer observer;
-    observer.onEnd = [&](std::uint64_t, connection_outcome outcome) {
-        outcomes.push_back(outcome);
-    };
+    observer.onEnd
+            = [&](std::uint64_t, connection_outcome outcome) { outcomes.push_back(outcome); };
     client.observeConnections(observer);
     const std::string address = loopback(acceptor.local_endpoint().port());
     constexpr int attempts = 3;
