--- a/src/fescuedeck/ctl/request_history.cpp
+++ b/src/fescuedeck/ctl/request_history.cpp
@@ -116,9 +116,16 @@
 
 bool isContextKind(const std::string &name)
 {
-    static const std::set<std::string> kinds
-            = { "table_lost",  "table_regained", "engine_lost", "order_answered",
-                "stood_still", "stopping",       "started",     "config_in_force" };
+    static const std::set<std::string> kinds = { "table_lost",
+                                                 "table_regained",
+                                                 "engine_lost",
+                                                 "order_answered",
+                                                 "stood_still",
+                                                 "stopping",
+                                                 "started",
+                                                 "config_in_force",
+                                                 "endpoints_unreachable",
+                                                 "endpoints_reachable" };
     return kinds.count(name) != 0;
 }
 
