--- a/src/fescuedeck/gateway/placement_lease.cpp
+++ b/src/fescuedeck/gateway/placement_lease.cpp
@@ -25,6 +25,8 @@
 
 bool placement_lease::isHolder(time_point now) const
 {
+    if (leavesDutyToPeer())
+        return false;
     // The lease can be extended while the store does not answer, because engines that check the
     // fencing token refuse the orders of this holder once they have seen a newer holder's token.
     const bool isExtended = m_isStoreUnavailable && m_context.settings.enginesCheckFencing
@@ -38,21 +40,34 @@
     m_extendedUntil = {};
 }
 
-// A holder stays a candidate, so that a gateway that returns does not take the lease from it.
+// While no peer reaches the engines either, nobody could do better than this gateway.
+bool placement_lease::leavesDutyToPeer() const
+{
+    return m_context.isIsolated() && m_context.hasVouchingPeer();
+}
+
+// A holder stays a candidate, so that a gateway that returns does not take the lease from it. A
+// gateway that reaches no engine leaves the lease to a peer that does. Until it is granted the
+// lease it stays a member, because the store may grant the lease anew whenever a member joins.
 bool placement_lease::isCandidate() const
 {
+    if (leavesDutyToPeer())
+        return m_isMember && !m_isGranted;
     return isHolder(steadyNow()) || m_context.isAmongFirst(m_settings.candidatesPerDomain);
 }
 
 void placement_lease::renewForever(boost::asio::yield_context yield)
 {
     while (!m_context.isStopping) {
+        if (leavesDutyToPeer())
+            markExpired();
         if (isCandidate()) {
             renew(yield);
         } else if (m_isMember) {
             m_isMember
                     = m_context.adapter.store.leaveLease(m_member, m_settings.renewTimeout, yield)
                               .has_value();
+            m_isGranted = m_isGranted && m_isMember;
         }
         sleepFor(m_settings.renewInterval, yield);
     }
@@ -72,6 +87,7 @@
     if (!grant)
         return;
     const bool isGranted = grant.value().isHolder;
+    m_isGranted = isGranted;
     m_extendedUntil = isGranted ? sentAt + m_settings.maxExtension : time_point{};
     m_expiresAt = isGranted ? sentAt + m_settings.leaseDuration : time_point{};
     m_fencingToken = grant.value().fencingToken;
--- a/src/fescuedeck/gateway/placement_lease.h
+++ b/src/fescuedeck/gateway/placement_lease.h
@@ -45,7 +45,8 @@
 
     // Starts the coroutines that renew the lease and plan.
     void start();
-    // Whether this gateway may send orders now.
+    // Whether this gateway may send orders now. It may not while it reaches no engine but some peer
+    // does.
     bool isHolder(time_point now) const;
     // Treats the lease as expired until the next renewal, without telling the store. Call it after
     // a process pause, during which the lease may have expired unnoticed.
@@ -53,6 +54,7 @@
 
 private:
     bool isCandidate() const;
+    bool leavesDutyToPeer() const;
     void renew(boost::asio::yield_context yield);
     void renewForever(boost::asio::yield_context yield);
     void release(boost::asio::yield_context yield);
@@ -71,6 +73,7 @@
     time_point m_expiresAt{};
     time_point m_extendedUntil{};
     bool m_isMember = false;           // of the group whose members may get the lease
+    bool m_isGranted = false;          // by the store's last answer, as long as it is a member
     bool m_isStoreUnavailable = false; // the last request to the store failed
     std::int64_t m_fencingToken = 0;
 };
--- a/src/fescuedeck/gateway/placement_lease_test.cpp
+++ b/src/fescuedeck/gateway/placement_lease_test.cpp
@@ -17,10 +17,11 @@
 // Nothing listens on this address.
 const std::string deadAddress = "127.0.0.1:1";
 
-// A store that grants the lease to every member while it is up, and engines that accept every order
-// and always report that they are busy.
-platform_adapter testAdapter(const std::atomic<bool> &isStoreDown, std::atomic<int> &joins,
-                             std::atomic<int> &refusedReleases)
+// A store that grants the lease to every member while it is up and no other holds the lease, and
+// engines that accept every order and always report that they are busy.
+platform_adapter testAdapter(const std::atomic<bool> &isStoreDown,
+                             const std::atomic<bool> &isHeldByOther, std::atomic<int> &joins,
+                             std::atomic<int> &refusedReleases, std::atomic<int> &releases)
 {
     platform_adapter adapter;
     adapter.store.joinLease = [&](const std::string &, duration, duration,
@@ -28,7 +29,7 @@
         ++joins;
         if (isStoreDown)
             return makeFailure(errc::LogUnavailable, "down");
-        return lease_grant{ true, 1 };
+        return lease_grant{ !isHeldByOther, 1 };
     };
     adapter.store.leaveLease = [&](const std::string &, duration,
                                    boost::asio::yield_context) -> std::optional<failure> {
@@ -36,6 +37,7 @@
             ++refusedReleases;
             return makeFailure(errc::LogUnavailable, "down");
         }
+        ++releases;
         return std::nullopt;
     };
     adapter.encodeOrder = [](const placement_order &order, std::int64_t) {
@@ -85,8 +87,9 @@
 public:
     lease_fixture()
         : m_client(io.context())
-        , context(testSettings(), testAdapter(isStoreDown, joins, refusedReleases), io.context(),
-                  m_client, seededRandom(1))
+        , context(testSettings(),
+                  testAdapter(isStoreDown, isHeldByOther, joins, refusedReleases, releases),
+                  io.context(), m_client, seededRandom(1))
         , m_inspector(context)
         , m_lease(context, "one", shortLease())
         , m_engine(io.context(), {}, [this](http_exchange &exchange) {
@@ -128,8 +131,10 @@
 
     test_io io{ 1 };
     std::atomic<bool> isStoreDown{ false };
+    std::atomic<bool> isHeldByOther{ false };
     std::atomic<int> joins{ 0 };
     std::atomic<int> refusedReleases{ 0 };
+    std::atomic<int> releases{ 0 };
     std::atomic<int> orders{ 0 }; // received by the live engine
     std::atomic<int> ordersOnReusedConnections{ 0 };
     // Leaves an idle connection to the live engine.
@@ -230,4 +235,51 @@
     CHECK(fixture.isHolder());
 }
 
+// Guards against layers that nobody reloads while the gateway that holds the lease reaches no
+// engine.
+TEST_CASE("an isolated holder leaves the lease to a peer that reaches engines, if there is one",
+          "[gateway]")
+{
+    lease_fixture fixture;
+    std::atomic<bool> hasPeer{ false };
+    std::atomic<bool> isIsolated{ false };
+    fixture.context.isIsolated = [&] { return isIsolated.load(); };
+    fixture.context.hasVouchingPeer = [&] { return hasPeer.load(); };
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isHolder(); }));
+    isIsolated = true;
+    const int joins = fixture.joins;
+    CHECK(eventually([&] { return fixture.joins > joins + 3; }));
+    CHECK(fixture.isHolder());
+    hasPeer = true;
+    CHECK_FALSE(fixture.isHolder());
+    CHECK(eventually([&] { return fixture.releases > 0; }));
+    isIsolated = false;
+    CHECK(eventually([&] { return fixture.isHolder(); }));
+}
+
+// Guards against a duty that changes hands whenever the links of any gateway return.
+TEST_CASE("an isolated gateway that does not hold the lease stays a member of its group",
+          "[gateway]")
+{
+    lease_fixture fixture;
+    std::atomic<bool> isIsolated{ false };
+    fixture.context.isIsolated = [&] { return isIsolated.load(); };
+    fixture.context.hasVouchingPeer = [] { return true; };
+    fixture.isHeldByOther = true;
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.joins > 0; }));
+    isIsolated = true;
+    const int joins = fixture.joins;
+    CHECK(eventually([&] { return fixture.joins > joins + 3; }));
+    CHECK(fixture.releases == 0);
+    // Once it is granted the lease it leaves, and does not come back while it is isolated.
+    fixture.isHeldByOther = false;
+    CHECK(eventually([&] { return fixture.releases > 0; }));
+    CHECK_FALSE(fixture.isHolder());
+    const int joinsAtRelease = fixture.joins;
+    std::this_thread::sleep_for(4 * shortLease().renewInterval);
+    CHECK(fixture.joins == joinsAtRelease);
+}
+
 } // namespace fescuedeck
