--- a/src/fescuedeck/gateway/destination_chooser.cpp
+++ b/src/fescuedeck/gateway/destination_chooser.cpp
@@ -37,8 +37,37 @@
                                : chooseEndpoint(endpoints, request);
 }
 
+endpoint_ptr destination_chooser::choosePeerWithout(const std::set<std::string> &excluded) const
+{
+    return m_context.relays.choose(
+            { m_context.settings.failureDomain, excluded, steadyNow(), m_requestHash });
+}
+
+std::optional<destination> destination_chooser::chooseRelay() const
+{
+    const endpoint_ptr peer = choosePeerWithout(m_excludedPeers);
+    if (!peer)
+        return std::nullopt;
+    destination relay;
+    relay.first = peer;
+    relay.stages = { peer };
+    relay.isRelay = true;
+    return relay;
+}
+
+void destination_chooser::clearExcluded()
+{
+    m_excluded.clear();
+    m_excludedPeers.clear();
+}
+
 bool destination_chooser::hasAlternativeTo(const destination &to) const
 {
+    if (to.isRelay) {
+        std::set<std::string> excluded = m_excludedPeers;
+        excluded.insert(to.first->entry.id);
+        return choosePeerWithout(excluded) != nullptr;
+    }
     std::set<std::string> excluded = m_excluded;
     for (const endpoint_ptr &stage : to.stages)
         excluded.insert(stage->entry.id);
@@ -48,6 +77,8 @@
 void destination_chooser::beginAttempt(const destination &to)
 {
     m_demanded.clear();
+    if (to.isRelay)
+        return; // the peer keeps to the limits
     m_context.requestLimits.take(incarnationName(to.first->entry), steadyNow());
 }
 
--- a/src/fescuedeck/gateway/destination_chooser.h
+++ b/src/fescuedeck/gateway/destination_chooser.h
@@ -26,25 +26,31 @@
     // accepts a request within its request limit. Records the demand for each endpoint that it
     // considers, once per attempt.
     std::optional<destination> choose();
-    // Whether a destination exists that shares no endpoint with the given one.
+    // Returns the best peer for relaying the request, apart from the excluded ones.
+    std::optional<destination> chooseRelay() const;
+    // Whether a destination exists that shares no endpoint with the given one; for a relay, whether
+    // another peer can relay the request.
     bool hasAlternativeTo(const destination &to) const;
     // Counts an attempt at the destination against its request limit.
     void beginAttempt(const destination &to);
 
     void exclude(const std::string &endpoint) { m_excluded.insert(endpoint); }
-    void clearExcluded() { m_excluded.clear(); }
-    std::size_t excludedCount() const { return m_excluded.size(); }
+    void excludePeer(const std::string &peer) { m_excludedPeers.insert(peer); }
+    void clearExcluded();
+    std::size_t excludedCount() const { return m_excluded.size() + m_excludedPeers.size(); }
     // Whether choose() has passed over an endpoint because of its request limit.
     bool hasMetLimit() const { return m_hasMetLimit; }
 
 private:
     std::optional<destination> chooseWithout(const std::set<std::string> &excluded) const;
+    endpoint_ptr choosePeerWithout(const std::set<std::string> &excluded) const;
 
     gateway_context &m_context;
     const std::string m_service;
     const engine_spec *m_engine;
     const std::uint64_t m_requestHash;
-    std::set<std::string> m_excluded; // ids of endpoints that have failed the request
+    std::set<std::string> m_excluded;      // ids of endpoints that have failed the request
+    std::set<std::string> m_excludedPeers; // hosts of peers that have failed or refused it
     // Incarnation names of the endpoints whose demand was recorded for the next attempt.
     std::set<std::string> m_demanded;
     bool m_hasMetLimit = false;
--- a/src/fescuedeck/gateway/endpoint_choice.h
+++ b/src/fescuedeck/gateway/endpoint_choice.h
@@ -32,6 +32,8 @@
     // Used share of the usable cache of the fullest engine in the chain. Above 1, engines may
     // preempt requests. Always 0 for a plain service.
     double fill = 0;
+    // Whether first stands for a peer that passes the request on. chain is empty then.
+    bool isRelay = false;
 };
 
 // Returns the used share of the usable cache of an engine for requests that run all layers it
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -8,6 +8,7 @@
 #include "fescuedeck/gateway/attempt_guards.h"
 #include "fescuedeck/gateway/chain_progress.h"
 #include "fescuedeck/gateway/event_timing.h"
+#include "fescuedeck/gateway/relay_result.h"
 #include "fescuedeck/gateway/retry_after.h"
 #include "fescuedeck/router/wait_event.h"
 #include "fescuedeck/telemetry/event_line.h"
@@ -51,6 +52,12 @@
 constexpr std::size_t maxFailureBytes = 1024 * 1024;
 // A silent stream that cannot be retried is checked this often, because it may become retryable.
 constexpr duration retryCheckInterval = std::chrono::milliseconds(200);
+// After this many attempts that could not connect, a request waits this long at most for the
+// gateway to find out whether it is isolated.
+constexpr int unsentAttemptsBeforeWait = 2;
+constexpr duration maxReachabilityWait = std::chrono::milliseconds(100);
+// Attempts that reached no endpoint do not count against the allowed ones, up to this many.
+constexpr int maxUnsentAttempts = 4;
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
 constexpr duration answerMargin = std::chrono::milliseconds(30);
 
@@ -76,6 +83,7 @@
         , events(lastEventId)
         , first(to.first)
         , stages(to.stages)
+        , isRelay(to.isRelay)
         , timing(steadyNow(), first->usualFirstEventDelay)
     {
     }
@@ -85,13 +93,15 @@
     event_splitter events;
     const endpoint_ptr first;
     const std::vector<endpoint_ptr> stages;
+    const bool isRelay; // first is a peer
     http_response head;
     event_timing timing;
     bool hasAlternative = false; // another destination could resume the request
     bool isStream = false;       // the head of a stream of events has arrived
     bool isUnusable = false;     // the answer must not be relayed
     bool isBeginRecorded = false;
-    bool isWithdrawn = false; // cancelled because the request was quarantined meanwhile
+    // Cancelled because the request was quarantined meanwhile, or because the gateway is isolated.
+    bool isWithdrawn = false;
 
     // The first event may be the work of an engine that crashes while it begins to answer.
     bool hasSurelyBegun() const { return events.completeEvents() > 1; }
@@ -99,15 +109,17 @@
 
 forwarded_call::forwarded_call(gateway_context &context, http_exchange &exchange,
                                std::shared_ptr<const config_index> config, const route_rule &route,
-                               const call_info &info)
+                               const call_info &info, std::optional<relay_claim> relayed)
     : m_context(context)
     , m_exchange(exchange)
     , m_config(std::move(config))
     , m_route(route)
     , m_info(info)
-    , m_service(drawService(route, context.random))
+    , m_relayed(std::move(relayed))
+    , m_service(m_relayed ? m_relayed->service : drawService(route, context.random))
     , m_engine(engineOf(m_config->findService(m_service)))
     , m_destinations(context, m_service, m_engine, stableHash(info.id))
+    , m_possibleRuns(m_relayed ? m_relayed->possibleRuns : 0)
     , m_lastEventId(info.resumeAfter)
 {
 }
@@ -118,10 +130,14 @@
         m_hasCallerLeft = true;
         m_cancellation.cancel();
     });
-    m_context.retryBudget.recordRequest(m_service, steadyNow());
     attempt_outcome last = attempt_outcome::NotRun;
     do {
         const std::optional<destination> to = waitForDestination();
+        // The peer counts a request that it relays.
+        if (!m_isRecordedInBudget && !(to && to->isRelay)) {
+            m_isRecordedInBudget = true;
+            m_context.retryBudget.recordRequest(m_service, steadyNow());
+        }
         if (m_hasCallerLeft || m_exchange.callerLeft())
             return finish("caller_left");
         if (!to) {
@@ -160,23 +176,45 @@
                     std::min<duration>(remainingWait, remainingTime() / announcementWaitDivisor));
 }
 
+std::optional<destination> forwarded_call::chooseDestination()
+{
+    const bool isIsolated = m_context.isIsolated();
+    if (isIsolated && m_relayed)
+        return std::nullopt;
+    if (isIsolated && m_context.hasVouchingPeer())
+        return m_destinations.chooseRelay();
+    return m_destinations.choose();
+}
+
+void forwarded_call::waitForReachability()
+{
+    if (m_unsentAttempts < unsentAttemptsBeforeWait || !m_context.hasVouchingPeer())
+        return;
+    const time_point limit = steadyNow() + maxReachabilityWait;
+    while (!m_context.isIsolated() && steadyNow() < limit && !m_hasCallerLeft)
+        sleepFor(endpointPollInterval, m_exchange.yield());
+}
+
 std::optional<destination> forwarded_call::waitForDestination()
 {
+    waitForReachability();
     const bool mustContinue = m_possibleRuns > 0 || m_hasStreamStarted;
     const time_point limit
             = steadyNow() + std::min<duration>(endpointWaitLimit(), remainingTime() - answerMargin);
-    std::optional<destination> to = m_destinations.choose();
+    std::optional<destination> to = chooseDestination();
     if (to && !mustContinue && to->fill > maxAdmittedFill)
         return waitForCapacity(std::move(to));
     bool areFailuresCleared = false;
     while (!to && steadyNow() < limit && !m_hasCallerLeft) {
+        if (m_relayed && m_context.isIsolated())
+            return std::nullopt; // another peer may reach the endpoints
         sleepFor(endpointPollInterval, m_exchange.yield());
         // Late in the wait, an endpoint that has failed this request is better than none.
         if (mustContinue && !areFailuresCleared && limit - steadyNow() < maxEndpointWait / 2) {
             areFailuresCleared = true;
             m_destinations.clearExcluded();
         }
-        to = m_destinations.choose();
+        to = chooseDestination();
     }
     return to;
 }
@@ -186,7 +224,7 @@
     const time_point limit = steadyNow() + std::min<duration>(maxCapacityWait, remainingTime() / 2);
     while (to && to->fill > maxAdmittedFill && steadyNow() < limit && !m_hasCallerLeft) {
         sleepFor(endpointPollInterval, m_exchange.yield());
-        to = m_destinations.choose();
+        to = chooseDestination();
     }
     if (!to || to->fill <= maxFillAfterWait)
         return to;
@@ -201,6 +239,9 @@
         m_giveUpReason = give_up_reason::Quarantined;
     if (!isRetryable(last, m_possibleRuns))
         return false;
+    // The budget limits what reaches endpoints.
+    if (!m_hasReachedEndpoints)
+        return true;
     m_giveUpReason = give_up_reason::RetryBudgetExhausted;
     return m_context.retryBudget.takeRetry(m_service, steadyNow());
 }
@@ -213,8 +254,10 @@
                              || (last == attempt_outcome::Interrupted && m_route.isResumable);
     if (isQuarantined())
         return false;
+    const int countedAttempts = m_attempts - std::min(m_unsentAttempts, maxUnsentAttempts);
     return mayRunAgain && !m_hasCallerLeft && possibleRuns < m_route.maxAttempts
-           && m_attempts < m_route.maxAttempts + maxExtraAttempts && remainingTime() > answerMargin;
+           && countedAttempts < m_route.maxAttempts + maxExtraAttempts
+           && remainingTime() > answerMargin;
 }
 
 bool forwarded_call::isRetryableIfAttemptFails() const
@@ -242,21 +285,16 @@
     attempt current(m_context, m_service, m_lastEventId, to);
     const in_flight_guard inFlight(to.stages, static_cast<double>(m_info.promptTokens)
                                                       + expectedAnswerTokens());
-    forward_options options;
-    options.endpoint = to.first->entry.id;
-    options.workspace = workspace;
-    options.timeLimit = remainingTime();
-    options.chain = to.chain;
-    options.resumeAfter = m_lastEventId;
-    const http_request request = m_context.adapter.forwardRequest(m_exchange.request(), options);
-
+    const http_request request = requestTo(to);
     call_options call;
     call.timeout = remainingTime();
     call.connectTimeout = connectTimeout;
     call.cancellation = current.cancellation;
     // Without an id, a late response to an earlier request cannot be told from the expected one.
     call.freshConnection = m_info.id.empty();
-    call.isExpected = [this](const http_response &head, bool isReusedConnection) {
+    call.isExpected = [this, &to](const http_response &head, bool isReusedConnection) {
+        if (to.isRelay && readRelayRefusal(head, m_info.id))
+            return true;
         return isResponseToThisRequest(m_context.adapter.readResponse(head), isReusedConnection);
     };
     if (!isRetryableIfAttemptFails())
@@ -274,8 +312,15 @@
         if (current.isWithdrawn)
             current.cancellation.cancel();
     });
+    std::optional<open_attempt> openAttempt;
+    if (!to.isRelay)
+        openAttempt.emplace(m_context.openAttempts, [this, &current] { moveIfStalled(current); });
     const call_result result
             = m_context.client.send(to.first->entry.address, request, call, m_exchange.yield());
+    if (to.isRelay)
+        return handleRelayResult(to, current, result);
+    m_unsentAttempts += result.mayHaveBeenSent ? 0 : 1;
+    m_hasReachedEndpoints = m_hasReachedEndpoints || result.mayHaveBeenSent;
     if (m_hasCallerLeft || m_exchange.callerLeft()) {
         recordIfAbandoned(to, current, result);
         // The caller may have disconnected because the stream stalled. The cause of the stall must
@@ -292,12 +337,44 @@
         return attempt_outcome::CallerLeft;
     }
     if (current.isWithdrawn && !result.response) {
+        if (!result.mayHaveBeenSent)
+            return attempt_outcome::NotRun;
         ++m_possibleRuns;
         return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
     }
     return handleResult(to, current, result);
 }
 
+http_request forwarded_call::requestTo(const destination &to) const
+{
+    const http_request &request = m_exchange.request();
+    if (to.isRelay) {
+        http_request relayed
+                = m_context.adapter.relayRequest(request, { remainingTime(), m_lastEventId });
+        relayed.headers.push_back(makeRelayHeader(
+                m_context.peerSecret,
+                { m_context.settings.id, m_possibleRuns, m_service, wallNow() },
+                { to.first->entry.id, m_info.id, request.method, request.target }));
+        return relayed;
+    }
+    forward_options options;
+    options.endpoint = to.first->entry.id;
+    options.workspace = workspace;
+    options.timeLimit = remainingTime();
+    options.chain = to.chain;
+    options.resumeAfter = m_lastEventId;
+    return m_context.adapter.forwardRequest(request, options);
+}
+
+void forwarded_call::moveIfStalled(attempt &current)
+{
+    const bool isStalled = steadyNow() - current.timing.lastActivityAt() >= isolatedStallLimit;
+    if (!isStalled || !isRetryableIfAttemptFails() || !current.retry.tryReserve())
+        return;
+    current.isWithdrawn = true;
+    current.cancellation.cancel();
+}
+
 void forwarded_call::logRetry(const destination &to) const
 {
     m_context.counters.counterOf("fescuedeck_repeated_sendings_total", { { "service", m_service } })
@@ -319,8 +396,11 @@
 {
     if (!isRetryableIfAttemptFails() || !current.retry.tryReserve())
         return retryCheckInterval;
-    const duration limit = current.timing.stallLimit(
+    duration limit = current.timing.stallLimit(
             { m_route.latencyObjective, m_route.gapObjective }, current.hasAlternative);
+    // The peer itself resumes a stream that stalls at an endpoint.
+    if (current.isRelay)
+        limit = std::max(limit, busyChainStallLimit);
     return fescuedeck::timeUntilStall(current.stages, current.timing.lastActivityAt(), limit,
                                       steadyNow());
 }
@@ -352,7 +432,7 @@
 
 void forwarded_call::onStreamHead(attempt &current, const http_response &head)
 {
-    const response_info answer = readNewResponse(*current.first, head);
+    const response_info answer = readNewResponse(current, head);
     current.head = head;
     current.isStream = head.status == statusOk && isValidAnswer(answer, head);
     current.isUnusable = isSuccess(head.status) && !current.isStream;
@@ -396,15 +476,17 @@
     }
 }
 
-response_info forwarded_call::readNewResponse(const endpoint_record &from,
-                                              const http_response &response)
+response_info forwarded_call::readNewResponse(const attempt &current, const http_response &response)
 {
     response_info answer = m_context.adapter.readResponse(response);
-    const bool isChanged = m_context.requestLimits.observe(incarnationName(from.entry),
+    if (current.isRelay)
+        return answer; // the limit is that of an endpoint which the peer has chosen
+    const endpoint_entry &from = current.first->entry;
+    const bool isChanged = m_context.requestLimits.observe(incarnationName(from),
                                                            answer.requestLimit, steadyNow());
     if (isChanged) {
         event_line("request_limit_changed", event_level::Warning)
-                .field("endpoint", from.entry.id)
+                .field("endpoint", from.id)
                 .field("per_second", answer.requestLimit.value_or(0));
     }
     return answer;
@@ -431,7 +513,7 @@
     // The head of a stream was read when it arrived.
     const response_info answer = m_route.kind == call_kind::Stream
                                          ? m_context.adapter.readResponse(response)
-                                         : readNewResponse(*to.first, response);
+                                         : readNewResponse(current, response);
     m_endpointFailure.reset();
     to.first->lastProgressAt = steadyNow();
     if (answer.didNotRun || answer.isMisdirected) {
@@ -528,6 +610,79 @@
     return m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
 }
 
+attempt_outcome forwarded_call::handleRelayResult(const destination &to, attempt &current,
+                                                  const call_result &result)
+{
+    const time_point now = steadyNow();
+    const relay_result evaluated = evaluateRelay(result, m_info.id, m_context.adapter);
+    const bool isSent
+            = evaluated != relay_result::Unreached && evaluated != relay_result::Unavailable;
+    m_unsentAttempts += isSent ? 0 : 1;
+    m_hasReachedEndpoints = m_hasReachedEndpoints || isSent;
+    m_possibleRuns += isNotRun(evaluated) ? 0 : 1;
+    attempt_outcome outcome
+            = m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
+    if (m_hasCallerLeft || m_exchange.callerLeft())
+        outcome = attempt_outcome::CallerLeft;
+    else if (evaluated == relay_result::Response)
+        outcome = handleRelayedResponse(current, result.response.value());
+    else if (isNotRun(evaluated))
+        outcome = attempt_outcome::NotRun;
+    m_wasEndpointBusy = m_wasEndpointBusy || evaluated == relay_result::Refused;
+    const bool isSilent = now - to.first->lastProgressAt >= busyChainStallLimit;
+    const bool hasFailed = !isSent || (!result.response && isSilent && !current.isWithdrawn);
+    if (outcome != attempt_outcome::Answered && outcome != attempt_outcome::CallerLeft) {
+        m_destinations.excludePeer(to.first->entry.id);
+        if (hasFailed)
+            m_context.relays.avoid(to.first->entry.id, now);
+    }
+    if (result.response)
+        to.first->lastProgressAt = now;
+    logRelay(to, result, outcome);
+    return outcome;
+}
+
+attempt_outcome forwarded_call::handleRelayedResponse(attempt &current, const http_response &whole)
+{
+    const http_response &response = m_route.kind == call_kind::Stream ? current.head : whole;
+    const response_info answer = m_context.adapter.readResponse(response);
+    const bool isMisleadingStatus = answer.statusImpliesNotRun && !isRepeatable(m_route);
+    const bool isUsable
+            = !current.isUnusable && !isMisleadingStatus && isValidAnswer(answer, response);
+    const bool isWholeStream
+            = current.isStream && m_hasStreamStarted && !current.events.hasPartialEvent();
+    if (isUsable && isWholeStream) {
+        m_exchange.finishStream();
+        return attempt_outcome::Answered;
+    }
+    if (m_hasStreamStarted)
+        return attempt_outcome::Interrupted;
+    if (!isUsable || current.isStream)
+        return attempt_outcome::MayHaveRun;
+    m_status = response.status;
+    m_exchange.respond(m_context.adapter.forwardResponse(response));
+    return attempt_outcome::Answered;
+}
+
+void forwarded_call::logRelay(const destination &to, const call_result &result,
+                              attempt_outcome outcome) const
+{
+    const std::string name(nameOf(attemptOutcomeNames, outcome));
+    m_context.counters.counterOf("fescuedeck_relayed_requests_total", { { "outcome", name } })
+            .add();
+    const bool isAnswered = outcome == attempt_outcome::Answered;
+    event_line line("relayed", isAnswered ? event_level::Info : event_level::Warning);
+    line.field("request", m_info.id)
+            .field("peer", to.first->entry.id)
+            .field("sending", m_attempts)
+            .field("outcome", name)
+            .field("connection", static_cast<int>(result.localPort));
+    if (result.response)
+        line.field("status", result.response.value().status);
+    else
+        line.field("cause", errorName(static_cast<errc>(result.response.error().code.value())));
+}
+
 // The request may crash the endpoint after the gateway has stopped waiting.
 void forwarded_call::recordIfAbandoned(const destination &to, const attempt &current,
                                        const call_result &result)
@@ -643,7 +798,10 @@
                 .field("last_event", m_lastEventId.value_or(0));
         return finish("broken_off");
     }
-    const bool hasRun = last != attempt_outcome::NotRun || (m_possibleRuns > 0);
+    const int earlierRuns = m_relayed ? m_relayed->possibleRuns : 0;
+    const bool hasRunHere
+            = last != attempt_outcome::NotRun || m_possibleRuns > earlierRuns;
+    const bool hasRun = hasRunHere || m_possibleRuns > 0;
     const bool isBusy = m_wasEndpointBusy || m_destinations.hasMetLimit();
     refusal_reason reason = isBusy ? refusal_reason::Busy : refusal_reason::NoEndpoint;
     if (m_giveUpReason == give_up_reason::Quarantined)
@@ -664,7 +822,10 @@
             .counterOf("fescuedeck_refused_requests_total",
                        { { "reason", std::string(nameOf(refusalReasonNames, reason)) } })
             .add();
-    const http_response refusal = m_context.adapter.refuse(reason, retryAfter);
+    http_response refusal = m_context.adapter.refuse(reason, retryAfter);
+    if (m_relayed)
+        markRelayRefusal(refusal, hasRunHere ? relay_outcome::MayHaveRun : relay_outcome::NotRun,
+                         m_info.id);
     m_status = refusal.status;
     m_exchange.respond(refusal);
     finish(hasRun ? "failed" : "refused");
@@ -674,8 +835,10 @@
 {
     const time_point now = steadyNow();
     const time_point lastActivityAt = std::max(arrivedAt, m_lastRelayedAt);
-    event_line("request_ended")
-            .field("request", m_info.id)
+    event_line line("request_ended");
+    if (m_relayed)
+        line.field("relayed_by", m_relayed->origin);
+    line.field("request", m_info.id)
             .field("fingerprint", identity.fingerprint)
             .field("outcome", outcome)
             .field("status", m_status)
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -11,6 +11,7 @@
 #include "fescuedeck/gateway/destination_chooser.h"
 #include "fescuedeck/gateway/event_splitter.h"
 #include "fescuedeck/gateway/gateway_context.h"
+#include "fescuedeck/gateway/relay_protocol.h"
 #include "fescuedeck/net/http_server.h"
 
 namespace fescuedeck {
@@ -24,6 +25,14 @@
     CallerLeft,  // the caller has disconnected
 };
 
+constexpr name_table<attempt_outcome, 5> attemptOutcomeNames = { {
+        { attempt_outcome::Answered, "answered" },
+        { attempt_outcome::NotRun, "not_run" },
+        { attempt_outcome::MayHaveRun, "may_have_run" },
+        { attempt_outcome::Interrupted, "interrupted" },
+        { attempt_outcome::CallerLeft, "caller_left" },
+} };
+
 // Why a request without a good answer gets no further attempt.
 enum class give_up_reason {
     NoEndpoint,           // no usable endpoint has capacity
@@ -44,9 +53,10 @@
 class forwarded_call
 {
 public:
+    // relayed is the claim of the gateway that relayed the request; empty for a caller's request.
     forwarded_call(gateway_context &context, http_exchange &exchange,
                    std::shared_ptr<const config_index> config, const route_rule &route,
-                   const call_info &info);
+                   const call_info &info, std::optional<relay_claim> relayed);
 
     std::string workspace;
     request_identity identity;
@@ -63,6 +73,12 @@
     // Waits until a request can be sent somewhere. Empty if nothing is available within
     // endpointWaitLimit(), or if the caller has disconnected.
     std::optional<destination> waitForDestination();
+    // Returns a peer instead of an endpoint while this gateway does not reach the endpoints. A
+    // request that was relayed once is not relayed again.
+    std::optional<destination> chooseDestination();
+    // A gateway that loses its links needs a moment to find out. Waits for that after connections
+    // to several endpoints have failed, so that the request does not use up its attempts before.
+    void waitForReachability();
     // How long the request may wait for an endpoint:
     // - A request that may have run can no longer be refused as not run. It waits longest.
     // - A request that has not run waits for a share of its objective, so that a suspicion that
@@ -79,6 +95,9 @@
     double expectedAnswerTokens() const;
     // Sends the request to the destination and relays a stream while it arrives.
     attempt_outcome runAttempt(const destination &to);
+    http_request requestTo(const destination &to) const;
+    // Ends an attempt without progress, while this gateway is isolated, if another may follow.
+    void moveIfStalled(attempt &current);
     void logRetry(const destination &to) const;
     // The next four functions evaluate the end of an attempt. They answer the caller if the result
     // allows it, and record what the result says about the endpoints.
@@ -88,9 +107,15 @@
                                   const call_result &result);
     attempt_outcome handleStreamEnd(const destination &to, const attempt &current);
     attempt_outcome relayResponse(const destination &to, const http_response &response);
+    // Evaluates the end of an attempt at a peer. Says nothing about endpoints, because the peer
+    // draws those conclusions itself.
+    attempt_outcome handleRelayResult(const destination &to, attempt &current,
+                                      const call_result &result);
+    attempt_outcome handleRelayedResponse(attempt &current, const http_response &whole);
+    void logRelay(const destination &to, const call_result &result, attempt_outcome outcome) const;
     // Decodes the head of a response that has just arrived, and notes the request limit that the
     // endpoint states.
-    response_info readNewResponse(const endpoint_record &from, const http_response &response);
+    response_info readNewResponse(const attempt &current, const http_response &response);
     void onStreamHead(attempt &current, const http_response &head);
     void onStreamPart(attempt &current, std::string_view part);
     // Decides whether another attempt follows, and if so takes a retry from the retry budget. Sets
@@ -141,11 +166,15 @@
     std::shared_ptr<const config_index> m_config;
     const route_rule &m_route;
     const call_info &m_info;
+    const std::optional<relay_claim> m_relayed;
     const std::string m_service;
     const engine_spec *m_engine; // null for a plain service
     destination_chooser m_destinations;
     int m_possibleRuns = 0; // attempts in which the request may have run
     int m_attempts = 0;
+    int m_unsentAttempts = 0;           // attempts that reached neither an endpoint nor a peer
+    bool m_hasReachedEndpoints = false; // an endpoint may have received the request
+    bool m_isRecordedInBudget = false;
     std::string m_lastEndpoint;   // id of the first endpoint of the last attempt
     time_point m_lastRelayedAt{}; // when events were last sent to the caller
     duration m_longestGap{};      // between two writes of events to the caller
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 #include "fescuedeck/gateway/gateway_peers.h"
 #include "fescuedeck/gateway/placement_lease.h"
 #include "fescuedeck/gateway/process_pause_watch.h"
+#include "fescuedeck/gateway/relay_protocol.h"
 #include "fescuedeck/gateway/request_forwarder.h"
 #include "fescuedeck/gateway/settings_reload.h"
 #include "fescuedeck/gateway/table_follower.h"
@@ -61,6 +62,7 @@
 // The settings file is read this often without a signal. A change that needs to apply sooner is
 // followed by SIGHUP.
 constexpr duration settingsInterval = std::chrono::seconds(5);
+constexpr duration isolationCheckInterval = std::chrono::milliseconds(50);
 constexpr duration logFlushInterval = std::chrono::milliseconds(250);
 constexpr duration bodyTimeout = std::chrono::seconds(20);
 // After SIGTERM the gateway accepts connections for this long, until the load balancer has seen
@@ -100,6 +102,12 @@
     return unix_millis(end) - wallNow();
 }
 
+http_server_limits withRelayHeader(http_server_limits limits)
+{
+    limits.maxHeaderBytes += maxRelayHeaderBytes;
+    return limits;
+}
+
 http_client_limits clientLimits()
 {
     http_client_limits limits;
@@ -156,6 +164,7 @@
     http_server m_callerServer;
     http_server m_readinessServer;
     http_server m_operatorServer;
+    http_server m_relayServer;
     table_follower m_configTable;
     table_follower m_endpointTable;
     table_follower m_quarantineTable;
@@ -180,6 +189,8 @@
                        [this](http_exchange &exchange) {
                            exchange.respond(statusResponse(exchange.request()));
                        })
+    , m_relayServer(m_io, withRelayHeader({}),
+                    [this](http_exchange &exchange) { m_forwarder.handleRelayed(exchange); })
     , m_configTable(m_io, m_context.adapter.store, store_table::Configuration,
                     { "configuration", [this] { return configPace(); }, readTimeout },
                     configHooks(), m_context.random)
@@ -215,6 +226,7 @@
         event_line("handler_failed", event_level::Error).field("detail", what);
     };
     m_callerServer.onHandlerException(log);
+    m_relayServer.onHandlerException(log);
 }
 
 void gateway::registerGauges()
@@ -246,6 +258,10 @@
                       [this] { return m_placementLease.isHolder(steadyNow()) ? 1.0 : 0.0; });
     counters.setGauge("fescuedeck_open_requests", {},
                       [this] { return static_cast<double>(m_callerServer.openExchanges()); });
+    counters.setGauge("fescuedeck_open_relays", {},
+                      [this] { return static_cast<double>(m_relayServer.openExchanges()); });
+    counters.setGauge("fescuedeck_vouching_peer", {},
+                      [this] { return m_context.hasVouchingPeer() ? 1.0 : 0.0; });
 }
 
 // Returns how long a read may wait for a new record that must be known within the limit.
@@ -411,6 +427,7 @@
     serverLimits.idleTimeout = limits.idleTimeout;
     serverLimits.bodyTimeout = bodyTimeout;
     m_callerServer.setLimits(serverLimits);
+    m_relayServer.setLimits(withRelayHeader(serverLimits));
     m_peers.setConfigText(value);
     m_peers.announceChange();
     event_line("config_in_force").field("version", version).field("source", source);
@@ -468,6 +485,9 @@
                     .field("detail", error.message());
         return !error;
     };
+    // A gateway that cannot serve relayed requests still serves its own callers.
+    if (!open(m_relayServer, "relays", m_context.settings.relayAddress))
+        m_context.settings.relayAddress.clear();
     return open(m_callerServer, "callers", m_context.settings.callersAddress)
            && open(m_readinessServer, "readiness", m_context.settings.readinessAddress)
            && open(m_operatorServer, "operators", m_context.settings.operatorsAddress);
@@ -523,18 +543,27 @@
 
 void gateway::shutDown(boost::asio::yield_context yield)
 {
-    event_line("stopping").field("open_requests", m_callerServer.openExchanges());
+    event_line("stopping")
+            .field("open_requests", m_callerServer.openExchanges())
+            .field("open_relays", m_relayServer.openExchanges());
     const duration gracePeriod = m_context.settings.gracePeriod;
     const time_point now = steadyNow();
     m_context.isStopping = true;
+    m_peers.announceChange();
     m_context.endsAt = now + gracePeriod - shutdownMargin;
     m_context.acceptsRequestsUntil
             = now + std::min<duration>(acceptanceTime, shareOf(gracePeriod, maxAcceptanceShare));
     sleepFor(std::min<duration>(shutdownNotice, shareOf(gracePeriod, maxNoticeShare)), yield);
     m_callerServer.stopAccepting();
-    while (m_callerServer.openConnections() > 0 && steadyNow() < m_context.endsAt)
+    m_relayServer.stopAccepting();
+    const auto isServing = [this] {
+        return m_callerServer.openConnections() > 0 || m_relayServer.openConnections() > 0;
+    };
+    while (isServing() && steadyNow() < m_context.endsAt)
         sleepFor(shutdownPollInterval, yield);
-    event_line("stopped").field("open_requests", m_callerServer.openExchanges());
+    event_line("stopped")
+            .field("open_requests", m_callerServer.openExchanges())
+            .field("open_relays", m_relayServer.openExchanges());
     flushEventLog();
     m_io.stop();
 }
@@ -559,6 +588,12 @@
     boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { runExpiryLoop(yield); });
     boost::asio::spawn(m_io,
                        [this](boost::asio::yield_context yield) { runSettingsReloadLoop(yield); });
+    boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) {
+        while (true) {
+            sleepFor(isolationCheckInterval, yield);
+            moveRequestsIfIsolated(m_context, steadyNow());
+        }
+    });
     m_configTable.start();
     m_endpointTable.start();
     m_quarantineTable.start();
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -18,7 +18,9 @@
 #include "fescuedeck/gateway/gateway_config.h"
 #include "fescuedeck/gateway/gateway_retry_budget.h"
 #include "fescuedeck/gateway/gateway_settings.h"
+#include "fescuedeck/gateway/open_attempts.h"
 #include "fescuedeck/gateway/platform_adapter.h"
+#include "fescuedeck/gateway/relay_directory.h"
 #include "fescuedeck/gateway/request_limiter.h"
 #include "fescuedeck/net/http_client.h"
 #include "fescuedeck/telemetry/metrics.h"
@@ -50,6 +52,10 @@
     std::map<std::string, int> reservedRetries;
     crash_quarantine crashes;
     request_limiter requestLimits;
+    relay_directory relays;
+    open_attempts openAttempts;
+    // Shared by the gateways of the deployment. Empty until it has been read from the store.
+    std::string peerSecret;
     // Set by the owner, like the hook below. Asks an engine for a report on the engines that it
     // waits for.
     std::function<void(const std::string &endpoint, engine_suspicion)> inspectEngine;
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -140,6 +140,7 @@
 {
     if (record.key == secretKey) {
         m_secret = record.value;
+        m_context.peerSecret = m_secret;
         return;
     }
     if (record.isRemoval)
@@ -158,7 +159,8 @@
         hooks.currentDigest = [this](const std::string &cell) { return currentDigest(cell); };
         hooks.onPeerUp
                 = [](const peer_hello &peer) { event_line("peer_up").field("peer", peer.router); };
-        hooks.onPeerDown = [](const peer_hello &peer) {
+        hooks.onPeerDown = [this](const peer_hello &peer) {
+            m_context.relays.avoid(peer.router, steadyNow());
             event_line("peer_down", event_level::Warning).field("peer", peer.router);
         };
         hooks.onMessage = [this](const peer_hello &peer, const peer_message &message) {
@@ -220,6 +222,9 @@
         digest.quarantined.insert(key); // for gateways of an earlier version
     digest.crashes = m_context.crashes.reports(now);
     digest.limits = m_context.requestLimits.reports(now);
+    digest.relayAddress = m_context.settings.relayAddress;
+    digest.reachesEndpoints = m_context.config && m_context.endpoints.size() > 0
+                              && !m_context.isIsolated() && !m_context.isStopping;
     return digest;
 }
 
@@ -230,7 +235,11 @@
             m_context.crashes.apply(key, remaining, steadyNow());
         m_context.crashes.merge(digest->crashes, steadyNow());
         m_context.requestLimits.merge(digest->limits, steadyNow());
-        if (peer.cell == m_cell) {
+        const bool isNear = peer.cell == m_cell;
+        m_context.relays.setOffer(
+                peer.router, { digest->relayAddress, peer.cell, digest->reachesEndpoints },
+                steadyNow() + (isNear ? digestLifetime : otherDomainDigestLifetime));
+        if (isNear) {
             m_ownDomain.onDigest(peer.router, *digest, steadyNow());
         } else {
             m_otherDomains.try_emplace(peer.cell, otherDomainDigestLifetime)
@@ -271,6 +280,7 @@
 void gateway_peers::applyPeerView(time_point now)
 {
     m_ownDomain.expire(now);
+    m_context.relays.expire(now);
     for (auto &[cell, directory] : m_otherDomains)
         directory.expire(now);
     const peer_view view = mergedView(now);
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -314,6 +314,41 @@
     io.stop();
 }
 
+// Guards against requests that are relayed to a gateway which cannot serve them, or which is about
+// to end.
+TEST_CASE("a gateway vouches while it reaches endpoints and is not stopping", "[gateway][relay]")
+{
+    peers_fixture gateways;
+    gateway_context &context = gateways.first.context;
+    bool isIsolated = false;
+    const auto isVouchedFor = [&](bool expected) {
+        gateways.onThread([&] { gateways.first.peers.announceChange(); });
+        return eventually([&] {
+            return gateways.onThread([&] {
+                return gateways.second.context.hasVouchingPeer() == expected
+                       && gateways.second.peers.livePeers(steadyNow()) == 1;
+            });
+        });
+    };
+    gateways.onThread([&] {
+        context.settings.relayAddress = "127.0.0.1:2001";
+        context.isIsolated = [&] { return isIsolated; };
+        context.config = std::make_shared<const config_index>(gateway_config{});
+    });
+    CHECK(isVouchedFor(false)); // it knows no endpoint
+    gateways.onThread([&] { gateways.first.addEndpoint("x"); });
+    CHECK(isVouchedFor(true));
+    CHECK(gateways.onThread([&] {
+        return gateways.second.context.relays.choose({ "", {}, steadyNow(), 0 })->entry.address;
+    }) == "127.0.0.1:2001");
+    gateways.onThread([&] { isIsolated = true; });
+    CHECK(isVouchedFor(false));
+    gateways.onThread([&] { isIsolated = false; });
+    CHECK(isVouchedFor(true));
+    gateways.onThread([&] { context.isStopping = true; });
+    CHECK(isVouchedFor(false));
+}
+
 // Guards against a gateway that waits for an answer of the store which is lost, and misses that an
 // endpoint leaves.
 TEST_CASE("a gateway notices that a peer has read the endpoint table further", "[gateway]")
--- a/src/fescuedeck/gateway/gateway_settings.h
+++ b/src/fescuedeck/gateway/gateway_settings.h
@@ -17,6 +17,7 @@
     std::string readinessAddress;
     std::string operatorsAddress; // serves metrics and status; not served if empty
     std::string peersAddress;     // for connections from other gateways; not served if empty
+    std::string relayAddress;     // for requests that other gateways relay; not served if empty
     std::string storeAddress;
     // The time from SIGTERM until the platform kills the process.
     duration gracePeriod = std::chrono::seconds(8);
--- a/src/fescuedeck/gateway/platform_adapter.h
+++ b/src/fescuedeck/gateway/platform_adapter.h
@@ -51,6 +51,14 @@
     std::optional<std::int64_t> resumeAfter;
 };
 
+// What the gateway changes in a request that it relays to another gateway.
+struct relay_options
+{
+    duration timeLimit{}; // remaining time that the other gateway may use
+    // Id of the last event that the caller has; set if the attempt continues a stream.
+    std::optional<std::int64_t> resumeAfter;
+};
+
 // What the head of an endpoint's response states.
 struct response_info
 {
@@ -178,6 +186,8 @@
 
     std::function<call_info(const http_request &)> readCall;
     std::function<http_request(const http_request &, const forward_options &)> forwardRequest;
+    // Returns the caller's request, with its API key, as another gateway reads it.
+    std::function<http_request(const http_request &, const relay_options &)> relayRequest;
     std::function<response_info(const http_response &)> readResponse;
     // Removes the headers that apply only to the connection to the endpoint.
     std::function<http_response(const http_response &)> forwardResponse;
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -57,6 +57,28 @@
     return sha256Hex(text).substr(0, fingerprintChars);
 }
 
+// The configurations of two gateways may differ for a while.
+bool sharesWith(const route_rule &route, const std::string &service)
+{
+    return std::any_of(route.shares.begin(), route.shares.end(),
+                       [&](const route_share &share) { return share.service == service; });
+}
+
+// What a refusal without an attempt says to the gateway that relayed the request.
+relay_outcome relayOutcomeOf(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::NoConfig:
+    case refusal_reason::Stopping:
+    case refusal_reason::NoEndpoint:
+        return relay_outcome::Unavailable;
+    case refusal_reason::Quarantined:
+        return relay_outcome::MayHaveRun;
+    default:
+        return relay_outcome::NotRun;
+    }
+}
+
 } // namespace
 
 request_forwarder::request_forwarder(gateway_context &context)
@@ -65,17 +87,63 @@
 }
 
 void request_forwarder::handle(http_exchange &exchange)
+{
+    forward(exchange, std::nullopt);
+}
+
+void request_forwarder::handleRelayed(http_exchange &exchange)
+{
+    const http_request &request = exchange.request();
+    const std::string id = m_context.adapter.readCall(request).id;
+    const auto claim
+            = checkRelayHeader(m_context.peerSecret, request,
+                               { m_context.settings.id, id, request.method, request.target },
+                               wallNow());
+    if (!claim)
+        return rejectRelay(exchange, claim.error());
+    m_context.counters.counterOf("fescuedeck_served_relays_total").add();
+    if (m_context.isIsolated())
+        return refuse(exchange, refusal_reason::NoEndpoint, claim.value());
+    if (!m_context.config)
+        return refuse(exchange, refusal_reason::NoConfig, claim.value());
+    forward(exchange, claim.value());
+}
+
+void request_forwarder::rejectRelay(http_exchange &exchange, const failure &error)
+{
+    constexpr int statusForbidden = 403;
+    const std::string id = m_context.adapter.readCall(exchange.request()).id;
+    m_context.counters.counterOf("fescuedeck_rejected_relays_total").add();
+    event_line("relay_rejected", event_level::Warning)
+            .field("request", id)
+            .field("from", exchange.callerAddress())
+            .field("detail", error.detail);
+    http_response response = errorResponse(statusForbidden, error, "not-run");
+    markRelayRefusal(response, relay_outcome::Unavailable, id);
+    exchange.respond(response);
+}
+
+void request_forwarder::refuse(http_exchange &exchange, refusal_reason reason,
+                               const std::optional<relay_claim> &relayed)
+{
+    const std::string id = m_context.adapter.readCall(exchange.request()).id;
+    const std::string name(nameOf(refusalReasonNames, reason));
+    m_context.counters.counterOf("fescuedeck_rejected_requests_total", { { "reason", name } })
+            .add();
+    event_line("request_rejected", event_level::Warning)
+            .field("request", id)
+            .field("reason", name);
+    http_response refusal
+            = m_context.adapter.refuse(reason, retryAfterFor(reason, {}, m_context.random));
+    if (relayed)
+        markRelayRefusal(refusal, relayOutcomeOf(reason), id);
+    exchange.respond(refusal);
+}
+
+void request_forwarder::forward(http_exchange &exchange, const std::optional<relay_claim> &relayed)
 {
     const platform_adapter &adapter = m_context.adapter;
-    const auto refuse = [&](refusal_reason reason) {
-        const std::string name(nameOf(refusalReasonNames, reason));
-        m_context.counters.counterOf("fescuedeck_rejected_requests_total", { { "reason", name } })
-                .add();
-        event_line("request_rejected", event_level::Warning)
-                .field("request", m_context.adapter.readCall(exchange.request()).id)
-                .field("reason", name);
-        exchange.respond(adapter.refuse(reason, retryAfterFor(reason, {}, m_context.random)));
-    };
+    const auto refuse = [&](refusal_reason reason) { this->refuse(exchange, reason, relayed); };
     const time_point arrivedAt = steadyNow();
     waitForConfig(m_context, exchange, arrivedAt);
     if (steadyNow() >= m_context.acceptsRequestsUntil)
@@ -85,7 +153,8 @@
         return refuse(refusal_reason::NoConfig);
     const call_info info = adapter.readCall(exchange.request());
     const route_rule *route = config->findRoute(info.host, info.path);
-    if (route == nullptr)
+    const bool isRouted = route != nullptr && (!relayed || sharesWith(*route, relayed->service));
+    if (!isRouted)
         return refuse(refusal_reason::NoRoute);
     const workspace_rule *workspace = config->findWorkspace(info.key);
     const bool needsKey = !config->config().workspaces.empty() && !route->isPublic;
@@ -102,7 +171,7 @@
                                sharedSegmentsOf(info.promptSegments) };
     if (m_context.crashes.isQuarantined(identity, steadyNow()))
         return refuse(refusal_reason::Quarantined);
-    forwarded_call call(m_context, exchange, config, *route, info);
+    forwarded_call call(m_context, exchange, config, *route, info, relayed);
     call.workspace = workspace == nullptr ? std::string() : workspace->name;
     call.identity = std::move(identity);
     call.arrivedAt = arrivedAt;
--- a/src/fescuedeck/gateway/settings_reload.cpp
+++ b/src/fescuedeck/gateway/settings_reload.cpp
@@ -38,6 +38,7 @@
     compare(&gateway_settings::readinessAddress, "readiness_address");
     compare(&gateway_settings::operatorsAddress, "operators_address");
     compare(&gateway_settings::peersAddress, "peers_address");
+    compare(&gateway_settings::relayAddress, "relay_address");
     compare(&gateway_settings::storeAddress, "store_address");
     compare(&gateway_settings::logLevel, "log_level");
     return change;
--- a/src/fescuedeck/net/http_message.h
+++ b/src/fescuedeck/net/http_message.h
@@ -41,6 +41,9 @@
 // Whether the name and value can be sent without changing the framing of the message.
 bool isValidHeader(const http_header &header);
 
+// Says in a response of this program's own whether the request has run.
+constexpr const char *outcomeHeader = "Fescuedeck-Outcome";
+
 // Error in the form callers get: {error:{kind, message, remedy}, outcome} with the outcome repeated
 // in Fescuedeck-Outcome. outcome is "ran", "not-run" or "unknown".
 http_response errorResponse(int status, const failure &error, std::string_view outcome);
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -295,7 +295,9 @@
              { "quarantined", json(message.quarantined) },
              { "quarantines", encodeQuarantines(message.quarantines) },
              { "crash_reports", encode(message.crashes) },
-             { "request_limits", encode(message.limits) } };
+             { "request_limits", encode(message.limits) },
+             { "relay_address", message.relayAddress },
+             { "reaches_endpoints", message.reachesEndpoints } };
 }
 
 json encode(const bundle_request &message)
@@ -464,6 +466,10 @@
     }
     if (fields.optional("request_limits"))
         message.limits = parseRequestLimits(fields);
+    if (fields.optional("relay_address"))
+        message.relayAddress = fields.text("relay_address");
+    if (fields.optional("reaches_endpoints"))
+        message.reachesEndpoints = fields.flag("reaches_endpoints");
     return message;
 }
 
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -51,6 +51,10 @@
     std::map<std::string, duration> quarantines;
     crash_reports crashes;        // empty if the sender reports none
     request_limit_reports limits; // empty if the sender reports none
+    // ip:port at which the sender, a gateway, accepts relayed requests; empty if it accepts none.
+    std::string relayAddress;
+    // Whether the sender can send requests to endpoints now and goes on doing so.
+    bool reachesEndpoints = false;
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -24,6 +24,8 @@
     digest.quarantines["segment:s9"] = std::chrono::milliseconds(7000);
     digest.limits["e5@6"] = { 1.5, std::chrono::milliseconds(40), 2.5 };
     digest.limits["e6@7"] = { std::nullopt, std::chrono::milliseconds(50), 0 };
+    digest.relayAddress = "10.1.0.40:7341";
+    digest.reachesEndpoints = true;
     digest.crashes.begun = { { "s1", std::chrono::milliseconds(900) } };
     return digest;
 }
@@ -88,6 +90,8 @@
     CHECK(digest.limits.at("e5@6").age == std::chrono::milliseconds(40));
     CHECK(digest.limits.at("e5@6").demand == 2.5);
     CHECK_FALSE(digest.limits.at("e6@7").perSecond);
+    CHECK(digest.relayAddress == "10.1.0.40:7341");
+    CHECK(digest.reachesEndpoints);
     CHECK(digest.crashes.begun.at("s1") == std::chrono::milliseconds(900));
 }
 
@@ -126,8 +130,15 @@
         lacking.erase(item.key());
         // Gateways of an earlier version send none of these.
         const bool isOptional = item.key() == "crash_reports" || item.key() == "request_limits"
-                                || item.key() == "quarantines";
-        CHECK(static_cast<bool>(parsePeerMessage(cborOf(lacking))) == isOptional);
+                                || item.key() == "quarantines" || item.key() == "relay_address"
+                                || item.key() == "reaches_endpoints";
+        const auto parsed = parsePeerMessage(cborOf(lacking));
+        CHECK(static_cast<bool>(parsed) == isOptional);
+        // Guards against relaying to a gateway that does not say that it can serve a request.
+        if (parsed && item.key() == "relay_address")
+            CHECK(std::get<peer_digest>(parsed.value()).relayAddress.empty());
+        if (parsed && item.key() == "reaches_endpoints")
+            CHECK_FALSE(std::get<peer_digest>(parsed.value()).reachesEndpoints);
         nlohmann::json wrong = object;
         wrong[item.key()] = nlohmann::json::binary({ 1, 2 });
         CHECK_FALSE(parsePeerMessage(cborOf(wrong)));
