--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -275,7 +275,7 @@
     limitNextStep({});
     if (connect(endpoint))
         return false;
-    m_core.idle.put(m_address, std::move(m_socket));
+    m_core.idle.put(m_address, { std::move(m_socket), {} });
     return true;
 }
 
