--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -352,10 +352,10 @@
     if (to.isRelay) {
         http_request relayed
                 = m_context.adapter.relayRequest(request, { remainingTime(), m_lastEventId });
-        relayed.headers.push_back(makeRelayHeader(
-                m_context.peerSecret,
-                { m_context.settings.id, m_possibleRuns, m_service, wallNow() },
-                { to.first->entry.id, m_info.id, request.method, request.target }));
+        relayed.headers.push_back(
+                makeRelayHeader(m_context.peerSecret,
+                                { m_context.settings.id, m_possibleRuns, m_service, wallNow() },
+                                { to.first->entry.id, m_info.id, request.method, request.target }));
         return relayed;
     }
     forward_options options;
@@ -397,8 +397,8 @@
 {
     if (!isRetryableIfAttemptFails() || !current.retry.tryReserve())
         return retryCheckInterval;
-    duration limit = current.timing.stallLimit(
-            { m_route.latencyObjective, m_route.gapObjective }, current.hasAlternative);
+    duration limit = current.timing.stallLimit({ m_route.latencyObjective, m_route.gapObjective },
+                                               current.hasAlternative);
     // The peer itself resumes a stream that stalls at an endpoint.
     if (current.isRelay)
         limit = std::max(limit, busyChainStallLimit);
@@ -813,8 +813,7 @@
         return finish("broken_off");
     }
     const int earlierRuns = m_relayed ? m_relayed->possibleRuns : 0;
-    const bool hasRunHere
-            = last != attempt_outcome::NotRun || m_possibleRuns > earlierRuns;
+    const bool hasRunHere = last != attempt_outcome::NotRun || m_possibleRuns > earlierRuns;
     const bool hasRun = hasRunHere || m_possibleRuns > 0;
     const bool isBusy = m_wasEndpointBusy || m_destinations.hasMetLimit();
     refusal_reason reason = isBusy ? refusal_reason::Busy : refusal_reason::NoEndpoint;
--- a/src/fescuedeck/gateway/relay_directory_test.cpp
+++ b/src/fescuedeck/gateway/relay_directory_test.cpp
@@ -16,7 +16,8 @@
     return { address, domain, true };
 }
 
-std::string chosen(const relay_directory &relays, time_point now, std::set<std::string> excluded = {})
+std::string chosen(const relay_directory &relays, time_point now,
+                   std::set<std::string> excluded = {})
 {
     const endpoint_ptr peer = relays.choose({ "a", std::move(excluded), now, 7 });
     return peer ? peer->entry.id : "";
--- a/src/fescuedeck/gateway/relay_protocol.h
+++ b/src/fescuedeck/gateway/relay_protocol.h
@@ -30,10 +30,10 @@
 // What the relaying gateway states about a request.
 struct relay_claim
 {
-    std::string origin;       // host of the relaying gateway
-    int possibleRuns = 0;     // attempts in which the request may have run already
-    std::string service;      // drawn from the shares of the route
-    unix_millis sentAt{};     // by the clock of the relaying gateway
+    std::string origin;   // host of the relaying gateway
+    int possibleRuns = 0; // attempts in which the request may have run already
+    std::string service;  // drawn from the shares of the route
+    unix_millis sentAt{}; // by the clock of the relaying gateway
 };
 
 // What the proof covers besides the claim.
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -95,10 +95,9 @@
 {
     const http_request &request = exchange.request();
     const std::string id = m_context.adapter.readCall(request).id;
-    const auto claim
-            = checkRelayHeader(m_context.peerSecret, request,
-                               { m_context.settings.id, id, request.method, request.target },
-                               wallNow());
+    const auto claim = checkRelayHeader(
+            m_context.peerSecret, request,
+            { m_context.settings.id, id, request.method, request.target }, wallNow());
     if (!claim)
         return rejectRelay(exchange, claim.error());
     m_context.counters.counterOf("fescuedeck_served_relays_total").add();
@@ -130,9 +129,7 @@
     const std::string name(nameOf(refusalReasonNames, reason));
     m_context.counters.counterOf("fescuedeck_rejected_requests_total", { { "reason", name } })
             .add();
-    event_line("request_rejected", event_level::Warning)
-            .field("request", id)
-            .field("reason", name);
+    event_line("request_rejected", event_level::Warning).field("request", id).field("reason", name);
     http_response refusal
             = m_context.adapter.refuse(reason, retryAfterFor(reason, {}, m_context.random));
     if (relayed)
--- a/src/fescuedeck/net/http_message.cpp
+++ b/src/fescuedeck/net/http_message.cpp
@@ -57,8 +57,8 @@
 
     http_response response;
     response.status = status;
-    response.headers = { { "Content-Type", "application/json" },
-                         { outcomeHeader, std::string(outcome) } };
+    response.headers
+            = { { "Content-Type", "application/json" }, { outcomeHeader, std::string(outcome) } };
     // The detail may quote bytes of the caller that are not UTF-8.
     response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return response;
