--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -96,6 +96,7 @@
     const bool isRelay; // first is a peer
     http_response head;
     event_timing timing;
+    bool isSent = false;         // bytes of the request may have been handed to a socket
     bool hasAlternative = false; // another destination could resume the request
     bool isStream = false;       // the head of a stream of events has arrived
     bool isUnusable = false;     // the answer must not be relayed
@@ -239,11 +240,13 @@
         m_giveUpReason = give_up_reason::Quarantined;
     if (!isRetryable(last, m_possibleRuns))
         return false;
-    // The budget limits what reaches endpoints.
-    if (!m_hasReachedEndpoints)
+    // The budget limits what reaches endpoints. A retry that was taken for an attempt which reached
+    // none serves for the next one.
+    if (!m_hasReachedEndpoints || m_hasUnusedRetry)
         return true;
     m_giveUpReason = give_up_reason::RetryBudgetExhausted;
-    return m_context.retryBudget.takeRetry(m_service, steadyNow());
+    m_hasUnusedRetry = m_context.retryBudget.takeRetry(m_service, steadyNow());
+    return m_hasUnusedRetry;
 }
 
 bool forwarded_call::isRetryable(attempt_outcome last, int possibleRuns) const
@@ -291,6 +294,7 @@
     call.connectTimeout = connectTimeout;
     call.cancellation = current.cancellation;
     call.requestId = m_info.id;
+    call.onSending = [&current] { current.isSent = true; };
     // Without an id, a late response to an earlier request cannot be told from the expected one.
     call.freshConnection = m_info.id.empty();
     call.isExpected = [this, &to](const http_response &head, bool isReusedConnection) {
@@ -320,8 +324,7 @@
             = m_context.client.send(to.first->entry.address, request, call, m_exchange.yield());
     if (to.isRelay)
         return handleRelayResult(to, current, result);
-    m_unsentAttempts += result.mayHaveBeenSent ? 0 : 1;
-    m_hasReachedEndpoints = m_hasReachedEndpoints || result.mayHaveBeenSent;
+    countSending(result.mayHaveBeenSent);
     if (m_hasCallerLeft || m_exchange.callerLeft()) {
         recordIfAbandoned(to, current, result);
         // The caller may have disconnected because the stream stalled. The cause of the stall must
@@ -346,6 +349,13 @@
     return handleResult(to, current, result);
 }
 
+void forwarded_call::countSending(bool hasReachedEndpoint)
+{
+    m_unsentAttempts += hasReachedEndpoint ? 0 : 1;
+    m_hasReachedEndpoints = m_hasReachedEndpoints || hasReachedEndpoint;
+    m_hasUnusedRetry = m_hasUnusedRetry && !hasReachedEndpoint;
+}
+
 http_request forwarded_call::requestTo(const destination &to) const
 {
     const http_request &request = m_exchange.request();
@@ -370,7 +380,9 @@
 void forwarded_call::moveIfStalled(attempt &current)
 {
     const bool isStalled = steadyNow() - current.timing.lastActivityAt() >= isolatedStallLimit;
-    if (!isStalled || !isRetryableIfAttemptFails() || !current.retry.tryReserve())
+    const bool mayRunAgain = isRetryableIfAttemptFails() && current.retry.tryReserve();
+    // A request that waits for its connection has not been sent.
+    if (current.isSent && (!isStalled || !mayRunAgain))
         return;
     current.isWithdrawn = true;
     current.cancellation.cancel();
@@ -619,8 +631,7 @@
     const relay_result evaluated = evaluateRelay(result, m_info.id, m_context.adapter);
     const bool isSent
             = evaluated != relay_result::Unreached && evaluated != relay_result::Unavailable;
-    m_unsentAttempts += isSent ? 0 : 1;
-    m_hasReachedEndpoints = m_hasReachedEndpoints || isSent;
+    countSending(isSent);
     m_possibleRuns += isNotRun(evaluated) ? 0 : 1;
     attempt_outcome outcome
             = m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
@@ -673,16 +684,17 @@
     m_context.counters.counterOf("fescuedeck_relayed_requests_total", { { "outcome", name } })
             .add();
     const bool isAnswered = outcome == attempt_outcome::Answered;
-    event_line line("relayed", isAnswered ? event_level::Info : event_level::Warning);
-    line.field("request", m_info.id)
+    const std::string cause
+            = result.response ? std::string()
+                              : errorName(static_cast<errc>(result.response.error().code.value()));
+    event_line("relayed", isAnswered ? event_level::Info : event_level::Warning)
+            .field("request", m_info.id)
             .field("peer", to.first->entry.id)
             .field("sending", m_attempts)
             .field("outcome", name)
-            .field("connection", static_cast<int>(result.localPort));
-    if (result.response)
-        line.field("status", result.response.value().status);
-    else
-        line.field("cause", errorName(static_cast<errc>(result.response.error().code.value())));
+            .field("connection", static_cast<int>(result.localPort))
+            .field("status", result.response ? result.response.value().status : 0)
+            .field("cause", cause);
 }
 
 // The request may crash the endpoint after the gateway has stopped waiting.
@@ -848,10 +860,9 @@
 {
     const time_point now = steadyNow();
     const time_point lastActivityAt = std::max(arrivedAt, m_lastRelayedAt);
-    event_line line("request_ended");
-    if (m_relayed)
-        line.field("relayed_by", m_relayed->origin);
-    line.field("request", m_info.id)
+    event_line("request_ended")
+            .field("request", m_info.id)
+            .field("relayed_by", m_relayed ? m_relayed->origin : std::string())
             .field("fingerprint", identity.fingerprint)
             .field("outcome", outcome)
             .field("status", m_status)
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -96,6 +96,8 @@
     // Sends the request to the destination and relays a stream while it arrives.
     attempt_outcome runAttempt(const destination &to);
     http_request requestTo(const destination &to) const;
+    // Counts the end of an attempt, which may or cannot have reached an endpoint.
+    void countSending(bool hasReachedEndpoint);
     // Ends an attempt without progress, while this gateway is isolated, if another may follow.
     void moveIfStalled(attempt &current);
     void logRetry(const destination &to) const;
@@ -174,6 +176,7 @@
     int m_attempts = 0;
     int m_unsentAttempts = 0;           // attempts that reached neither an endpoint nor a peer
     bool m_hasReachedEndpoints = false; // an endpoint may have received the request
+    bool m_hasUnusedRetry = false;      // taken from the budget for an attempt that reached none
     bool m_isRecordedInBudget = false;
     std::string m_lastEndpoint;   // id of the first endpoint of the last attempt
     time_point m_lastRelayedAt{}; // when events were last sent to the caller
--- a/src/fescuedeck/gateway/relay_protocol_test.cpp
+++ b/src/fescuedeck/gateway/relay_protocol_test.cpp
@@ -53,8 +53,8 @@
     changed.value.back() = 'b';
     CHECK_FALSE(checkRelayHeader("secret", requestWith(changed), subject, now));
     // A gateway that does not know the secret yet must not accept the empty one.
-    const http_header unsigned_ = makeRelayHeader("", claim, subject);
-    CHECK_FALSE(checkRelayHeader("", requestWith(unsigned_), subject, now));
+    const http_header unprotected = makeRelayHeader("", claim, subject);
+    CHECK_FALSE(checkRelayHeader("", requestWith(unprotected), subject, now));
     CHECK_FALSE(checkRelayHeader("secret", { "POST", "/write/a", {}, "" }, subject, now));
     CHECK_FALSE(checkRelayHeader("secret", requestWith({ relayHeader, "a;b" }), subject, now));
 }
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -332,6 +332,8 @@
 
     error_code ignored;
     m_localPort = m_socket.local_endpoint(ignored).port();
+    if (m_options.onSending)
+        m_options.onSending();
     error_code writeError;
     m_wroteBytes = writeRequest(writeError) > 0;
     m_mayHaveBeenSent = m_mayHaveBeenSent || m_wroteBytes;
