--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -113,14 +113,22 @@
 }
 
 int freePort()
+{
+    return freePorts(1);
+}
+
+int freePorts(int count)
 {
     static std::mutex mutex;
     static std::mt19937 engine{ std::random_device()() };
     const std::lock_guard lock(mutex);
     for (int i = 0; i < portTries; ++i) {
-        const int port = firstPort + static_cast<int>(engine() % portCount);
-        if (canListen(port) && reservePort(port))
-            return port;
+        const int first = firstPort + static_cast<int>(engine() % portCount);
+        int port = first;
+        while (port < first + count && canListen(port) && reservePort(port))
+            ++port;
+        if (port == first + count)
+            return first;
     }
     throw std::runtime_error("no free loopback port found");
 }
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -36,6 +36,8 @@
 // process ends. It lies below the ports that the kernel gives to clients, so
 // that no outgoing connection takes it before a child listens on it.
 int freePort();
+// The first of that many consecutive ports, for which the same holds.
+int freePorts(int count);
 
 class temporary_folder
 {
