--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -70,8 +70,8 @@
     // How long the call waits for its response after one that is not expected; zero if it fails at
     // once. The connection serves no further requests then.
     duration waitAfterUnexpected{};
-    // Called, on the strand of the caller, before bytes of the request are handed to a socket. A call
-    // that is cancelled before has certainly not been sent.
+    // Called, on the strand of the caller, before bytes of the request are handed to a socket. A
+    // call that is cancelled before has certainly not been sent.
     std::function<void()> onSending;
     // Gets status and headers before the body arrives, on the strand of the caller.
     std::function<void(const http_response &)> onHead;
