--- a/src/fescuedeck/gateway/crash_quarantine_test.cpp
+++ b/src/fescuedeck/gateway/crash_quarantine_test.cpp
@@ -210,8 +210,8 @@
         quarantine.recordCrash(sound, "e" + std::to_string(i), cutAt);
         quarantine.recordEarlyEnd(sound, "e" + std::to_string(i), cutAt);
     }
-    quarantine.recordAbandoned(sound, "e3", cutAt);
-    quarantine.recordAbandoned(sound, "e4", cutAt);
+    for (const char *engine : { "e3", "e4", "e5" })
+        quarantine.recordAbandoned(sound, engine, cutAt);
     CHECK(quarantine.isQuarantined(sound, cutAt));
     quarantine.withdrawCrashes(cutAt, cutAt);
     CHECK_FALSE(quarantine.isQuarantined(sound, cutAt));
--- a/src/fescuedeck/gateway/endpoint_reachability_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_reachability_test.cpp
@@ -167,8 +167,9 @@
 // Guards against probes that are spent on endpoints that are known to have crashed.
 TEST_CASE("endpoints that are lost are probed last", "[gateway]")
 {
-    virtual_gateway gateway(12);
-    for (int i = 0; i < 10; ++i) {
+    constexpr int endpoints = 40;
+    virtual_gateway gateway(endpoints);
+    for (int i = 0; i < endpoints - 1; ++i) {
         const std::string id = "e" + std::to_string(i);
         gateway.links[id] = link::Refusing;
         gateway.markLost(id);
@@ -271,6 +272,12 @@
     pair.run(milliseconds(400));
     CHECK(pair.isIsolated());
 
+    virtual_gateway hanging(2);
+    hanging.setAll(link::Hanging);
+    hanging.connect("e0");
+    hanging.run(milliseconds(380));
+    CHECK(hanging.isIsolated());
+
     virtual_gateway empty(0);
     empty.reachability.requestCheck(empty.now);
     empty.run(milliseconds(100));
--- a/src/fescuedeck/gateway/endpoint_registry.cpp
+++ b/src/fescuedeck/gateway/endpoint_registry.cpp
@@ -205,7 +205,6 @@
                                && record->lossSource == loss_source::Own && record->lostAt >= since;
         if (isOwnLoss) {
             record->lostUntil = {};
-            record->losses = std::max(0, record->losses - 1);
             ++losses;
         }
     }
