--- /dev/null
+++ b/src/fescuedeck/gateway/forwarded_call_attempt.h
@@ -0,0 +1,60 @@
+// The state of one attempt of a forwarded_call. Only the sources of that class include this file.
+#ifndef FESCUEDECK_GATEWAY_FORWARDED_CALL_ATTEMPT_H
+#define FESCUEDECK_GATEWAY_FORWARDED_CALL_ATTEMPT_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fescuedeck/gateway/attempt_guards.h"
+#include "fescuedeck/gateway/event_timing.h"
+#include "fescuedeck/gateway/forwarded_call.h"
+
+namespace fescuedeck {
+
+namespace detail {
+
+constexpr bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace detail
+
+struct forwarded_call::attempt
+{
+    attempt(gateway_context &context, const std::string &service,
+            std::optional<std::int64_t> lastEventId, const destination &to)
+        : retry(context, service)
+        , events(lastEventId)
+        , first(to.first)
+        , stages(to.stages)
+        , isRelay(to.isRelay)
+        , timing(steadyNow(), first->usualFirstEventDelay)
+    {
+    }
+
+    retry_reservation retry;
+    call_cancellation cancellation;
+    event_splitter events;
+    const endpoint_ptr first;
+    const std::vector<endpoint_ptr> stages;
+    const bool isRelay; // first is a peer
+    http_response head;
+    event_timing timing;
+    bool isSent = false;         // bytes of the request may have been handed to a socket
+    bool hasAlternative = false; // another destination could resume the request
+    bool isStream = false;       // the head of a stream of events has arrived
+    bool isUnusable = false;     // the answer must not be relayed
+    bool isBeginRecorded = false;
+    // Cancelled because the request was quarantined meanwhile, or because the gateway is isolated.
+    bool isWithdrawn = false;
+
+    // The first event may be the work of an engine that crashes while it begins to answer.
+    bool hasSurelyBegun() const { return events.completeEvents() > 1; }
+};
+
+} // namespace fescuedeck
+
+#endif
