Withdraw findings about endpoints only if a peer reaches endpoints

A gateway whose endpoints have all crashed looks isolated. It then withdrew the crashes and losses that it had found, back to its last new connection, which may be long ago on kept connections. A request that crashes the only endpoint of a fleet would never be quarantined. Findings are now withdrawn only if a peer vouches for its endpoints, and only those of the last second before the isolation was found.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -58,6 +58,9 @@
 constexpr duration reannouncementTime = std::chrono::milliseconds(2300);
 // In a shorter outage of the store no announcement expires.
 constexpr duration shortestExpiryOutage = std::chrono::milliseconds(2500);
+// Longest time from the loss of the links until this gateway knows of it. Earlier failures have
+// other causes, also if no new connection was opened for long.
+constexpr duration maxIsolationDelay = std::chrono::seconds(1);
 // A call that began while the links to the endpoints were cut fails to connect within this time.
 constexpr duration maxCutCallTime = std::chrono::milliseconds(400);
 constexpr duration sweepInterval = std::chrono::milliseconds(200);
@@ -173,6 +176,8 @@
     table_follower m_configTable;
     table_follower m_endpointTable;
     table_follower m_quarantineTable;
+    // Failures from then on are blamed on the links.
+    time_point m_linksBlamedFrom{};
     endpoint_prober m_prober;
     engine_inspector m_inspector;
     placement_lease m_placementLease;
@@ -405,18 +410,25 @@
 endpoint_prober_hooks gateway::proberHooks()
 {
     endpoint_prober_hooks hooks;
-    hooks.onIsolated = [this](time_point reachedAt) { withdrawFindings(reachedAt); };
-    hooks.onReached = [this](time_point reachedBefore) {
+    hooks.onIsolated = [this](time_point reachedAt) {
+        m_linksBlamedFrom = std::max<time_point>(reachedAt, steadyNow() - maxIsolationDelay);
+        withdrawFindings(m_linksBlamedFrom);
+    };
+    hooks.onReached = [this](time_point) {
         m_context.linksBlamedUntil = steadyNow() + maxCutCallTime;
-        withdrawFindings(reachedBefore);
+        withdrawFindings(m_linksBlamedFrom);
     };
     return hooks;
 }
 
 // What has failed since that time has failed because of the links, so the endpoints are not blamed
-// for it. Peers are told at once, so that they stop avoiding these endpoints.
+// for it. Peers are told at once, so that they stop avoiding these endpoints. If no peer reaches
+// endpoints either, these have failed rather than the links, and requests that crash them must
+// still be counted.
 void gateway::withdrawFindings(time_point since)
 {
+    if (!m_context.hasVouchingPeer())
+        return;
     const int losses = m_context.endpoints.withdrawFindings(since);
     m_context.crashes.withdrawCrashes(since, steadyNow());
     if (losses > 0)
