Await connections that are being opened before a gateway counts as isolated

Found by review. If all endpoints but one had refused and a request was just connecting to that one, no endpoint was left to probe, and the gateway concluded that it was isolated. It now awaits attempts that began before the last probes, up to their limit. The new test fails without this.

--- a/src/fescuedeck/gateway/endpoint_reachability.cpp
+++ b/src/fescuedeck/gateway/endpoint_reachability.cpp
@@ -131,13 +131,26 @@
         count = std::min(count, m_settings.probesPerCheck - m_probesOfCheck);
     std::vector<std::string> probes = chooseProbes(known, count, now);
     m_probesOfCheck += probes.size();
-    if (isChecking && probes.empty() && m_probes.empty())
+    if (isChecking && probes.empty() && m_probes.empty() && !awaitsAttempt(now))
         conclude(known.size(), now);
     if (!probes.empty())
         m_lastStepAt = now;
     return probes;
 }
 
+// Attempts that begin later do not delay the conclusion, because requests begin new ones all the
+// time.
+bool endpoint_reachability::awaitsAttempt(time_point now) const
+{
+    const time_point latestStart = std::max(m_stateSince, m_lastStepAt);
+    return std::any_of(m_open.begin(), m_open.end(), [&](const auto &entry) {
+        const open_attempt &attempt = entry.second;
+        return isEvidence(attempt) && attempt.startedAt <= latestStart
+               && now - attempt.startedAt < m_settings.attemptLimit
+               && m_failed.count(attempt.endpoint) == 0;
+    });
+}
+
 void endpoint_reachability::conclude(std::size_t knownEndpoints, time_point now)
 {
     const std::size_t needed = std::min(m_settings.minTried, knownEndpoints);
--- a/src/fescuedeck/gateway/endpoint_reachability.h
+++ b/src/fescuedeck/gateway/endpoint_reachability.h
@@ -112,6 +112,8 @@
     std::set<std::string> triedEndpoints() const;
     std::vector<std::string> chooseProbes(const std::vector<probe_candidate> &known,
                                           std::size_t count, time_point now);
+    // Whether an attempt that began before the last probes may still succeed.
+    bool awaitsAttempt(time_point now) const;
     void conclude(std::size_t knownEndpoints, time_point now);
 
     const known_fn m_known;
--- a/src/fescuedeck/gateway/endpoint_reachability_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_reachability_test.cpp
@@ -284,4 +284,28 @@
     CHECK_FALSE(empty.wasIsolated);
 }
 
+// Guards against a gateway that calls itself isolated because some endpoints have crashed, while a
+// connection to a sound one is still being opened.
+TEST_CASE("a connection that is being opened is awaited before a gateway is isolated", "[gateway]")
+{
+    const bool isSound = GENERATE(true, false);
+    const std::vector<probe_candidate> known
+            = { { "e0", "a", "s" }, { "e1", "a", "s" }, { "e2", "a", "s" } };
+    endpoint_reachability reachability([&] { return known; }, 7);
+    const time_point start{ std::chrono::hours(1) };
+    reachability.beginAttempt(1, "e2", start);
+    reachability.beginAttempt(2, "e0", start);
+    reachability.beginAttempt(3, "e1", start);
+    const time_point refusedAt = start + milliseconds(2);
+    reachability.endAttempt(2, connection_outcome::Failed, refusedAt);
+    reachability.endAttempt(3, connection_outcome::Failed, refusedAt);
+    CHECK(reachability.probesDue(refusedAt).empty());
+    CHECK(reachability.state() == link_state::Checking);
+    const time_point later = start + endpoint_reachability_settings().attemptLimit;
+    if (isSound)
+        reachability.endAttempt(1, connection_outcome::Connected, later);
+    reachability.probesDue(later);
+    CHECK(reachability.state() == (isSound ? link_state::Connected : link_state::Isolated));
+}
+
 } // namespace fescuedeck
