Avoid a peer only if it has failed a relay itself

Found by review. A relayed request whose time was over, or that was withdrawn while it connected, made all requests avoid the peer for a second. A few such requests stopped relaying altogether. The new test fails without this.

--- a/src/fescuedeck/gateway/forwarded_call_results.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_results.cpp
@@ -148,7 +148,11 @@
         outcome = attempt_outcome::NotRun;
     m_wasEndpointBusy = m_wasEndpointBusy || evaluated == relay_result::Refused;
     const bool isSilent = now - to.first->lastProgressAt >= busyChainStallLimit;
-    const bool hasFailed = !isSent || (!result.response && isSilent && !current.isWithdrawn);
+    // A peer that was not reached before the deadline or the withdrawal of the request may be
+    // sound.
+    const bool isGivenUp = current.isWithdrawn || remainingTime() <= duration::zero();
+    const bool hasFailed = evaluated == relay_result::Unavailable || (!isGivenUp && !isSent)
+                           || (!isGivenUp && !result.response && isSilent);
     if (outcome != attempt_outcome::Answered && outcome != attempt_outcome::CallerLeft) {
         m_destinations.excludePeer(to.first->entry.id);
         if (hasFailed)
