Do not relay a request again that a peer has used up

Found by review. A peer that answers a relayed request itself, after runs that broke off, has made all attempts that the route allows. The gateway counted them as one and relayed the request to the next peer, so that it could run more often than allowed. Such an answer is final now. The new test fails without this.

--- a/src/fescuedeck/gateway/forwarded_call_results.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_results.cpp
@@ -138,6 +138,9 @@
             = evaluated != relay_result::Unreached && evaluated != relay_result::Unavailable;
     countSending(isSent);
     m_possibleRuns += isNotRun(evaluated) ? 0 : 1;
+    // A peer that answers itself after possible runs has used up the attempts that are allowed.
+    if (evaluated == relay_result::Lost && result.response)
+        m_possibleRuns = std::max(m_possibleRuns, m_route.maxAttempts);
     attempt_outcome outcome
             = m_hasStreamStarted ? attempt_outcome::Interrupted : attempt_outcome::MayHaveRun;
     if (m_hasCallerLeft || m_exchange.callerLeft())
