Name the relay's neighbours apart and remove two hidden names

A relay is a request through a peer; what goes to the caller is written or answered. A local name hid a function, another one a parameter. No behaviour has changed.

--- a/src/fescuedeck/gateway/endpoint_reachability.cpp
+++ b/src/fescuedeck/gateway/endpoint_reachability.cpp
@@ -188,9 +188,9 @@
     std::map<std::string, int> domains;
     std::map<std::string, int> services;
     for (const probe_candidate &candidate : known) {
-        const int count = tried.count(candidate.id) > 0 ? 1 : 0;
-        domains[candidate.failureDomain] += count;
-        services[candidate.service] += count;
+        const int attempts = tried.count(candidate.id) > 0 ? 1 : 0;
+        domains[candidate.failureDomain] += attempts;
+        services[candidate.service] += attempts;
     }
     while (chosen.size() < count) {
         const probe_candidate *best = nullptr;
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -192,7 +192,7 @@
         return false;
     // The budget limits what reaches endpoints. A retry that was taken for an attempt which reached
     // none serves for the next one.
-    if (!m_hasReachedEndpoints || m_hasUnusedRetry)
+    if (!m_hasBeenSent || m_hasUnusedRetry)
         return true;
     m_giveUpReason = give_up_reason::RetryBudgetExhausted;
     m_hasUnusedRetry = m_context.retryBudget.takeRetry(m_service, steadyNow());
@@ -302,7 +302,7 @@
 void forwarded_call::countSending(bool hasReachedEndpoint)
 {
     m_unsentAttempts += hasReachedEndpoint ? 0 : 1;
-    m_hasReachedEndpoints = m_hasReachedEndpoints || hasReachedEndpoint;
+    m_hasBeenSent = m_hasBeenSent || hasReachedEndpoint;
     m_hasUnusedRetry = m_hasUnusedRetry && !hasReachedEndpoint;
 }
 
@@ -384,13 +384,13 @@
     recordProgress(current.stages, now);
 }
 
-void forwarded_call::recordRelayedEvents(time_point now)
+void forwarded_call::recordWrittenEvents(time_point now)
 {
-    if (m_lastRelayedAt == time_point{})
+    if (m_lastWriteAt == time_point{})
         m_context.counters.histogramOf("fescuedeck_first_event_seconds").observe(now - arrivedAt);
     else
-        m_longestGap = std::max<duration>(m_longestGap, now - m_lastRelayedAt);
-    m_lastRelayedAt = now;
+        m_longestGap = std::max<duration>(m_longestGap, now - m_lastWriteAt);
+    m_lastWriteAt = now;
 }
 
 void forwarded_call::onStreamHead(attempt &current, const http_response &head)
@@ -432,7 +432,7 @@
         m_exchange.startStream(m_context.adapter.forwardResponse(current.head));
     }
     m_lastEventId = current.events.lastId();
-    recordRelayedEvents(steadyNow());
+    recordWrittenEvents(steadyNow());
     if (!m_exchange.writeChunk(events)) {
         m_hasCallerLeft = true;
         current.cancellation.cancel();
@@ -515,7 +515,7 @@
 void forwarded_call::finish(const char *outcome)
 {
     const time_point now = steadyNow();
-    const time_point lastActivityAt = std::max(arrivedAt, m_lastRelayedAt);
+    const time_point lastActivityAt = std::max(arrivedAt, m_lastWriteAt);
     event_line("request_ended")
             .field("request", m_info.id)
             .field("relayed_by", m_relayed ? m_relayed->origin : std::string())
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -108,7 +108,7 @@
     attempt_outcome handleFailure(const destination &to, const attempt &current,
                                   const call_result &result);
     attempt_outcome handleStreamEnd(const destination &to, const attempt &current);
-    attempt_outcome relayResponse(const destination &to, const http_response &response);
+    attempt_outcome answerCaller(const destination &to, const http_response &response);
     // Evaluates the end of an attempt at a peer. Says nothing about endpoints, because the peer
     // draws those conclusions itself.
     attempt_outcome handleRelayResult(const destination &to, attempt &current,
@@ -141,7 +141,7 @@
     // again.
     duration timeUntilStall(attempt &current) const;
     void recordReceivedEvents(attempt &current);
-    void recordRelayedEvents(time_point now);
+    void recordWrittenEvents(time_point now);
     // Handles a stalled or broken chain, any engine of which may have failed. This request avoids
     // the whole chain from then on. If the evidence is strong, other requests avoid it for
     // chainSuspicionDuration. Meanwhile the first engine is asked which engine it waits for.
@@ -174,14 +174,14 @@
     destination_chooser m_destinations;
     int m_possibleRuns = 0; // attempts in which the request may have run
     int m_attempts = 0;
-    int m_unsentAttempts = 0;           // attempts that reached neither an endpoint nor a peer
-    bool m_hasReachedEndpoints = false; // an endpoint may have received the request
-    bool m_hasUnusedRetry = false;      // taken from the budget for an attempt that reached none
+    int m_unsentAttempts = 0;      // attempts that reached neither an endpoint nor a peer
+    bool m_hasBeenSent = false;    // an endpoint may have received the request
+    bool m_hasUnusedRetry = false; // taken from the budget for an attempt that reached none
     bool m_isRecordedInBudget = false;
-    std::string m_lastEndpoint;   // id of the first endpoint of the last attempt
-    time_point m_lastRelayedAt{}; // when events were last sent to the caller
-    duration m_longestGap{};      // between two writes of events to the caller
-    int m_status = 0;             // sent to the caller; 0 if none
+    std::string m_lastEndpoint; // id of the first endpoint of the last attempt
+    time_point m_lastWriteAt{}; // when events were last sent to the caller
+    duration m_longestGap{};    // between two writes of events to the caller
+    int m_status = 0;           // sent to the caller; 0 if none
     give_up_reason m_giveUpReason = give_up_reason::NoEndpoint;
     bool m_wasEndpointBusy = false;  // an endpoint refused the request or a chain was full
     bool m_hasStreamStarted = false; // the head of the answer was sent to the caller
--- a/src/fescuedeck/gateway/forwarded_call_results.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_results.cpp
@@ -91,7 +91,7 @@
         m_endpointFailure = m_route.kind == call_kind::Stream ? current.head : response;
         return attempt_outcome::MayHaveRun;
     }
-    return relayResponse(to, m_route.kind == call_kind::Stream ? current.head : response);
+    return answerCaller(to, m_route.kind == call_kind::Stream ? current.head : response);
 }
 
 attempt_outcome forwarded_call::handleFailure(const destination &to, const attempt &current,
@@ -265,7 +265,7 @@
     return attempt_outcome::Answered;
 }
 
-attempt_outcome forwarded_call::relayResponse(const destination &to, const http_response &response)
+attempt_outcome forwarded_call::answerCaller(const destination &to, const http_response &response)
 {
     if (detail::isSuccess(response.status))
         m_context.endpoints.clearSuspicion(to.first->entry.id);
--- a/src/fescuedeck/gateway/relay_result.cpp
+++ b/src/fescuedeck/gateway/relay_result.cpp
@@ -32,8 +32,8 @@
         return relay_result::Response;
     // The HTTP server of the peer has rejected the request, or its handler has failed.
     const std::string *outcome = findHeader(response.headers, outcomeHeader);
-    const bool isNotRun = outcome != nullptr && *outcome == "not-run";
-    return isNotRun ? relay_result::Refused : relay_result::Lost;
+    const bool isRefused = outcome != nullptr && *outcome == "not-run";
+    return isRefused ? relay_result::Refused : relay_result::Lost;
 }
 
 } // namespace fescuedeck
