Tests: let an endpoint send on the gateways' own thread

The test set the time of the last progress from its own thread. If the gateway learned of the loss after that and before the test looked, the progress was older than the report, and the loss rightly applied.

The endpoint now sends every 20 ms on the thread of the gateways, and once more after the report.

--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -383,24 +383,31 @@
             for (const char *id : { "e0", "e1" })
                 gateways.first.context.endpoints.markLost(id, steadyNow());
         }
-        gateways.second.context.endpoints.find("e0")->lastProgressAt = steadyNow();
+    });
+    // The endpoint sends on the thread of the gateways, so that a busy host delays neither more
+    // than the other.
+    const endpoint_ptr sender = gateways.second.context.endpoints.find("e0");
+    bool isSending = true;
+    boost::asio::spawn(gateways.io.context(), [&](boost::asio::yield_context yield) {
+        while (isSending) {
+            sender->lastProgressAt = steadyNow();
+            sleepFor(std::chrono::milliseconds(20), yield);
+        }
     });
     const auto isLost = [&](const char *id) {
         return gateways.onThread(
                 [&] { return gateways.second.context.endpoints.find(id)->isLost(steadyNow()); });
     };
-    const auto wasEverLost = [&](const char *id) {
-        gateways.onThread([&] {
-            gateways.second.context.endpoints.find("e0")->lastProgressAt = steadyNow();
-        });
-        return isLost(id);
-    };
     bool wasLost = false;
     CHECK(eventually([&] {
-        wasLost = wasLost || wasEverLost("e0");
+        wasLost = wasLost || isLost("e0");
         return isLost("e1");
     }));
     CHECK_FALSE(wasLost);
+    gateways.onThread([&] {
+        isSending = false;
+        sender->lastProgressAt = steadyNow();
+    });
     // The endpoint is silent from now on. Its last progress is later than the report.
     const auto until = steadyNow() + std::chrono::milliseconds(600);
     while (steadyNow() < until)
