HTTP: a header or trailer field of 64 KiB no longer ends the process

Callers lost all their requests at a gateway at once, because the process aborted: any caller, endpoint or store that sends a chunked message whose trailer has a field of 64 KiB, or a head with such a field where the configured limit allows it, ends the process with std::length_error.

Cause: Beast's fields hold at most 64 KiB each and throw beyond that. The parser runs in a handler of the event loop, so nothing catches the exception. The limit of the headers does not apply to trailers, and the buffer of 80 KiB held such a trailer whole.

Evidence: the new tests of server and client abort with SIGABRT ("field value too large") on the code before: trailers of 70,000 bytes with the default limits, and headers of 100,000 bytes with a limit of 200,000.

Change: messages are parsed from a buffer that is smaller than the largest field. A larger field overflows the buffer before it is parsed, which was an error already: 431 at the server, a failed call at the client. The size no longer depends on the limit at the time of the connection, so a raised header limit applies to open connections as well.

--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -22,7 +22,6 @@
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t readChunkBytes = 64 * 1024;
 constexpr int firstErrorStatus = 400;
 // A connection that has been made when its time is up is used: the event loop was busy. This is the
 // time between two looks whether it has learned of it.
@@ -352,7 +351,7 @@
 {
     m_gotBytes = false;
     m_buffer.clear();
-    m_buffer.max_size(m_core.limits.maxResponseHeaderBytes + readChunkBytes);
+    m_buffer.max_size(detail::parseBufferBytes);
 
     error_code ignored;
     m_localPort = m_socket.local_endpoint(ignored).port();
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -95,7 +95,7 @@
 
 struct http_client_limits
 {
-    std::size_t maxResponseHeaderBytes = 16 * 1024;
+    std::size_t maxResponseHeaderBytes = 16 * 1024; // 64 KiB at most, whatever is set
     std::size_t maxResponseBytes = 16 * 1024 * 1024;
     // Of all response bodies that are collected at the same time. Once it is exceeded, those that
     // are larger than an equal share of it fail, so that small ones go on.
--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -268,6 +268,34 @@
 }
 
 // Guards against servers that send without end and use up the memory which all calls need.
+// Guards against an endpoint or a store that ends the process with the trailer or a header of a
+// response.
+TEST_CASE("a response with an oversized field is a failure", "[net]")
+{
+    const bool isTrailer = GENERATE(true, false);
+    const bool isStreamed = GENERATE(true, false);
+    const std::string field = "X-Padding: " + std::string(70'000, 'x') + "\r\n";
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n";
+    const std::string answer
+            = "HTTP/1.1 200 OK\r\n" + (isTrailer ? chunks + field : field + chunks) + "\r\n";
+    scripted_server server([&](tcp::acceptor &acceptor) {
+        raw_connection connection(acceptor);
+        connection.receiveUntil("\r\n\r\n");
+        connection.send(answer);
+    });
+    test_io io;
+    http_client_limits limits;
+    limits.maxResponseHeaderBytes = 200'000;
+    http_client client(io.context(), limits);
+    call_options streamed = options();
+    if (isStreamed)
+        streamed.onBodyPart = [](std::string_view) {};
+    const auto outcome = call(io, client, server.port(), streamed);
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.response.error().code != errc::Timeout);
+    CHECK(client.idleConnections() == 0);
+}
+
 TEST_CASE("responses that outgrow the memory of all calls fail, and small ones do not", "[net]")
 {
     constexpr std::size_t limit = 1024 * 1024;
--- a/src/fescuedeck/net/http_connection.cpp
+++ b/src/fescuedeck/net/http_connection.cpp
@@ -102,7 +102,7 @@
     , m_socket(std::move(socket))
     , m_deadline(strand, m_socket)
     , m_reader(m_socket, m_deadline)
-    , m_buffer(m_core->limits()->maxHeaderBytes + readChunkBytes)
+    , m_buffer(parseBufferBytes)
 {
     m_deadline.beforeClose([this] { noteInput(); });
     m_end.caller = callerAddress();
--- a/src/fescuedeck/net/http_message.h
+++ b/src/fescuedeck/net/http_message.h
@@ -3,6 +3,7 @@
 #ifndef FESCUEDECK_NET_HTTP_MESSAGE_H
 #define FESCUEDECK_NET_HTTP_MESSAGE_H
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +50,10 @@
 http_response errorResponse(int status, const failure &error, std::string_view outcome);
 
 namespace detail {
+// Capacity of the buffers from which messages are parsed, in bytes. Beast throws on a header or
+// trailer field of 64 KiB, in a handler where nothing can catch it. It parses a field only once the
+// buffer holds it whole, so a larger one fails to fit before.
+constexpr std::size_t parseBufferBytes = 64 * 1024 - 4;
 // Content-Length, Transfer-Encoding and Connection.
 bool isFramingHeader(std::string_view name);
 } // namespace detail
--- a/src/fescuedeck/net/http_server.h
+++ b/src/fescuedeck/net/http_server.h
@@ -29,7 +29,7 @@
 
 struct http_server_limits
 {
-    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxHeaderBytes = 16 * 1024; // 64 KiB at most, whatever is set
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     int maxConnections = 4096;
     duration headerTimeout = std::chrono::seconds(10); // from the first byte of a request
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -266,6 +266,48 @@
     CHECK_FALSE(idle.isUnusual());
 }
 
+// Guards against a caller that ends the process with one header, and against a request that is
+// denied on a kept connection although the limits in force allow it.
+TEST_CASE("a header limit beyond what the parser holds is safe", "[net]")
+{
+    http_server_limits limits;
+    limits.maxHeaderBytes = 1000;
+    test_io io;
+    http_server server(io.context(), limits, echo);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection kept(server.port());
+    kept.send(get("/1"));
+    kept.receiveUntil("echo /1");
+
+    limits.maxHeaderBytes = 200'000;
+    server.setLimits(limits);
+    const auto getPadded = [](const std::string &target, std::size_t bytes) {
+        return "GET " + target + " HTTP/1.1\r\nX-Padding: " + std::string(bytes, 'x') + "\r\n\r\n";
+    };
+    kept.send(getPadded("/2", 60'000));
+    CHECK(kept.receiveUntil("echo /2").find("HTTP/1.1 200 OK") == 0);
+    kept.send(getPadded("/3", 100'000));
+    CHECK(kept.receiveAll().find("HTTP/1.1 431") == 0);
+    raw_connection fresh(server.port());
+    fresh.send(getPadded("/4", 100'000));
+    CHECK(fresh.receiveAll().find("HTTP/1.1 431") == 0);
+}
+
+// Guards against a caller that ends the process with the trailer of a request.
+TEST_CASE("an oversized trailer is refused", "[net]")
+{
+    const std::size_t bytes = GENERATE(65'600, 70'000, 200'000);
+    test_io io;
+    http_server server(io.context(), {}, echo);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection caller(server.port());
+    caller.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Padding: "
+                + std::string(bytes, 'x') + "\r\n\r\n");
+    const std::string answer = caller.receiveUntil("\r\n\r\n");
+    CAPTURE(bytes, answer);
+    CHECK(answer.find("HTTP/1.1 431") == 0);
+}
+
 // Guards against requests that cross the close of an idle connection while a gateway stops.
 TEST_CASE("answers close their connections before the listener closes", "[net]")
 {
