Shutdown: the last stream and its connection end at once

A caller that sent its next request within a millisecond after the end of a stream lost it: the connection of the stopping gateway was reset, and the request was not read.

Cause: a connection that was promised before SIGTERM is closed with the end of its stream, but between the last chunk and the close lie the rest of the handler, log lines and other work of the event loop. A caller that sees only the last chunk may use the connection again.

Change: the server ends its sending side in finishStream(). The last chunk is held back until then, so that both leave in one segment and a caller that looks at its connection before it sends sees the end. A request that is there already is still answered first.

The new test fails on the code before: the caller has the last chunk and its connection still looks open.

--- a/src/fescuedeck/net/http_connection.cpp
+++ b/src/fescuedeck/net/http_connection.cpp
@@ -118,7 +118,7 @@
     m_yield = &yield;
     while (waitForRequest()) {
         serveRequest();
-        if (!m_keepAlive || !mayCarryAnotherRequest())
+        if (!m_keepAlive || m_hasEndedSending)
             break;
     }
     close();
@@ -174,13 +174,12 @@
     return error ? std::string() : toAddress(endpoint);
 }
 
-// False for a connection that an answer has promised to keep before the server knew that it will
-// stop. It is closed together with the end of that answer, unless the next request is here already.
-// Closing it later could cross a request, and reading on without answering would lose one.
-bool http_connection::mayCarryAnotherRequest()
+// True for a connection that a response has promised to keep before the server knew that it will
+// stop, unless the next request is here already.
+bool http_connection::mustEndWithResponse()
 {
-    return m_core->keepsConnections || m_buffer.size() > 0
-           || probeSocket(m_socket) == socket_state::Readable;
+    return m_keepAlive && !m_core->keepsConnections && m_buffer.size() == 0
+           && probeSocket(m_socket) == socket_state::Quiet;
 }
 
 bool http_connection::waitForRequest()
@@ -431,10 +430,24 @@
     if (!m_isStreaming)
         return;
     const bool needsEnd = m_version == 11 && !m_isHead;
+    const bool endsConnection = needsEnd && mustEndWithResponse();
+    if (endsConnection)
+        holdBackWrites(m_socket);
     const bool isWritten = !needsEnd || write([&](const asio::yield_context &yield) {
         asio::async_write(m_socket, http::make_chunk_last(), yield);
     });
     m_isStreaming = !isWritten;
+    if (endsConnection && isWritten)
+        endSending();
+}
+
+// The caller sees the end of the connection together with that of the response, so that its next
+// request cannot cross the close.
+void http_connection::endSending()
+{
+    m_hasEndedSending = true;
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
 bool http_connection::callerLeft()
@@ -471,7 +484,7 @@
 
 void http_connection::onReadable(std::uint64_t exchange, const error_code &error)
 {
-    if (exchange != m_exchange)
+    if (exchange != m_exchange || m_hasEndedSending)
         return;
     m_isWatching = false;
     if (error)
--- a/src/fescuedeck/net/http_connection.h
+++ b/src/fescuedeck/net/http_connection.h
@@ -49,7 +49,8 @@
 
 private:
     void serveRequest();
-    bool mayCarryAnotherRequest();
+    bool mustEndWithResponse();
+    void endSending();
     bool waitForRequest();
     duration idleTimeLeft() const;
     bool readRequest();
@@ -90,6 +91,7 @@
     bool m_isHead = false;
     bool m_headSent = false;
     bool m_isStreaming = false;
+    bool m_hasEndedSending = false; // the last response and the connection have ended
     bool m_callerLeft = false;
     bool m_isWatching = false;
     std::uint64_t m_exchange = 0; // tells the wait of an earlier exchange from the current one
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -365,6 +365,46 @@
     CHECK((answer.find("Connection: close") != std::string::npos) == hasSentAhead);
 }
 
+// Guards against a request that is lost because it crosses the close of a connection: its caller
+// has the whole answer before and the stopping server closes the connection a moment later.
+TEST_CASE("the last stream of a stopping server and its connection end at once", "[net]")
+{
+    test_io io;
+    awaited_value<bool> started;
+    std::atomic<bool> mayFinish{ false };
+    std::atomic<bool> mayReturn{ false };
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        const auto waitFor = [&](const std::atomic<bool> &isAllowed) {
+            boost::asio::steady_timer wait(io.context());
+            while (!isAllowed) {
+                wait.expires_after(std::chrono::milliseconds(1));
+                wait.async_wait(exchange.yield());
+            }
+        };
+        exchange.startStream({});
+        started.set(true);
+        waitFor(mayFinish);
+        exchange.finishStream();
+        waitFor(mayReturn);
+    });
+    awaited_value<connection_end> reported;
+    server.onConnectionEnd([&](const connection_end &end) { reported.set(end); });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection caller(server.port());
+    caller.send(get("/stream"));
+    started.wait();
+    server.stopKeepingConnections();
+    mayFinish = true;
+
+    CHECK(caller.receiveUntil("0\r\n\r\n").find("0\r\n\r\n") != std::string::npos);
+    CHECK(caller.hasEnded());
+    caller.close();
+    mayReturn = true;
+    const connection_end end = reported.wait();
+    CHECK(end.reason == connection_end_reason::Shutdown);
+    CHECK(end.answeredRequests == 1);
+}
+
 TEST_CASE("connections beyond the limit are told to retry", "[net]")
 {
     http_server_limits limits;
--- a/src/fescuedeck/net/tcp_socket.cpp
+++ b/src/fescuedeck/net/tcp_socket.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace fescuedeck {
@@ -73,6 +74,13 @@
     return wouldBlock ? socket_state::Quiet : socket_state::Closed;
 }
 
+void holdBackWrites(tcp::socket &socket)
+{
+    const int isEnabled = 1;
+    // Without the option, the end follows in a segment of its own.
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_CORK, &isEnabled, sizeof(isEnabled));
+}
+
 std::size_t unreadBytes(const tcp::socket &socket)
 {
     boost::system::error_code error;
--- a/src/fescuedeck/net/tcp_socket.h
+++ b/src/fescuedeck/net/tcp_socket.h
@@ -32,6 +32,11 @@
 // Looks at the socket without waiting and without consuming bytes.
 socket_state probeSocket(boost::asio::ip::tcp::socket &socket);
 
+// Keeps what is written from now on in the kernel until the sending side is shut down, so that the
+// last bytes and the end of the connection leave in one segment. Bytes that fill a segment leave at
+// once.
+void holdBackWrites(boost::asio::ip::tcp::socket &socket);
+
 // Bytes that have arrived and were not read; 0 if the socket is closed.
 std::size_t unreadBytes(const boost::asio::ip::tcp::socket &socket);
 
--- a/src/fescuedeck/net/test_io.h
+++ b/src/fescuedeck/net/test_io.h
@@ -152,6 +152,8 @@
         return std::exchange(m_received, std::string());
     }
     std::string receiveAll() { return receiveUntil("\x01 never sent \x01"); }
+    // Whether the other end has closed the connection and all its bytes were received.
+    bool hasEnded() { return detail::probeSocket(m_socket) == detail::socket_state::Closed; }
     void close() { m_socket.close(); }
 
 private:
