gateway: a stopping peer relays as the last resort

Cause: a gateway that is told to stop says at once that it reaches no endpoints, and refuses relayed requests as it does those of its own callers, who find another gateway. The callers of an isolated gateway do not. When the last peers with links stop in overlap, nobody is left, although each of them could serve for some seconds of its grace period.

Change: a stopping gateway vouches as a last resort, in a field of its own, which gateways of earlier versions skip. An isolated gateway chooses it only if no other peer can be used. The relay listener stays open for relayed requests until a fifth of the grace period before the end; a request that must run once is accepted only if it ends in time. The shutdown also waits for connections that the closing listeners still hand over.

The check that a stopping gateway vouches no longer said what was wrong here. It is replaced: it vouches until it stops accepting relayed requests, and not while it is isolated.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -123,6 +123,7 @@
     void reloadSettings(const char *trigger);
     void runSettingsReloadLoop(boost::asio::yield_context yield);
     void waitForSignal(boost::asio::signal_set &signals);
+    void waitWhileServing(time_point limit, boost::asio::yield_context yield);
     void shutDown(boost::asio::yield_context yield);
     table_follower_hooks configHooks();
     table_follower_hooks endpointHooks();
@@ -547,6 +548,16 @@
     });
 }
 
+// Returns when no connection to callers or peers is left, or at the limit. Connections that the
+// listeners are about to hand over count.
+void gateway::waitWhileServing(time_point limit, boost::asio::yield_context yield)
+{
+    do
+        sleepFor(shutdownPollInterval, yield);
+    while (m_callerServer.openConnections() + m_relayServer.openConnections() > 0
+           && steadyNow() < limit);
+}
+
 void gateway::shutDown(boost::asio::yield_context yield)
 {
     event_line("stopping")
@@ -554,19 +565,20 @@
             .field("open_relays", m_relayServer.openExchanges());
     const shutdown_plan plan = planShutdown(steadyNow(), m_context.settings.gracePeriod);
     m_context.isStopping = true;
-    m_peers.announceChange();
     m_callerServer.stopKeepingConnections();
     m_relayServer.stopKeepingConnections();
     m_context.endsAt = plan.endsAt;
     m_context.acceptsRequestsUntil = plan.acceptsRequestsUntil;
+    m_context.acceptsRelaysUntil = plan.acceptsRelaysUntil;
+    m_peers.announceChange();
     sleepFor(plan.closesListenerAt - steadyNow(), yield);
     m_callerServer.stopAccepting();
+    m_relayServer.drainConnections();
+    waitWhileServing(plan.acceptsRelaysUntil, yield);
+    m_context.acceptsRelaysUntil = std::min(m_context.acceptsRelaysUntil, steadyNow());
+    m_peers.announceChange();
     m_relayServer.stopAccepting();
-    const auto isServing = [this] {
-        return m_callerServer.openConnections() > 0 || m_relayServer.openConnections() > 0;
-    };
-    while (isServing() && steadyNow() < m_context.endsAt)
-        sleepFor(shutdownPollInterval, yield);
+    waitWhileServing(plan.endsAt, yield);
     event_line("stopped")
             .field("open_requests", m_callerServer.openExchanges())
             .field("open_relays", m_relayServer.openExchanges());
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -94,8 +94,9 @@
     time_point endpointsCompleteAt{};
     bool isEndpointTableUnavailable = false; // the store cannot be read
     bool isStopping = false;
-    // Requests that are read later are refused.
+    // Requests that are read later are refused; the second limit is for those that peers relay.
     time_point acceptsRequestsUntil = time_point::max();
+    time_point acceptsRelaysUntil = time_point::max();
     // The process ends then, whatever requests are open. Set once it is stopping.
     time_point endsAt = time_point::max();
     // The estimated time at which layers that are missing now will have been loaded.
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -226,8 +226,11 @@
     digest.crashes = m_context.crashes.reports(now);
     digest.limits = m_context.requestLimits.reports(now);
     digest.relayAddress = m_context.settings.relayAddress;
-    digest.reachesEndpoints = m_context.config && m_context.endpoints.size() > 0
-                              && !m_context.isIsolated() && !m_context.isStopping;
+    const bool reachesEndpoints
+            = m_context.config && m_context.endpoints.size() > 0 && !m_context.isIsolated();
+    digest.reachesEndpoints = reachesEndpoints && !m_context.isStopping;
+    digest.isLastResort
+            = reachesEndpoints && m_context.isStopping && now < m_context.acceptsRelaysUntil;
     return digest;
 }
 
@@ -240,7 +243,8 @@
         m_context.requestLimits.merge(digest->limits, steadyNow());
         const bool isNear = peer.cell == m_cell;
         m_context.relays.setOffer(
-                peer.router, { digest->relayAddress, peer.cell, digest->reachesEndpoints },
+                peer.router,
+                { digest->relayAddress, peer.cell, digest->reachesEndpoints, digest->isLastResort },
                 steadyNow() + (isNear ? digestLifetime : otherDomainDigestLifetime));
         if (isNear) {
             m_ownDomain.onDigest(peer.router, *digest, steadyNow());
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -345,7 +345,14 @@
     CHECK(isVouchedFor(false));
     gateways.onThread([&] { isIsolated = false; });
     CHECK(isVouchedFor(true));
+    // A gateway that stops still vouches while it accepts relayed requests.
     gateways.onThread([&] { context.isStopping = true; });
+    CHECK(isVouchedFor(true));
+    gateways.onThread([&] { isIsolated = true; });
+    CHECK(isVouchedFor(false));
+    gateways.onThread([&] { isIsolated = false; });
+    CHECK(isVouchedFor(true));
+    gateways.onThread([&] { context.acceptsRelaysUntil = steadyNow(); });
     CHECK(isVouchedFor(false));
 }
 
--- a/src/fescuedeck/gateway/relay_directory.cpp
+++ b/src/fescuedeck/gateway/relay_directory.cpp
@@ -39,7 +39,8 @@
 
 bool relay_directory::vouches(const peer_entry &peer, time_point now)
 {
-    return peer.expires > now && peer.offer.reachesEndpoints && !peer.offer.address.empty();
+    const bool isOffered = peer.offer.reachesEndpoints || peer.offer.isLastResort;
+    return peer.expires > now && isOffered && !peer.offer.address.empty();
 }
 
 bool relay_directory::hasVouchingPeer(time_point now) const
@@ -50,7 +51,7 @@
 
 endpoint_ptr relay_directory::choose(const relay_choice &choice) const
 {
-    using rank = std::tuple<int, bool, std::uint64_t>;
+    using rank = std::tuple<bool, int, bool, std::uint64_t>;
     endpoint_ptr best;
     rank bestRank;
     for (const auto &[host, peer] : m_peers) {
@@ -58,7 +59,7 @@
                               && choice.excluded.count(host) == 0;
         if (!isUsable)
             continue;
-        const rank candidate{ peer.record->inFlight,
+        const rank candidate{ peer.offer.isLastResort, peer.record->inFlight,
                               peer.offer.failureDomain != choice.failureDomain,
                               stableHash(host, choice.requestHash) };
         if (!best || candidate < bestRank) {
--- a/src/fescuedeck/gateway/relay_directory.h
+++ b/src/fescuedeck/gateway/relay_directory.h
@@ -21,6 +21,8 @@
     std::string address; // ip:port of its relay server; empty if it has none
     std::string failureDomain;
     bool reachesEndpoints = false;
+    // The peer is stopping, and relays for those that find no other peer.
+    bool isLastResort = false;
 };
 
 struct relay_choice
@@ -43,10 +45,11 @@
     // Makes all requests avoid the peer for relayAvoidanceTime.
     void avoid(const std::string &peer, time_point now);
 
-    // Whether a peer states that it reaches the endpoints.
+    // Whether a peer states that it reaches the endpoints, as a last resort at least.
     bool hasVouchingPeer(time_point now) const;
     // Returns the peer with the fewest requests of this gateway in flight; among equals, one in the
-    // failure domain of this gateway. Null if no peer can be used.
+    // failure domain of this gateway. A last resort is returned if there is no other. Null if no
+    // peer can be used.
     endpoint_ptr choose(const relay_choice &choice) const;
 
 private:
--- a/src/fescuedeck/gateway/relay_directory_test.cpp
+++ b/src/fescuedeck/gateway/relay_directory_test.cpp
@@ -67,6 +67,24 @@
     CHECK(used == std::set<std::string>{ "h1", "h3" });
 }
 
+// Guards against requests that are refused because the only peers with links are stopping, and
+// against more work than needed at a peer that will end soon.
+TEST_CASE("a stopping peer relays if there is no other one", "[gateway][relay]")
+{
+    relay_directory relays;
+    relays.setOffer("stopping", { "ip:1", "a", false, true }, later);
+    CHECK(relays.hasVouchingPeer(start));
+    CHECK(chosen(relays, start) == "stopping");
+    relays.setOffer("far", offerOf("ip:2", "b"), later);
+    const endpoint_ptr far = relays.choose({ "a", {}, start, 7 });
+    CHECK(far->entry.id == "far");
+    ++far->inFlight;
+    CHECK(chosen(relays, start) == "far");
+    CHECK(chosen(relays, start, { "far" }) == "stopping");
+    relays.setOffer("stopping", { "ip:1", "a", false, false }, later);
+    CHECK(chosen(relays, start, { "far" }).empty());
+}
+
 // Guards against further requests to a peer that has just failed one.
 TEST_CASE("a peer that failed is avoided for a while", "[gateway][relay]")
 {
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -64,14 +64,16 @@
                        [&](const route_share &share) { return share.service == service; });
 }
 
-// What a refusal without an attempt says to the gateway that relayed the request.
-relay_outcome relayOutcomeOf(refusal_reason reason)
+// What a refusal without an attempt says to the gateway that relayed the request. acceptsRelays is
+// false once this gateway refuses all relayed requests because it is stopping.
+relay_outcome relayOutcomeOf(refusal_reason reason, bool acceptsRelays)
 {
     switch (reason) {
     case refusal_reason::NoConfig:
-    case refusal_reason::Stopping:
     case refusal_reason::NoEndpoint:
         return relay_outcome::Unavailable;
+    case refusal_reason::Stopping:
+        return acceptsRelays ? relay_outcome::NotRun : relay_outcome::Unavailable;
     case refusal_reason::Quarantined:
         return relay_outcome::MayHaveRun;
     default:
@@ -133,7 +135,8 @@
     http_response refusal
             = m_context.adapter.refuse(reason, retryAfterFor(reason, {}, m_context.random));
     if (relayed)
-        markRelayRefusal(refusal, relayOutcomeOf(reason), id);
+        markRelayRefusal(refusal,
+                         relayOutcomeOf(reason, steadyNow() < m_context.acceptsRelaysUntil), id);
     exchange.respond(refusal);
 }
 
@@ -143,7 +146,9 @@
     const auto refuse = [&](refusal_reason reason) { this->refuse(exchange, reason, relayed); };
     const time_point arrivedAt = steadyNow();
     waitForConfig(m_context, exchange, arrivedAt);
-    if (steadyNow() >= m_context.acceptsRequestsUntil)
+    const time_point acceptsUntil
+            = relayed ? m_context.acceptsRelaysUntil : m_context.acceptsRequestsUntil;
+    if (steadyNow() >= acceptsUntil)
         return refuse(refusal_reason::Stopping);
     const auto config = m_context.config;
     if (!config)
--- a/src/fescuedeck/gateway/shutdown_plan.cpp
+++ b/src/fescuedeck/gateway/shutdown_plan.cpp
@@ -11,6 +11,8 @@
 constexpr duration lastRequestTime = std::chrono::seconds(3);
 constexpr duration acceptanceTime = lastRequestTime - maxSignalDelay;
 constexpr duration endMargin = std::chrono::milliseconds(400);
+// A relayed request should have a good part of its answer before the process ends.
+constexpr double relayTimeShare = 0.2;
 // noticeTime and acceptanceTime take no more than these shares of a short grace period.
 constexpr double maxNoticeShare = 0.32;
 constexpr double maxAcceptanceShare = 0.4;
@@ -31,6 +33,8 @@
     plan.closesListenerAt = limited(noticeTime, maxNoticeShare);
     plan.acceptsRequestsUntil = limited(acceptanceTime, maxAcceptanceShare);
     plan.endsAt = signalHandledAt + gracePeriod - endMargin;
+    plan.acceptsRelaysUntil = std::max<time_point>(
+            plan.acceptsRequestsUntil, plan.endsAt - shareOf(gracePeriod, relayTimeShare));
     return plan;
 }
 
--- a/src/fescuedeck/gateway/shutdown_plan.h
+++ b/src/fescuedeck/gateway/shutdown_plan.h
@@ -13,6 +13,9 @@
     time_point closesListenerAt{};
     // Later requests are refused as not run. The process may end before they do.
     time_point acceptsRequestsUntil{};
+    // Requests that a peer relays are accepted until then, because that peer may find no other one.
+    // Those that may run only once must end by endsAt; the peer resumes others.
+    time_point acceptsRelaysUntil{};
     // The process ends then, before it would be killed.
     time_point endsAt{};
 };
--- a/src/fescuedeck/gateway/shutdown_plan_test.cpp
+++ b/src/fescuedeck/gateway/shutdown_plan_test.cpp
@@ -12,6 +12,8 @@
     const shutdown_plan plan = planShutdown(signalledAt + maxSignalDelay, std::chrono::seconds(8));
     CHECK(plan.acceptsRequestsUntil <= signalledAt + std::chrono::seconds(3));
     CHECK(plan.acceptsRequestsUntil > plan.closesListenerAt);
+    CHECK(plan.acceptsRelaysUntil > signalledAt + std::chrono::seconds(5));
+    CHECK(plan.acceptsRelaysUntil < plan.endsAt);
     CHECK(plan.endsAt < signalledAt + std::chrono::seconds(8));
 }
 
--- a/src/fescuedeck/net/http_server.cpp
+++ b/src/fescuedeck/net/http_server.cpp
@@ -48,7 +48,7 @@
 
 void http_server_core::acceptNext()
 {
-    if (!m_acceptor.is_open() || isDraining)
+    if (!m_acceptor.is_open() || m_isClosing)
         return;
     const asio::any_io_executor executor = m_ioContext.get_executor();
     m_acceptor.async_accept(executor, asio::bind_executor(m_strand, [self = shared_from_this()](
@@ -123,10 +123,18 @@
         asio::post(connection->strand(), [connection, function] { function(*connection); });
 }
 
+void http_server_core::drainConnections()
+{
+    keepsConnections = false;
+    isDraining = true;
+    forEachConnection([](http_connection &connection) { connection.beginDrain(); });
+}
+
 void http_server_core::stopAccepting()
 {
     keepsConnections = false;
     isDraining = true;
+    m_isClosing = true;
     asio::post(m_strand, [self = shared_from_this()] { self->closeAcceptor(); });
 }
 
@@ -246,6 +254,11 @@
     m_core->keepsConnections = false;
 }
 
+void http_server::drainConnections()
+{
+    m_core->drainConnections();
+}
+
 void http_server::stopAccepting()
 {
     m_core->stopAccepting();
--- a/src/fescuedeck/net/http_server.h
+++ b/src/fescuedeck/net/http_server.h
@@ -114,6 +114,9 @@
     // From now on each response tells its caller to close the connection. New connections are still
     // accepted. Thread-safe.
     void stopKeepingConnections();
+    // In addition, closes connections that are idle for drainGrace from now on. New connections are
+    // still accepted. Thread-safe.
+    void drainConnections();
     // Closes the listener, lets open exchanges finish, tells callers to close their connections and
     // closes idle ones after drainGrace. Thread-safe.
     void stopAccepting();
--- a/src/fescuedeck/net/http_server_core.h
+++ b/src/fescuedeck/net/http_server_core.h
@@ -37,6 +37,7 @@
 
     boost::system::error_code listen(const boost::asio::ip::tcp::endpoint &endpoint);
     std::uint16_t port() const { return m_port; }
+    void drainConnections();
     void stopAccepting();
     void closeAll();
     void remove(http_connection *connection);
@@ -68,6 +69,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor; // used on m_strand after listen()
     boost::asio::steady_timer m_pause;
     std::shared_ptr<const http_server_limits> m_limits; // read and replaced atomically
+    std::atomic<bool> m_isClosing{ false };             // the listener
     std::uint16_t m_port = 0;
     // Leaf lock: nothing else is locked or called while it is held.
     std::mutex m_mutex;
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -216,6 +216,26 @@
     CHECK(eventually([&] { return server.openExchanges() == 0; }));
 }
 
+// Guards against a process that waits for idle connections until the end of its grace period.
+TEST_CASE("a server that drains closes idle connections and accepts new ones", "[net]")
+{
+    test_io io;
+    http_server server(io.context(), {}, echo);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection idle(server.port());
+    idle.send(get("/idle"));
+    idle.receiveUntil("echo /idle");
+
+    server.drainConnections();
+    CHECK(idle.receiveAll().empty());
+    raw_connection fresh(server.port());
+    fresh.send(get("/fresh"));
+    const std::string answer = fresh.receiveAll();
+    CHECK(answer.find("echo /fresh") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(eventually([&] { return server.openConnections() == 0; }));
+}
+
 // Guards against a lost request of which neither log nor metric tells.
 TEST_CASE("the server reports why each connection has ended", "[net]")
 {
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -297,7 +297,8 @@
              { "crash_reports", encode(message.crashes) },
              { "request_limits", encode(message.limits) },
              { "relay_address", message.relayAddress },
-             { "reaches_endpoints", message.reachesEndpoints } };
+             { "reaches_endpoints", message.reachesEndpoints },
+             { "last_resort", message.isLastResort } };
 }
 
 json encode(const bundle_request &message)
@@ -470,6 +471,8 @@
         message.relayAddress = fields.text("relay_address");
     if (fields.optional("reaches_endpoints"))
         message.reachesEndpoints = fields.flag("reaches_endpoints");
+    if (fields.optional("last_resort"))
+        message.isLastResort = fields.flag("last_resort");
     return message;
 }
 
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -55,6 +55,8 @@
     std::string relayAddress;
     // Whether the sender can send requests to endpoints now and goes on doing so.
     bool reachesEndpoints = false;
+    // Whether the sender can do so for a while, although it is stopping.
+    bool isLastResort = false;
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -26,6 +26,7 @@
     digest.limits["e6@7"] = { std::nullopt, std::chrono::milliseconds(50), 0 };
     digest.relayAddress = "10.1.0.40:7341";
     digest.reachesEndpoints = true;
+    digest.isLastResort = true;
     digest.crashes.begun = { { "s1", std::chrono::milliseconds(900) } };
     return digest;
 }
@@ -120,6 +121,7 @@
     CHECK_FALSE(digest.limits.at("e6@7").perSecond);
     CHECK(digest.relayAddress == "10.1.0.40:7341");
     CHECK(digest.reachesEndpoints);
+    CHECK(digest.isLastResort);
     CHECK(digest.crashes.begun.at("s1") == std::chrono::milliseconds(900));
 }
 
@@ -150,6 +152,7 @@
     CHECK(digest.limits.at("e5@6").perSecond == 1.5);
     CHECK(digest.relayAddress.empty());
     CHECK_FALSE(digest.reachesEndpoints);
+    CHECK_FALSE(digest.isLastResort);
 }
 
 TEST_CASE("damaged frames are failures, not exceptions", "[peer]")
@@ -188,7 +191,7 @@
         // Gateways of an earlier version send none of these.
         const bool isOptional = item.key() == "crash_reports" || item.key() == "request_limits"
                                 || item.key() == "quarantines" || item.key() == "relay_address"
-                                || item.key() == "reaches_endpoints";
+                                || item.key() == "reaches_endpoints" || item.key() == "last_resort";
         const auto parsed = parsePeerMessage(cborOf(lacking));
         CHECK(static_cast<bool>(parsed) == isOptional);
         // Guards against relaying to a gateway that does not say that it can serve a request.
@@ -196,6 +199,8 @@
             CHECK(std::get<peer_digest>(parsed.value()).relayAddress.empty());
         if (parsed && item.key() == "reaches_endpoints")
             CHECK_FALSE(std::get<peer_digest>(parsed.value()).reachesEndpoints);
+        if (parsed && item.key() == "last_resort")
+            CHECK_FALSE(std::get<peer_digest>(parsed.value()).isLastResort);
         nlohmann::json wrong = object;
         wrong[item.key()] = nlohmann::json::binary({ 1, 2 });
         CHECK_FALSE(parsePeerMessage(cborOf(wrong)));
