gateway: an endpoint that lost an answer is not taken for a crashed one

No endpoint had crashed.

Cause: each connection that an endpoint of a plain service closed under a request counted as a crash at once. Equal lookups of one workspace are one request, so three lost answers among hundreds of good ones were enough.

Change: the gateway opens a connection to the endpoint and records a crash only if that fails. The connection is kept for later requests. Chains of engines keep the rule, because the first engine also closes when a later one crashes, and say so by other evidence too.

--- a/src/fescuedeck/gateway/forwarded_call_results.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_results.cpp
@@ -249,6 +249,9 @@
     const std::string incarnation = incarnationName(to.first->entry);
     if (!hadBegun)
         recordEarlyEnd(to);
+    const bool isPlainService = m_engine == nullptr && to.chain.empty();
+    if (isPlainService && m_context.checkCrash)
+        return m_context.checkCrash(identity, to.first);
     const int crashes = m_context.crashes.recordCrash(identity, incarnation, now);
     event_line("crash_suspected", event_level::Warning)
             .field("request", m_info.id)
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "fescuedeck/base/ids.h"
 #include "fescuedeck/gateway/config_intake.h"
 #include "fescuedeck/gateway/connection_ends.h"
+#include "fescuedeck/gateway/crash_check.h"
 #include "fescuedeck/gateway/endpoint_prober.h"
 #include "fescuedeck/gateway/engine_inspector.h"
 #include "fescuedeck/gateway/event_loop_watch.h"
@@ -210,6 +211,9 @@
     m_context.inspectEngine = [this](const std::string &endpoint, engine_suspicion suspicion) {
         m_inspector.inspect(endpoint, suspicion);
     };
+    m_context.checkCrash = [this](const request_identity &request, const endpoint_ptr &endpoint) {
+        recordCrashIfDown(m_context, request, endpoint);
+    };
     m_context.onEngineLost = [this] {
         m_context.crashes.update(steadyNow());
         m_peers.announceChange();
