Tests: move those of a stopping HTTP server into a file of their own

A comment returns to the test that it describes. The flag of the server core says what it is: the listener accepts no more.

--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -267,7 +267,6 @@
     CHECK(outcome.response.error().code == answer.second);
 }
 
-// Guards against servers that send without end and use up the memory which all calls need.
 // Guards against an endpoint or a store that ends the process with the trailer or a header of a
 // response.
 TEST_CASE("a response with an oversized field is a failure", "[net]")
@@ -296,6 +295,7 @@
     CHECK(client.idleConnections() == 0);
 }
 
+// Guards against servers that send without end and use up the memory which all calls need.
 TEST_CASE("responses that outgrow the memory of all calls fail, and small ones do not", "[net]")
 {
     constexpr std::size_t limit = 1024 * 1024;
--- a/src/fescuedeck/net/http_server.cpp
+++ b/src/fescuedeck/net/http_server.cpp
@@ -48,7 +48,7 @@
 
 void http_server_core::acceptNext()
 {
-    if (!m_acceptor.is_open() || m_isClosing)
+    if (!m_acceptor.is_open() || m_hasStoppedAccepting)
         return;
     const asio::any_io_executor executor = m_ioContext.get_executor();
     m_acceptor.async_accept(executor, asio::bind_executor(m_strand, [self = shared_from_this()](
@@ -134,7 +134,7 @@
 {
     keepsConnections = false;
     isDraining = true;
-    m_isClosing = true;
+    m_hasStoppedAccepting = true;
     asio::post(m_strand, [self = shared_from_this()] { self->closeAcceptor(); });
 }
 
--- a/src/fescuedeck/net/http_server_core.h
+++ b/src/fescuedeck/net/http_server_core.h
@@ -69,7 +69,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor; // used on m_strand after listen()
     boost::asio::steady_timer m_pause;
     std::shared_ptr<const http_server_limits> m_limits; // read and replaced atomically
-    std::atomic<bool> m_isClosing{ false };             // the listener
+    std::atomic<bool> m_hasStoppedAccepting{ false };
     std::uint16_t m_port = 0;
     // Leaf lock: nothing else is locked or called while it is held.
     std::mutex m_mutex;
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -4,36 +4,17 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "fescuedeck/net/echo_handler.h"
 #include "fescuedeck/net/test_io.h"
 
 namespace fescuedeck {
 namespace {
 
-std::string get(const std::string &target)
-{
-    return "GET " + target + " HTTP/1.1\r\nHost: test\r\n\r\n";
-}
-
 std::string outcomeOf(const std::string &response)
 {
     return nlohmann::json::parse(response.substr(response.find("\r\n\r\n")))["outcome"];
 }
 
-http_response text(const std::string &body)
-{
-    http_response response;
-    response.body = body;
-    return response;
-}
-
-// Echoes the target; "/throw" throws.
-void echo(http_exchange &exchange)
-{
-    if (exchange.request().target == "/throw")
-        throw std::runtime_error("fault in a handler");
-    exchange.respond(text("echo " + exchange.request().target + exchange.request().body));
-}
-
 } // namespace
 
 TEST_CASE("a connection carries several requests, also sent ahead", "[net]")
@@ -181,61 +162,6 @@
     CHECK(cutOff.wait());
 }
 
-TEST_CASE("stopping finishes open exchanges and closes idle connections", "[net]")
-{
-    test_io io;
-    awaited_value<bool> started;
-    std::atomic<bool> mayFinish{ false };
-    http_server server(io.context(), {}, [&](http_exchange &exchange) {
-        if (exchange.request().target == "/slow") {
-            started.set(true);
-            boost::asio::steady_timer wait(io.context());
-            while (!mayFinish) {
-                wait.expires_after(std::chrono::milliseconds(1));
-                wait.async_wait(exchange.yield());
-            }
-        }
-        echo(exchange);
-    });
-    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
-    raw_connection idle(server.port());
-    idle.send(get("/idle"));
-    idle.receiveUntil("echo /idle");
-    raw_connection slow(server.port());
-    slow.send(get("/slow"));
-    started.wait();
-
-    server.stopAccepting();
-    CHECK(idle.receiveAll().empty());
-    CHECK(server.openExchanges() == 1);
-    CHECK_THROWS(raw_connection(server.port()));
-    mayFinish = true;
-    const std::string answer = slow.receiveAll();
-    CHECK(answer.find("echo /slow") != std::string::npos);
-    CHECK(answer.find("Connection: close") != std::string::npos);
-    CHECK(eventually([&] { return server.openExchanges() == 0; }));
-}
-
-// Guards against a process that waits for idle connections until the end of its grace period.
-TEST_CASE("a server that drains closes idle connections and accepts new ones", "[net]")
-{
-    test_io io;
-    http_server server(io.context(), {}, echo);
-    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
-    raw_connection idle(server.port());
-    idle.send(get("/idle"));
-    idle.receiveUntil("echo /idle");
-
-    server.drainConnections();
-    CHECK(idle.receiveAll().empty());
-    raw_connection fresh(server.port());
-    fresh.send(get("/fresh"));
-    const std::string answer = fresh.receiveAll();
-    CHECK(answer.find("echo /fresh") != std::string::npos);
-    CHECK(answer.find("Connection: close") != std::string::npos);
-    CHECK(eventually([&] { return server.openConnections() == 0; }));
-}
-
 // Guards against a lost request of which neither log nor metric tells.
 TEST_CASE("the server reports why each connection has ended", "[net]")
 {
@@ -328,103 +254,6 @@
     CHECK(answer.find("HTTP/1.1 431") == 0);
 }
 
-// Guards against requests that cross the close of an idle connection while a gateway stops.
-TEST_CASE("answers close their connections before the listener closes", "[net]")
-{
-    test_io io;
-    http_server server(io.context(), {}, echo);
-    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
-    raw_connection kept(server.port());
-    kept.send(get("/1"));
-    CHECK(kept.receiveUntil("echo /1").find("Connection: close") == std::string::npos);
-
-    server.stopKeepingConnections();
-    kept.send(get("/2"));
-    CHECK(kept.receiveAll().find("Connection: close") != std::string::npos);
-    raw_connection fresh(server.port());
-    fresh.send(get("/3"));
-    const std::string answer = fresh.receiveAll();
-    CHECK(answer.find("echo /3") != std::string::npos);
-    CHECK(answer.find("Connection: close") != std::string::npos);
-}
-
-// Guards against requests that cross the close of a connection shortly after its stream. The head
-// of the stream announced a kept connection, because the server did not know yet that it will stop.
-TEST_CASE("a stopping server closes a kept connection with the end of its stream", "[net]")
-{
-    test_io io;
-    awaited_value<bool> started;
-    std::atomic<bool> mayFinish{ false };
-    http_server_limits limits;
-    limits.drainGrace = std::chrono::seconds(60);
-    http_server server(io.context(), limits, [&](http_exchange &exchange) {
-        if (exchange.request().target != "/stream")
-            return echo(exchange);
-        exchange.startStream({});
-        started.set(true);
-        boost::asio::steady_timer wait(io.context());
-        while (!mayFinish) {
-            wait.expires_after(std::chrono::milliseconds(1));
-            wait.async_wait(exchange.yield());
-        }
-        exchange.finishStream();
-    });
-    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
-    raw_connection caller(server.port());
-    caller.send(get("/stream"));
-    started.wait();
-    server.stopKeepingConnections();
-    const bool hasSentAhead = GENERATE(false, true);
-    if (hasSentAhead)
-        caller.send(get("/next"));
-    mayFinish = true;
-
-    const std::string answer = caller.receiveAll();
-    CHECK(answer.find("0\r\n\r\n") != std::string::npos);
-    CHECK((answer.find("echo /next") != std::string::npos) == hasSentAhead);
-    CHECK((answer.find("Connection: close") != std::string::npos) == hasSentAhead);
-}
-
-// Guards against a request that is lost because it crosses the close of a connection: its caller
-// has the whole answer before and the stopping server closes the connection a moment later.
-TEST_CASE("the last stream of a stopping server and its connection end at once", "[net]")
-{
-    test_io io;
-    awaited_value<bool> started;
-    std::atomic<bool> mayFinish{ false };
-    std::atomic<bool> mayReturn{ false };
-    http_server server(io.context(), {}, [&](http_exchange &exchange) {
-        const auto waitFor = [&](const std::atomic<bool> &isAllowed) {
-            boost::asio::steady_timer wait(io.context());
-            while (!isAllowed) {
-                wait.expires_after(std::chrono::milliseconds(1));
-                wait.async_wait(exchange.yield());
-            }
-        };
-        exchange.startStream({});
-        started.set(true);
-        waitFor(mayFinish);
-        exchange.finishStream();
-        waitFor(mayReturn);
-    });
-    awaited_value<connection_end> reported;
-    server.onConnectionEnd([&](const connection_end &end) { reported.set(end); });
-    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
-    raw_connection caller(server.port());
-    caller.send(get("/stream"));
-    started.wait();
-    server.stopKeepingConnections();
-    mayFinish = true;
-
-    CHECK(caller.receiveUntil("0\r\n\r\n").find("0\r\n\r\n") != std::string::npos);
-    CHECK(caller.hasEnded());
-    caller.close();
-    mayReturn = true;
-    const connection_end end = reported.wait();
-    CHECK(end.reason == connection_end_reason::Shutdown);
-    CHECK(end.answeredRequests == 1);
-}
-
 TEST_CASE("connections beyond the limit are told to retry", "[net]")
 {
     http_server_limits limits;
