--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -57,8 +57,8 @@
     open_attempts openAttempts;
     // Shared by the gateways of the deployment. Empty until it has been read from the store.
     std::string peerSecret;
-    // Set by the owner, like the hooks below. Records a crash against the request if the endpoint of
-    // a plain service, which has just closed the connection, is down. Without it, each such end
+    // Set by the owner, like the hooks below. Records a crash against the request if the endpoint
+    // of a plain service, which has just closed the connection, is down. Without it, each such end
     // counts as a crash.
     std::function<void(const request_identity &, const endpoint_ptr &)> checkCrash;
     // Asks an engine for a report on the engines that it
