--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -316,7 +316,7 @@
 
 // Guards against requests that are relayed to a gateway which cannot serve them, or which is about
 // to end.
-TEST_CASE("a gateway vouches while it reaches endpoints and is not stopping", "[gateway][relay]")
+TEST_CASE("a gateway vouches while it reaches endpoints and accepts relays", "[gateway][relay]")
 {
     peers_fixture gateways;
     gateway_context &context = gateways.first.context;
