Choose chains and endpoints by the age of the peers' load figures

Engines of one failure domain were at very different loads in deployments with many gateways: all gateways with the same digests sent to the least loaded engine until the next digest, 300 ms later inside a domain and a second later between domains.

The age of the peers' figures and the usual time that endpoints have a request are now recorded with each endpoint. They give the work that the peers have probably begun since. Requests spread by their hash over engines with the same layers whose loads differ by less than that. Without peers, with fresh figures, and where a gateway has half of the work or more, chains are chosen as before. Admission goes by the figures as reported, as before. Requests to plain services, which digests do not carry, spread over endpoints of the chosen domain that differ by less than one request.

A histogram shows the age of the figures at each choice.

--- a/bench/stale_load_bench.cpp
+++ b/bench/stale_load_bench.cpp
@@ -5,7 +5,9 @@
 // number of deciders, age and way: the mean of "largest load over mean load, less one" and the
 // variance of the loads relative to their mean, both of loads per capacity, sampled every 50 ms.
 // For the cases with a joining or silent endpoint it also prints the greatest load of that endpoint
-// over the mean. Usage: stale_load_bench [seed [case]]
+// over the mean. The case "chains" runs chooseChain() for engines that hold a third of the layers
+// each, with the age of the figures as it is (spread) and taken for zero (as_fresh).
+// Usage: stale_load_bench [seed [equal|mixed|join|silent|chains]]
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
@@ -18,6 +20,7 @@
 
 #include "fescuedeck/base/hash.h"
 #include "fescuedeck/base/random.h"
+#include "fescuedeck/gateway/endpoint_choice.h"
 #include "fescuedeck/gateway/load_estimate.h"
 #include "fescuedeck/gateway/stale_choice.h"
 
@@ -355,6 +358,176 @@
     }
 }
 
+engine_spec chainSpec()
+{
+    engine_spec spec;
+    spec.layers = 81;
+    spec.layerMb = 400;
+    spec.cacheBytesPerToken = 2e6;
+    spec.stepMs = 30;
+    spec.slots = 32;
+    spec.usualPromptTokens = 760;
+    spec.usualAnswerTokens = 138;
+    spec.kinds = { { "card", 24000, 1, 1 } };
+    return spec;
+}
+
+// Sends requests over chains of three engines. Figures of the peers have one age.
+class chain_simulation
+{
+public:
+    chain_simulation(const options &given, bool spreads)
+        : m_options(given)
+        , m_spreads(spreads)
+        , m_random(seededRandom(given.seed))
+        , m_load(endpoints)
+        , m_reported(endpoints)
+    {
+        for (int decider = 0; decider < given.deciders; ++decider) {
+            m_views.emplace_back();
+            for (int i = 0; i < endpoints; ++i)
+                m_views.back().push_back(engine(i));
+            m_unreported.emplace_back(endpoints);
+        }
+        const double room = cacheFillTokens();
+        m_rate = utilization * room * endpoints / parts / requestTokens / holdSeconds;
+    }
+
+    outcome run()
+    {
+        m_events.push({ 0, [this] { arrive(); } });
+        m_events.push({ warmUpSeconds, [this] { sample(); } });
+        while (m_events.top().at < runSeconds) {
+            const timed next = m_events.top();
+            m_events.pop();
+            m_now = next.at;
+            next.handle();
+        }
+        return { m_excess / m_samples, m_variance / m_samples, 0 };
+    }
+
+private:
+    static constexpr int parts = 3;
+    static constexpr double requestTokens = 898;
+
+    struct timed
+    {
+        double at;
+        std::function<void()> handle;
+        bool operator>(const timed &other) const { return at > other.at; }
+    };
+
+    static endpoint_ptr engine(int number)
+    {
+        const int layers = chainSpec().layers / parts;
+        const int begin = layers * (number % parts);
+        auto made = std::make_shared<endpoint_record>();
+        made->entry.id = "e" + std::to_string(number);
+        made->entry.failureDomain = "a";
+        made->entry.accelerator = "card";
+        made->entry.layers = layer_range{ begin, begin + layers };
+        made->usualHoldTime = std::chrono::milliseconds(static_cast<int>(holdSeconds * 1000));
+        return made;
+    }
+
+    // Tokens that fill the usable cache of one engine.
+    static double cacheFillTokens()
+    {
+        endpoint_record one = *engine(0);
+        one.tokensInFlight = 1000;
+        return 1000 / cacheFill(chainSpec(), one);
+    }
+
+    void arrive()
+    {
+        const auto decider = uniformBelow(m_random, static_cast<std::uint64_t>(m_options.deciders));
+        std::vector<endpoint_ptr> &view = m_views[decider];
+        const time_point now
+                = time_point{} + std::chrono::hours(1)
+                  + std::chrono::duration_cast<duration>(std::chrono::duration<double>(m_now));
+        for (std::size_t i = 0; i < view.size(); ++i) {
+            view[i]->peerTokensInFlight
+                    = m_reported[i] - (view[i]->tokensInFlight - m_unreported[decider][i]);
+            if (m_spreads)
+                view[i]->peerFigures.at
+                        = now
+                          - std::chrono::microseconds(static_cast<int>(m_options.ageSeconds * 1e6));
+        }
+        const auto to = chooseChain(chainSpec(), view, { "a", {}, now, m_random(), 0 });
+        for (const endpoint_ptr &stage : to->stages) {
+            const auto index = static_cast<std::size_t>(std::stoi(stage->entry.id.substr(1)));
+            change(decider, index, requestTokens);
+        }
+        const auto stages = to->stages;
+        const double held = exponential(holdSeconds);
+        m_events.push(
+                { m_now + held, [this, decider, stages] {
+                     for (const endpoint_ptr &stage : stages)
+                         change(decider,
+                                static_cast<std::size_t>(std::stoi(stage->entry.id.substr(1))),
+                                -requestTokens);
+                 } });
+        m_events.push({ m_now + exponential(1 / m_rate), [this] { arrive(); } });
+    }
+
+    void change(std::size_t decider, std::size_t index, double tokens)
+    {
+        m_load[index] += tokens;
+        m_views[decider][index]->tokensInFlight += tokens;
+        m_unreported[decider][index] += tokens;
+        m_events.push({ m_now + m_options.ageSeconds, [this, decider, index, tokens] {
+                           m_reported[index] += tokens;
+                           m_unreported[decider][index] -= tokens;
+                       } });
+    }
+
+    double exponential(double mean) { return -mean * std::log(1 - uniformReal(m_random)); }
+
+    void sample()
+    {
+        const double mean = std::accumulate(m_load.begin(), m_load.end(), 0.0) / endpoints;
+        double largest = 0;
+        for (const double load : m_load) {
+            largest = std::max(largest, load / mean);
+            m_variance += (load / mean - 1) * (load / mean - 1) / endpoints;
+        }
+        m_excess += largest - 1;
+        ++m_samples;
+        m_events.push({ m_now + 0.05, [this] { sample(); } });
+    }
+
+    const options m_options;
+    const bool m_spreads;
+    random_fn m_random;
+    double m_now = 0;
+    double m_rate = 0;                              // requests a second
+    std::vector<std::vector<endpoint_ptr>> m_views; // by decider
+    std::vector<std::vector<double>> m_unreported;  // by decider: own changes not reported yet
+    std::vector<double> m_load;
+    std::vector<double> m_reported;
+    std::priority_queue<timed, std::vector<timed>, std::greater<>> m_events;
+    double m_excess = 0;
+    double m_variance = 0;
+    int m_samples = 0;
+};
+
+void compareChains(options given)
+{
+    for (const int deciders : { 2, 4, 10, 47 }) {
+        for (const double age : { 0.0, 0.15, 0.4, 1.0 }) {
+            for (const bool spreads : { false, true }) {
+                given.deciders = deciders;
+                given.ageSeconds = age;
+                const outcome result = chain_simulation(given, spreads).run();
+                std::printf("chains deciders %d age_ms %.0f %s excess %.3f variance %.4f\n",
+                            deciders, age * 1000, spreads ? "spread" : "as_fresh", result.excess,
+                            result.variance);
+                std::fflush(stdout);
+            }
+        }
+    }
+}
+
 int run(int argc, char **argv)
 {
     options given;
@@ -375,6 +548,8 @@
     silent.silent = true;
     if (isWanted("silent"))
         compare("silent", silent);
+    if (isWanted("chains"))
+        compareChains(given);
     return 0;
 }
 
--- a/src/fescuedeck/gateway/attempt_guards.cpp
+++ b/src/fescuedeck/gateway/attempt_guards.cpp
@@ -1,6 +1,22 @@
 #include "fescuedeck/gateway/attempt_guards.h"
 
 namespace fescuedeck {
+namespace {
+
+// An attempt that ends earlier was refused or has failed and says nothing about how long endpoints
+// have requests.
+constexpr duration minHoldTime = std::chrono::milliseconds(100);
+
+void recordHoldTime(endpoint_record &endpoint, duration held)
+{
+    constexpr int smoothing = 16;
+    if (held < minHoldTime)
+        return;
+    duration &usual = endpoint.usualHoldTime;
+    usual = usual == duration::zero() ? held : usual + (held - usual) / smoothing;
+}
+
+} // namespace
 
 in_flight_guard::in_flight_guard(const std::vector<endpoint_ptr> &stages, double tokens)
     : m_stages(stages)
@@ -14,12 +30,21 @@
 
 in_flight_guard::~in_flight_guard()
 {
+    const duration held = steadyNow() - m_since;
     for (const endpoint_ptr &stage : m_stages) {
         --stage->inFlight;
         stage->tokensInFlight -= m_tokens;
+        recordHoldTime(*stage, held);
     }
 }
 
+void in_flight_guard::setTokens(double tokens)
+{
+    for (const endpoint_ptr &stage : m_stages)
+        stage->tokensInFlight += tokens - m_tokens;
+    m_tokens = tokens;
+}
+
 retry_reservation::retry_reservation(gateway_context &context, std::string service)
     : m_context(context)
     , m_service(std::move(service))
--- a/src/fescuedeck/gateway/attempt_guards.h
+++ b/src/fescuedeck/gateway/attempt_guards.h
@@ -21,9 +21,13 @@
     in_flight_guard(const in_flight_guard &) = delete;
     in_flight_guard &operator=(const in_flight_guard &) = delete;
 
+    // Corrects the number of tokens, because the answer is longer than was expected.
+    void setTokens(double tokens);
+
 private:
     const std::vector<endpoint_ptr> m_stages;
-    const double m_tokens;
+    double m_tokens;
+    const time_point m_since = steadyNow();
 };
 
 // Reserves one retry of the retry budget while this object lives. Without reservations, streams
--- a/src/fescuedeck/gateway/destination_chooser.cpp
+++ b/src/fescuedeck/gateway/destination_chooser.cpp
@@ -31,7 +31,7 @@
 destination_chooser::chooseWithout(const std::set<std::string> &excluded) const
 {
     const choice_request request{ m_context.settings.failureDomain, excluded, steadyNow(),
-                                  m_requestHash };
+                                  m_requestHash, m_context.domainPeers };
     const std::vector<endpoint_ptr> endpoints = m_context.endpoints.ofService(m_service);
     return m_engine != nullptr ? chooseChain(*m_engine, endpoints, request)
                                : chooseEndpoint(endpoints, request);
@@ -79,6 +79,10 @@
     m_demanded.clear();
     if (to.isRelay)
         return; // the peer keeps to the limits
+    if (to.first->peerFigures.at) {
+        m_context.counters.histogramOf("fescuedeck_load_figures_age_seconds")
+                .observe(estimateLoad(0, 0, to.first->peerFigures, steadyNow()).age);
+    }
     m_context.requestLimits.take(incarnationName(to.first->entry), steadyNow());
 }
 
--- a/src/fescuedeck/gateway/endpoint_choice.cpp
+++ b/src/fescuedeck/gateway/endpoint_choice.cpp
@@ -5,6 +5,8 @@
 
 #include "fescuedeck/base/hash.h"
 #include "fescuedeck/gateway/layer_placement.h"
+#include "fescuedeck/gateway/load_estimate.h"
+#include "fescuedeck/gateway/stale_choice.h"
 
 namespace fescuedeck {
 namespace {
@@ -32,6 +34,8 @@
 constexpr double comfortableFill = 0.6;
 // Cost of an engine whose usable cache is full, in milliseconds per token.
 constexpr double fullCacheCostMs = 100;
+// Bounds the capacity of an endpoint that reports fast steps.
+constexpr double minSlowdown = 0.1;
 // The cost of an engine whose slots are full is this many times its cost when idle.
 constexpr double fullSlotsCostFactor = 3;
 
@@ -46,19 +50,29 @@
     return endpoint->isUsable(request.now) && request.excluded.count(endpoint->entry.id) == 0;
 }
 
-// Used share of the usable cache of the engine; 1 if no more tokens fit.
-double fillOf(const engine_spec &spec, const endpoint_record &endpoint, const chain_part &part)
+// Tokens that fit into the usable cache of the engine if requests run the given number of layers
+// there; empty if the cache or the layers of the engine are not known.
+std::optional<double> usableCache(const engine_spec &spec, const endpoint_record &endpoint,
+                                  int layers)
 {
     const accelerator_kind *kind = spec.findKind(endpoint.entry.accelerator);
     if (kind == nullptr || !endpoint.entry.layers)
-        return 0;
-    const double room
-            = usableCacheShare
-              * cacheTokens(spec, *kind, endpoint.entry.layers->size(), part.layers.size());
-    const double used = endpoint.tokensInFlight + endpoint.peerTokensInFlight;
+        return std::nullopt;
+    return usableCacheShare * cacheTokens(spec, *kind, endpoint.entry.layers->size(), layers);
+}
+
+double fillOf(double used, double room)
+{
     return room > 0 ? used / room : 1;
 }
 
+// Used share of the usable cache of the engine; 1 if no more tokens fit.
+double fillOf(const engine_spec &spec, const endpoint_record &endpoint, const chain_part &part)
+{
+    const std::optional<double> room = usableCache(spec, endpoint, part.layers.size());
+    return room ? fillOf(endpoint.tokensInFlight + endpoint.peerTokensInFlight, *room) : 0;
+}
+
 // In milliseconds per token. An engine whose cache fills up costs more than any detour over slower
 // engines with free caches: the requests that it cannot hold wait or preempt others.
 double costOfFullCache(double fill)
@@ -78,30 +92,90 @@
 namespace {
 
 // In milliseconds per token.
-double costPerLayer(const engine_spec &spec, const endpoint_record &endpoint)
+double costPerLayer(const engine_spec &spec, const endpoint_record &endpoint, double fill)
 {
     const accelerator_kind *kind = spec.findKind(endpoint.entry.accelerator);
     const double factor = kind == nullptr ? 1 : kind->stepFactor;
     const double busy = static_cast<double>(endpoint.inFlight + endpoint.peerInFlight)
                         / std::max(1, spec.slots);
-    const double fill = cacheFill(spec, endpoint);
     const double loadFactor
             = 1 + (fullSlotsCostFactor - 1) * std::min(1.0, std::max(busy, fill * fill));
     return spec.stepMs * factor * endpoint.slowdown * loadFactor / std::max(1, spec.layers);
 }
 
+// How long engines usually have a request, as far as this gateway knows.
+duration usualHoldTime(const std::vector<endpoint_ptr> &endpoints)
+{
+    duration total{};
+    int known = 0;
+    for (const endpoint_ptr &endpoint : endpoints) {
+        total += endpoint->usualHoldTime;
+        known += endpoint->usualHoldTime > duration::zero() ? 1 : 0;
+    }
+    return known == 0 ? duration::zero() : total / known;
+}
+
+// Tokens of the requests that the peers have probably begun in each domain since they reported, as
+// far as choices spread over them. A request counts at each engine of its chain, in proportion to
+// the layers that the engine holds, so once altogether.
+std::map<std::string, double>
+unseenTokens(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints, time_point now)
+{
+    struct domain_work
+    {
+        double own = 0;
+        double peers = 0;
+        double unseen = 0;
+    };
+    const duration holdTime = usualHoldTime(endpoints);
+    std::map<std::string, domain_work> work;
+    for (const endpoint_ptr &endpoint : endpoints) {
+        if (!endpoint->entry.layers)
+            continue;
+        domain_work &domain = work[endpoint->entry.failureDomain];
+        const double part
+                = static_cast<double>(endpoint->entry.layers->size()) / std::max(1, spec.layers);
+        const duration age = estimateLoad(0, 0, endpoint->peerFigures, now).age;
+        domain.own += endpoint->tokensInFlight * part;
+        domain.peers += endpoint->peerTokensInFlight * part;
+        domain.unseen += expectedArrivals(endpoint->peerTokensInFlight, age, holdTime) * part;
+    }
+    std::map<std::string, double> tokens;
+    for (const auto &[name, domain] : work)
+        tokens[name] = domain.unseen * spreadPart(domain.own, domain.peers);
+    return tokens;
+}
+
+// Used share of the usable cache that the engine may have now, for the choice of a chain. Unseen
+// requests of the peers may have filled what is free of it. Each request assumes a different part
+// of them at each engine, so that those of several gateways spread.
+double expectedFill(const engine_spec &spec, const endpoint_record &endpoint, double unseen,
+                    const choice_request &request)
+{
+    const std::optional<double> room = usableCache(spec, endpoint, endpoint.entry.layers->size());
+    if (!room)
+        return 0;
+    const double used = estimateLoad(endpoint.tokensInFlight, endpoint.peerTokensInFlight,
+                                     endpoint.peerFigures, request.now)
+                                .load;
+    const double spread = std::min(unseen, std::max(0.0, *room - used));
+    return fillOf(used + loadOffset(endpoint.entry.id, spread, request.requestHash), *room);
+}
+
 std::map<std::string, std::vector<chain_stage>>
 stagesByDomain(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints,
                const choice_request &request)
 {
     std::map<std::string, std::vector<chain_stage>> stages;
+    std::map<std::string, double> unseen = unseenTokens(spec, endpoints, request.now);
     for (const endpoint_ptr &endpoint : endpoints) {
         if (!endpoint->entry.layers || !isCandidate(endpoint, request))
             continue;
         const endpoint_entry &entry = endpoint->entry;
+        const double fill = expectedFill(spec, *endpoint, unseen[entry.failureDomain], request);
         stages[entry.failureDomain].push_back({ entry.id, entry.address, *entry.layers,
-                                                costPerLayer(spec, *endpoint), entry.failureDomain,
-                                                costOfFullCache(cacheFill(spec, *endpoint)) });
+                                                costPerLayer(spec, *endpoint, fill),
+                                                entry.failureDomain, costOfFullCache(fill) });
     }
     return stages;
 }
@@ -116,6 +190,36 @@
 
 } // namespace
 
+namespace {
+
+// The peers do not report requests to plain services. Each has probably begun one since this
+// gateway chose last; of their requests this gateway knows its own part.
+double unseenRequests(int peers)
+{
+    return static_cast<double>(peers) / (peers + 1);
+}
+
+// Chooses among the endpoints of the domain of the least loaded one.
+endpoint_ptr spreadOver(const std::vector<endpoint_ptr> &endpoints, const endpoint_ptr &best,
+                        const choice_request &request)
+{
+    std::vector<endpoint_ptr> near;
+    std::vector<choice_candidate> candidates;
+    for (const endpoint_ptr &endpoint : endpoints) {
+        if (!isCandidate(endpoint, request)
+            || endpoint->entry.failureDomain != best->entry.failureDomain)
+            continue;
+        near.push_back(endpoint);
+        const double capacity
+                = std::max(1, endpoint->entry.slots) / std::max(minSlowdown, endpoint->slowdown);
+        candidates.push_back({ static_cast<double>(endpoint->inFlight), capacity });
+    }
+    return near[chooseByStaleLoad(candidates, unseenRequests(request.domainPeers),
+                                  request.requestHash)];
+}
+
+} // namespace
+
 std::optional<destination> chooseEndpoint(const std::vector<endpoint_ptr> &endpoints,
                                           const choice_request &request)
 {
@@ -133,6 +237,8 @@
     }
     if (!best)
         return std::nullopt;
+    if (request.domainPeers > 0)
+        best = spreadOver(endpoints, best, request);
     return destination{ best, {}, { best }, 0 };
 }
 
@@ -183,7 +289,9 @@
 {
     double total = 0;
     for (std::size_t i = 0; i < chain.stages.size(); ++i) {
-        total += costPerLayer(spec, *chain.stages[i]) * chain.chain[i].layers.size() + partCostMs;
+        total += costPerLayer(spec, *chain.stages[i], cacheFill(spec, *chain.stages[i]))
+                         * chain.chain[i].layers.size()
+                 + partCostMs;
     }
     return total;
 }
--- a/src/fescuedeck/gateway/endpoint_choice.h
+++ b/src/fescuedeck/gateway/endpoint_choice.h
@@ -20,7 +20,10 @@
     std::string failureDomain;      // failure domain of this gateway
     std::set<std::string> excluded; // ids of endpoints that must not be used
     time_point now{};
-    std::uint64_t requestHash = 0; // spreads requests over the links between failure domains
+    // Spreads requests over the links between failure domains, and over endpoints while the figures
+    // of the peers are old.
+    std::uint64_t requestHash = 0;
+    int domainPeers = 0; // other live gateways of the failure domain
 };
 
 // Destination of one attempt.
@@ -42,13 +45,17 @@
 double cacheFill(const engine_spec &spec, const endpoint_record &endpoint);
 
 // Returns the endpoint with the least load. Prefers endpoints in the failure domain of the gateway
-// unless they are much busier than those in other domains. Empty if no endpoint is usable.
+// unless they are much busier than those in other domains. If there are other gateways, whose
+// requests to plain services are not reported, requests spread over those endpoints of the chosen
+// domain whose loads differ by less than one request. Empty if no endpoint is usable.
 std::optional<destination> chooseEndpoint(const std::vector<endpoint_ptr> &endpoints,
                                           const choice_request &request);
 
 // Returns the cheapest chain of the least crowded failure domain. Prefers the domain of the gateway
 // while it has capacity. If no domain holds all layers, returns the cheapest chain across domains,
-// which changes domains as rarely as possible. Empty if there is no complete chain.
+// which changes domains as rarely as possible. The older the figures of the peers, the more
+// requests spread over engines with the same layers, in proportion to their free caches. Empty if
+// there is no complete chain.
 std::optional<destination> chooseChain(const engine_spec &spec,
                                        const std::vector<endpoint_ptr> &endpoints,
                                        const choice_request &request);
--- a/src/fescuedeck/gateway/endpoint_choice_test.cpp
+++ b/src/fescuedeck/gateway/endpoint_choice_test.cpp
@@ -1,7 +1,12 @@
 #include "fescuedeck/gateway/endpoint_choice.h"
 
+#include <map>
+#include <string>
+
 #include <catch2/catch.hpp>
 
+#include "fescuedeck/base/hash.h"
+
 namespace fescuedeck {
 namespace {
 
@@ -135,4 +140,85 @@
     CHECK(slow->tokensInFlight > 0.5 * fast->tokensInFlight);
 }
 
+// Guards against gateways that receive the same digest and all choose the same engine until the
+// next one.
+TEST_CASE("load: 30 gateways with figures of 400 ms; their requests spread over equal engines, and "
+          "a full engine gets none",
+          "[gateway][load]")
+{
+    std::vector<endpoint_ptr> engines;
+    for (const char *id : { "a1", "a2", "a3", "full" }) {
+        engines.push_back(endpointIn(id, "a", layer_range{ 0, 8 }));
+        engines.back()->peerTokensInFlight = 1500;
+        engines.back()->usualHoldTime = std::chrono::seconds(7);
+    }
+    engines.back()->peerTokensInFlight = 3000;
+    const auto chosenBy = [&](duration age) {
+        for (const endpoint_ptr &engine : engines)
+            engine->peerFigures.at = start - age;
+        std::map<std::string, int> chosen;
+        for (int i = 0; i < 300; ++i) {
+            choice_request request = fromDomain("a");
+            request.requestHash = stableHash(std::to_string(i));
+            const auto to = chooseChain(chainSpec(), engines, request);
+            REQUIRE(to);
+            // What admission goes by is not spread.
+            CHECK(to->fill == cacheFill(chainSpec(), *to->first));
+            ++chosen[to->first->entry.id];
+        }
+        return chosen;
+    };
+    CHECK(chosenBy({}) == std::map<std::string, int>{ { "a1", 300 } });
+    const auto spread = chosenBy(std::chrono::milliseconds(400));
+    CHECK(spread.size() == 3);
+    CHECK(spread.count("full") == 0);
+    for (const auto &[id, requests] : spread)
+        CHECK(requests == Approx(100).margin(35));
+}
+
+// Guards against a spread that overrides a clear difference of the loads.
+TEST_CASE(
+        "load: 4 gateways with figures of 150 ms; an engine with much less load gets the requests",
+        "[gateway][load]")
+{
+    const endpoint_ptr idle = endpointIn("idle", "a", layer_range{ 0, 8 });
+    const endpoint_ptr busy = endpointIn("busy", "a", layer_range{ 0, 8 });
+    const endpoint_ptr far = endpointIn("far", "b", layer_range{ 0, 8 });
+    idle->peerTokensInFlight = 500;
+    busy->peerTokensInFlight = 1500;
+    for (const endpoint_ptr &engine : { idle, busy, far }) {
+        engine->usualHoldTime = std::chrono::seconds(7);
+        engine->peerFigures.at = start - std::chrono::milliseconds(150);
+    }
+    for (int i = 0; i < 100; ++i) {
+        choice_request request = fromDomain("a");
+        request.requestHash = stableHash(std::to_string(i));
+        CHECK(chooseChain(chainSpec(), { busy, far, idle }, request)->first == idle);
+    }
+}
+
+// Guards against gateways that all send their first request to the same endpoint.
+TEST_CASE("load: 47 gateways with one plain request each; they spread over the endpoints of their "
+          "domain by slots",
+          "[gateway][load]")
+{
+    const endpoint_ptr small = endpointIn("a1", "a");
+    const endpoint_ptr large = endpointIn("a2", "a");
+    const endpoint_ptr far = endpointIn("b1", "b");
+    large->entry.slots = 24;
+    choice_request request = fromDomain("a");
+    request.domainPeers = 46;
+    int onSmall = 0;
+    for (int i = 0; i < 400; ++i) {
+        request.requestHash = stableHash(std::to_string(i));
+        const auto to = chooseEndpoint({ far, small, large }, request);
+        CHECK(to->first != far);
+        onSmall += to->first == small ? 1 : 0;
+    }
+    CHECK(onSmall == Approx(100).margin(35));
+    // A request of its own shows where this gateway has not sent the last one.
+    large->inFlight = 6;
+    CHECK(chooseEndpoint({ far, small, large }, request)->first == small);
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/endpoint_registry.h
+++ b/src/fescuedeck/gateway/endpoint_registry.h
@@ -18,6 +18,7 @@
 
 #include "fescuedeck/base/layer_range.h"
 #include "fescuedeck/base/time.h"
+#include "fescuedeck/gateway/load_estimate.h"
 
 namespace fescuedeck {
 
@@ -69,6 +70,8 @@
     int inFlight = 0;              // requests of this gateway
     double tokensInFlight = 0;     // of this gateway's requests, prompt and answer
     double peerTokensInFlight = 0; // of the other gateways' requests, as last reported
+    peer_figures peerFigures;      // how old peerTokensInFlight is
+    duration usualHoldTime{};      // smoothed, of this gateway's requests; zero if unknown
     int peerInFlight = 0;
     // When this gateway last got a response from the endpoint, or an event of any stream that runs
     // through it.
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -64,6 +64,8 @@
     // Asks an engine for a report on the engines that it
     // waits for.
     std::function<void(const std::string &endpoint, engine_suspicion)> inspectEngine;
+    // Live gateways of the own failure domain, without this one.
+    int domainPeers = 0;
     // Called after an engine has been marked as lost.
     std::function<void()> onEngineLost;
     // Whether this gateway is among the first live gateways of its failure domain, in the order of
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -275,8 +275,7 @@
     peer_view view = m_ownDomain.merged(now);
     for (const auto &[cell, directory] : m_otherDomains) {
         const peer_view other = directory.mergedSummaries(now);
-        for (const auto &[endpoint, tokens] : other.inFlight)
-            view.inFlight[endpoint] += tokens;
+        addLoads(view, other);
         for (const auto &[incarnation, demand] : other.limitedDemand)
             view.limitedDemand[incarnation] += demand;
         view.suspects.insert(other.suspects.begin(), other.suspects.end());
@@ -294,11 +293,17 @@
     const peer_view view = mergedView(now);
     for (const endpoint_ptr &endpoint : m_context.endpoints.all()) {
         const auto load = view.inFlight.find(endpoint->entry.id);
-        endpoint->peerTokensInFlight = load == view.inFlight.end() ? 0 : load->second;
+        const double tokens = load == view.inFlight.end() ? 0 : load->second;
+        std::optional<time_point> figuresAt;
+        if (const auto age = ageOfFigures(view, endpoint->entry.id))
+            figuresAt = now - *age;
+        recordFigures(endpoint->peerFigures, endpoint->peerTokensInFlight, tokens, figuresAt);
+        endpoint->peerTokensInFlight = tokens;
         const bool isLeaving = view.leaving.count(incarnationName(endpoint->entry)) > 0;
         if (isLeaving && m_context.isEndpointTableUnavailable)
             m_context.endpoints.markLeaving(endpoint->entry.id);
     }
+    m_context.domainPeers = static_cast<int>(m_ownDomain.livePeers(now).size());
     m_context.requestLimits.setPeerDemand(view.limitedDemand);
     updateRetryBudgetShare(m_ownDomain.merged(now), now);
     applyPeerSuspicions(view.suspects, now);
--- a/src/fescuedeck/gateway/stale_choice.cpp
+++ b/src/fescuedeck/gateway/stale_choice.cpp
@@ -72,6 +72,12 @@
     return leastLoaded(candidates);
 }
 
+double spreadPart(double ownWork, double peerWork)
+{
+    const double total = ownWork + peerWork;
+    return total <= 0 ? 0 : std::max(0.0, 1 - 2 * ownWork / total);
+}
+
 double loadOffset(std::string_view candidate, double spread, std::uint64_t requestHash)
 {
     return spread <= 0 ? 0 : spread * shareOf(stableHash(candidate, requestHash ^ drawSeed));
--- a/src/fescuedeck/gateway/stale_choice.h
+++ b/src/fescuedeck/gateway/stale_choice.h
@@ -34,6 +34,11 @@
 std::size_t chooseByStaleLoad(const std::vector<choice_candidate> &candidates, double unseenWork,
                               std::uint64_t requestHash);
 
+// Returns the part of the unseen work over which choices spread. A gateway knows its own choices at
+// once. If it has half of all work or more, it keeps the loads even better by choosing the least
+// loaded candidate than by a draw, so the part is 0; it grows to 1 as the own part vanishes.
+double spreadPart(double ownWork, double peerWork);
+
 // Returns an amount between 0 and spread that depends on the candidate and the request only. Added
 // to the loads of candidates that are not chosen one by one, like the engines of a chain, it has
 // requests prefer different ones of those whose loads differ by less than the spread.
--- a/src/fescuedeck/gateway/stale_choice_test.cpp
+++ b/src/fescuedeck/gateway/stale_choice_test.cpp
@@ -57,6 +57,16 @@
     CHECK(chooseByStaleLoad(candidates, 3, 42) == chooseByStaleLoad(candidates, 3, 42));
 }
 
+// Guards against small deployments that are served worse than by the least loaded candidate.
+TEST_CASE("choice: two gateways with equal work; nothing is spread", "[load]")
+{
+    CHECK(spreadPart(5, 5) == 0);
+    CHECK(spreadPart(5, 15) == 0.5);
+    CHECK(spreadPart(0, 15) == 1);
+    CHECK(spreadPart(5, 0) == 0);
+    CHECK(spreadPart(0, 0) == 0);
+}
+
 TEST_CASE("choice: offsets of loads are spread over their range; fresh figures have none", "[load]")
 {
     CHECK(loadOffset("a", 0, 42) == 0);
--- a/src/fescuedeck/peer/peer_directory.cpp
+++ b/src/fescuedeck/peer/peer_directory.cpp
@@ -4,6 +4,38 @@
 #include <tuple>
 
 namespace fescuedeck {
+namespace {
+
+double secondsOf(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+std::optional<duration> ageOfFigures(const peer_view &view, const std::string &endpoint)
+{
+    if (view.digests == 0)
+        return std::nullopt;
+    const auto work = view.inFlight.find(endpoint);
+    const auto workSeconds = view.workSeconds.find(endpoint);
+    const bool hasWork = work != view.inFlight.end() && work->second > 0
+                         && workSeconds != view.workSeconds.end();
+    const double seconds
+            = hasWork ? workSeconds->second / work->second : view.digestSeconds / view.digests;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+void addLoads(peer_view &view, const peer_view &other)
+{
+    for (const auto &[endpoint, load] : other.inFlight)
+        view.inFlight[endpoint] += load;
+    for (const auto &[endpoint, seconds] : other.workSeconds)
+        view.workSeconds[endpoint] += seconds;
+    view.digests += other.digests;
+    view.digestSeconds += other.digestSeconds;
+}
+
 peer_directory::peer_directory(duration digestLifetime)
     : m_digestLifetime(digestLifetime)
 {
@@ -11,7 +43,7 @@
 
 void peer_directory::onDigest(const std::string &router, peer_digest digest, time_point now)
 {
-    m_entries[router] = { std::move(digest), now + m_digestLifetime };
+    m_entries[router] = { std::move(digest), now, now + m_digestLifetime };
 }
 
 void peer_directory::forget(const std::string &router)
@@ -43,9 +75,14 @@
         if (entry.expires <= now)
             continue;
         const peer_digest &digest = entry.digest;
+        const double age = secondsOf(std::max(duration::zero(), now - entry.arrived));
+        ++view.digests;
+        view.digestSeconds += age;
         for (const auto &[endpoint, count] : digest.inFlight) {
             double &load = view.inFlight[endpoint];
-            load = combineLoads(load, count);
+            const double combined = combineLoads(load, count);
+            view.workSeconds[endpoint] += (combined - load) * age;
+            load = combined;
         }
         for (const auto &[incarnation, report] : digest.limits) {
             double &demand = view.limitedDemand[incarnation];
--- a/src/fescuedeck/peer/peer_directory.h
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -20,6 +20,10 @@
 struct peer_view
 {
     std::map<std::string, double> inFlight; // sum over the peers, by endpoint
+    // Sum of the work in flight, each part times the seconds since it was reported, by endpoint.
+    std::map<std::string, double> workSeconds;
+    int digests = 0;          // in force
+    double digestSeconds = 0; // sum of their ages
     // Sum over the peers of the demand for endpoints that limit their requests, by incarnation
     // name.
     std::map<std::string, double> limitedDemand;
@@ -29,6 +33,12 @@
     std::set<std::string> quarantined;
 };
 
+// Returns how long ago the work in flight on the endpoint was reported, as a mean over that work.
+// An endpoint without work has the mean age of all digests. Empty if no digest is in force.
+std::optional<duration> ageOfFigures(const peer_view &view, const std::string &endpoint);
+// Adds the loads that another view states, and the ages of its figures, to a view.
+void addLoads(peer_view &view, const peer_view &other);
+
 struct newer_bundle
 {
     std::string router;
@@ -70,6 +80,7 @@
     struct entry
     {
         peer_digest digest;
+        time_point arrived;
         time_point expires;
     };
 
--- a/src/fescuedeck/peer/peer_directory_test.cpp
+++ b/src/fescuedeck/peer/peer_directory_test.cpp
@@ -27,6 +27,28 @@
 
 } // namespace
 
+// Guards against figures that are taken for newer than they are.
+TEST_CASE("load: two reports of different age; the age is the mean over the reported work",
+          "[peer]")
+{
+    CHECK_FALSE(ageOfFigures(peer_directory(lifetime).merged(at(2)), "e"));
+    peer_directory directory(lifetime);
+    peer_digest older = digestOf(1, 1);
+    older.inFlight = { { "e", 30 } };
+    peer_digest newer = digestOf(1, 1);
+    newer.inFlight = { { "e", 10 } };
+    directory.onDigest("a", older, at(0));
+    directory.onDigest("b", newer, at(2));
+    peer_view view = directory.merged(at(2));
+    CHECK(ageOfFigures(view, "e") == std::chrono::milliseconds(1500));
+    CHECK(ageOfFigures(view, "unused") == std::chrono::seconds(1));
+    // Of the reports about one domain the greatest counts, so its age does.
+    CHECK(ageOfFigures(directory.mergedSummaries(at(2)), "e") == std::chrono::seconds(2));
+    addLoads(view, directory.mergedSummaries(at(2)));
+    CHECK(view.inFlight.at("e") == 70);
+    CHECK(ageOfFigures(view, "e") == std::chrono::microseconds(60 * 2000000 / 70));
+}
+
 TEST_CASE("digests are merged until they expire", "[peer]")
 {
     // Guards against counting the calls of a router that has gone for ever.
