Predict the number of answer tokens from hints and earlier answers

Engines ran out of cache, or were left with free cache, on routes whose answers are much shorter or longer than the usual answer of the configuration, which was assumed for all.

admission/answer_length weighs the mean of the route's answers and the client's Length-Hint by how far each was off. It sees events; tokens of an event are learned by service, so that without hints the mean over all routes stays the configured one. The in-flight tokens of a stream that outgrows its prediction are raised.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -230,7 +230,30 @@
     const auto maxTokens = static_cast<double>(m_info.maxAnswerTokens);
     if (m_engine == nullptr || m_engine->usualAnswerTokens == 0)
         return maxTokens;
-    return std::min(maxTokens, static_cast<double>(m_engine->usualAnswerTokens));
+    return m_context.answerLengths.predict(answerRequest());
+}
+
+double forwarded_call::grownAnswerTokens() const
+{
+    const double expected = expectedAnswerTokens();
+    if (m_engine == nullptr || m_engine->usualAnswerTokens == 0)
+        return expected;
+    return m_context.answerLengths.predictGrown(answerRequest(), expected,
+                                                static_cast<double>(m_lastEventId.value_or(0)));
+}
+
+answer_request forwarded_call::answerRequest() const
+{
+    return { m_service, m_route.name, m_info.lengthHint,
+             static_cast<double>(m_info.maxAnswerTokens),
+             static_cast<double>(m_engine->usualAnswerTokens) };
+}
+
+void forwarded_call::recordAnswerLength()
+{
+    // The ids of the events of a stream are consecutive and begin with 1.
+    if (m_engine != nullptr && m_engine->usualAnswerTokens > 0 && m_lastEventId)
+        m_context.answerLengths.record(answerRequest(), static_cast<double>(*m_lastEventId));
 }
 
 attempt_outcome forwarded_call::runAttempt(const destination &to)
@@ -455,6 +478,7 @@
     // Set before the coroutine is suspended, so that no replacement starts behind these events.
     m_isWriting = true;
     m_lastEventId = current.events.lastId();
+    current.inFlight.setTokens(static_cast<double>(m_info.promptTokens) + grownAnswerTokens());
     if (!m_hasStreamStarted) {
         m_hasStreamStarted = true;
         m_status = current.head.status;
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -102,6 +102,11 @@
     // The usual length of an answer of this service, but no more than the caller accepts. Callers
     // state a maximum that few answers reach.
     double expectedAnswerTokens() const;
+    // The same once the stream has got so far.
+    double grownAnswerTokens() const;
+    answer_request answerRequest() const;
+    // Records the length of an answer that has arrived whole.
+    void recordAnswerLength();
     // Counts the request in the retry budget once, unless a peer counts it.
     void recordInBudget(const std::optional<destination> &to);
     // Sends the request to the destination and relays a stream while it arrives.
--- a/src/fescuedeck/gateway/forwarded_call_attempt.h
+++ b/src/fescuedeck/gateway/forwarded_call_attempt.h
@@ -39,7 +39,7 @@
 
     const int number; // of all attempts of the request, the first is 1
     const destination to;
-    const in_flight_guard inFlight;
+    in_flight_guard inFlight;
     retry_reservation retry;
     call_cancellation cancellation;
     event_splitter events;
--- a/src/fescuedeck/gateway/forwarded_call_results.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_results.cpp
@@ -286,6 +286,7 @@
     for (const endpoint_ptr &stage : to.stages)
         m_context.endpoints.clearSuspicion(stage->entry.id);
     m_context.crashes.recordBegun(identity, steadyNow());
+    recordAnswerLength();
     finishStream();
     return attempt_outcome::Answered;
 }
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 
+#include "fescuedeck/admission/answer_length.h"
 #include "fescuedeck/base/random.h"
 #include "fescuedeck/gateway/crash_quarantine.h"
 #include "fescuedeck/gateway/endpoint_registry.h"
@@ -54,6 +55,7 @@
     crash_quarantine crashes;
     request_limiter requestLimits;
     relay_directory relays;
+    answer_length answerLengths;
     open_attempts openAttempts;
     // Shared by the gateways of the deployment. Empty until it has been read from the store.
     std::string peerSecret;
--- a/src/fescuedeck/gateway/platform_adapter.h
+++ b/src/fescuedeck/gateway/platform_adapter.h
@@ -34,6 +34,7 @@
     std::optional<std::int64_t> resumeAfter; // id of the last event that the caller has
     std::int64_t promptTokens = 0;
     std::int64_t maxAnswerTokens = 0;
+    std::optional<double> lengthHint; // the caller's estimate of the answer tokens, not negative
     // Ids of the segments of the prompt, in their order. Requests share segments, except for the
     // last one, which belongs to the request or its session. Empty if the caller names none.
     std::vector<std::string> promptSegments;
