--- a/src/fescuedeck/gateway/forwarded_call_results.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_results.cpp
@@ -48,6 +48,11 @@
         const endpoint_ptr fault = stageAt(to, answer.faultAddress);
         const bool isFull
                 = !answer.isMisdirected && (answer.faultAddress.empty() || isShortOfMemory(*fault));
+        const char *cause = answer.isMisdirected ? "misdirected" : isFull ? "full" : "not_run";
+        m_context.counters
+                .counterOf("fescuedeck_refused_sendings_total",
+                           { { "service", m_service }, { "cause", cause } })
+                .add();
         if (isFull)
             m_destinations.exclude(fault->entry.id);
         else
