--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -170,6 +170,14 @@
             return gateways.second.context.endpoints.find("x")->peerTokensInFlight == 1234;
         });
     }));
+    // Without the age of the load, gateways would take it for exact.
+    const auto [age, peers] = gateways.onThread([&] {
+        const gateway_context &context = gateways.second.context;
+        const auto at = context.endpoints.find("x")->peerFigures.at;
+        return std::make_pair(steadyNow() - at.value_or(time_point{}), context.domainPeers);
+    });
+    CHECK(age < std::chrono::seconds(4));
+    CHECK(peers == 1);
 }
 
 // Guards against gateways that start later and do not find the others, because a restored store has
