Log: request_ended tells the first event and the longest pause of a stream

A stream with one pause over the gap objective is late for its caller, but the log told neither the pause nor when the first event was sent. Both are fields of request_ended now.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -406,10 +406,12 @@
 
 void forwarded_call::recordWrittenEvents(time_point now)
 {
-    if (m_lastWriteAt == time_point{})
-        m_context.counters.histogramOf("fescuedeck_first_event_seconds").observe(now - arrivedAt);
-    else
+    if (m_lastWriteAt == time_point{}) {
+        m_firstEventAfter = now - arrivedAt;
+        m_context.counters.histogramOf("fescuedeck_first_event_seconds").observe(m_firstEventAfter);
+    } else {
         m_longestGap = std::max<duration>(m_longestGap, now - m_lastWriteAt);
+    }
     m_lastWriteAt = now;
 }
 
@@ -566,6 +568,8 @@
             .field("last_endpoint", m_lastEndpoint)
             .field("last_event", m_lastEventId.value_or(0))
             .field("silent_ms", duration(now - lastActivityAt))
+            .field("first_event_ms", m_firstEventAfter)
+            .field("longest_pause_ms", m_longestGap)
             .field("took_ms", duration(now - arrivedAt));
     const std::string kind(nameOf(callKindNames, m_route.kind));
     metrics &counters = m_context.counters;
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -236,10 +236,11 @@
     bool m_hasBeenSent = false;    // an endpoint may have received the request
     bool m_hasUnusedRetry = false; // taken from the budget for an attempt that reached none
     bool m_isRecordedInBudget = false;
-    std::string m_lastEndpoint; // id of the first endpoint of the last attempt
-    time_point m_lastWriteAt{}; // when events were last sent to the caller
-    duration m_longestGap{};    // between two writes of events to the caller
-    int m_status = 0;           // sent to the caller; 0 if none
+    std::string m_lastEndpoint;   // id of the first endpoint of the last attempt
+    time_point m_lastWriteAt{};   // when events were last sent to the caller
+    duration m_firstEventAfter{}; // from the arrival to the first event; zero if there was none
+    duration m_longestGap{};      // between two writes of events to the caller
+    int m_status = 0;             // sent to the caller; 0 if none
     give_up_reason m_giveUpReason = give_up_reason::NoEndpoint;
     bool m_wasEndpointBusy = false;  // an endpoint refused the request or a chain was full
     bool m_hasStreamStarted = false; // the head of the answer was sent to the caller
