Gateway: gateways lend each other unused retries

A gateway whose streams lose their engine runs out of its part of the retries, while other gateways use none of theirs. A gateway that runs short now asks peers that offer retries in their digests. The lender counts what it gives as used, so that the limit of the deployment holds with old offers and lost messages.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -43,6 +43,10 @@
 // gateway to find out whether it is isolated.
 constexpr int unsentAttemptsBeforeWait = 2;
 constexpr duration maxReachabilityWait = std::chrono::milliseconds(100);
+// How long a request without a retry waits for one from another gateway. A loan takes one round
+// trip, and the lender that is asked first may have nothing left.
+constexpr duration maxLoanWait = std::chrono::milliseconds(100);
+constexpr duration loanPollInterval = std::chrono::milliseconds(10);
 // Attempts that reached no endpoint do not count against the allowed ones, up to this many.
 constexpr int maxUnsentAttempts = 4;
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
@@ -202,10 +206,24 @@
     if (!m_hasBeenSent || m_hasUnusedRetry)
         return true;
     m_giveUpReason = give_up_reason::RetryBudgetExhausted;
-    m_hasUnusedRetry = m_context.retryBudget.takeRetry(m_service, steadyNow());
+    m_hasUnusedRetry = m_context.retryBudget.takeRetry(m_service, steadyNow()) || borrowRetry();
     return m_hasUnusedRetry;
 }
 
+bool forwarded_call::borrowRetry()
+{
+    if (!m_context.borrowRetries)
+        return false;
+    const time_point limit = steadyNow() + std::min<duration>(maxLoanWait, remainingTime());
+    bool hasRetry = false;
+    while (!hasRetry && steadyNow() < limit && !m_hasCallerLeft) {
+        m_context.borrowRetries(m_service);
+        sleepFor(loanPollInterval, m_exchange.yield());
+        hasRetry = m_context.retryBudget.takeRetry(m_service, steadyNow());
+    }
+    return hasRetry;
+}
+
 bool forwarded_call::isRetryable(attempt_outcome last, int possibleRuns) const
 {
     const bool isIdempotent = isRepeatable(m_route);
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -120,6 +120,9 @@
     // The next functions run replacements of silent attempts. Only those that say so may suspend
     // the coroutine.
     //
+    // Asks peers for a retry if the attempt is silent and lacks one. Returns the time until the
+    // attempt is to be checked again.
+    duration borrowIfSilent(const attempt &current);
     // Whether the attempt may get a replacement now. Reserves a retry for it.
     bool mayReplace(attempt &current) const;
     // Open attempts that may have run the request. Whoever runs it next must count them.
@@ -180,6 +183,8 @@
     // Decides whether another attempt follows, and if so takes a retry from the retry budget. Sets
     // m_giveUpReason.
     bool acquireRetry(attempt_outcome last);
+    // Waits for a retry that a peer lends, and takes it. Suspends the coroutine.
+    bool borrowRetry();
     // Whether another attempt is allowed, regardless of the retry budget, after possibleRuns
     // attempts in which the request may have run.
     bool isRetryable(attempt_outcome last, int possibleRuns) const;
--- a/src/fescuedeck/gateway/forwarded_call_replacement.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_replacement.cpp
@@ -30,7 +30,7 @@
 duration forwarded_call::timeUntilStall(attempt &current)
 {
     if (!mayReplace(current))
-        return retryCheckInterval;
+        return borrowIfSilent(current);
     duration limit = current.timing.stallLimit({ m_route.latencyObjective, m_route.gapObjective },
                                                current.hasAlternative);
     // The peer itself resumes a stream that stalls at an endpoint.
@@ -47,6 +47,20 @@
     return destinationCheckInterval;
 }
 
+// A silent attempt may lack only a retry, which a peer can lend.
+duration forwarded_call::borrowIfSilent(const attempt &current)
+{
+    const duration silence = steadyNow() - current.timing.lastActivityAt();
+    const bool lacksRetry = m_context.retryBudget.available(m_service, steadyNow()) < 1;
+    const bool isSilent = silence >= current.timing.stallLimit(
+                                  { m_route.latencyObjective, m_route.gapObjective }, true);
+    if (!lacksRetry || !isSilent || m_isWriting || !isRetryableIfAttemptsFail()
+        || !m_context.borrowRetries)
+        return retryCheckInterval;
+    m_context.borrowRetries(m_service);
+    return destinationCheckInterval;
+}
+
 void forwarded_call::moveIfStalled(attempt &current)
 {
     // A request that waits for its connection has not been sent.
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -64,6 +64,9 @@
     // Asks an engine for a report on the engines that it
     // waits for.
     std::function<void(const std::string &endpoint, engine_suspicion)> inspectEngine;
+    // Asks peers for retries of the service, of which this gateway has none left. Returns at once;
+    // loans arrive within a few milliseconds if peers have offered any.
+    std::function<void(const std::string &service)> borrowRetries;
     // Called after an engine has been marked as lost.
     std::function<void()> onEngineLost;
     // Whether this gateway is among the first live gateways of its failure domain, in the order of
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -75,7 +75,29 @@
               tableHooks(), context.random)
     , m_cell(cellOf(context.settings))
     , m_ownDomain(digestLifetime)
+    , m_lending(context.retryBudget, lendingHooks())
 {
+    m_context.borrowRetries
+            = [this](const std::string &service) { m_lending.borrow(service, steadyNow()); };
+}
+
+retry_lending_hooks gateway_peers::lendingHooks()
+{
+    retry_lending_hooks hooks;
+    hooks.send = [this](const std::string &peer, const peer_message &message) {
+        const bool isLoan = std::holds_alternative<retry_loan>(message);
+        m_context.counters
+                .counterOf("fescuedeck_retry_lending_total",
+                           { { "message", isLoan ? "lent" : "requested" } })
+                .add();
+        if (m_network)
+            m_network->send(peer, message);
+    };
+    hooks.reserved = [this](const std::string &service) {
+        const auto found = m_context.reservedRetries.find(service);
+        return found == m_context.reservedRetries.end() ? 0 : found->second;
+    };
+    return hooks;
 }
 
 table_follower_hooks gateway_peers::tableHooks()
@@ -231,6 +253,7 @@
     digest.reachesEndpoints = reachesEndpoints && !m_context.isStopping;
     digest.isLastResort
             = reachesEndpoints && m_context.isStopping && now < m_context.acceptsRelaysUntil;
+    digest.retryOffers = m_lending.offers(now);
     return digest;
 }
 
@@ -246,6 +269,8 @@
                 peer.router,
                 { digest->relayAddress, peer.cell, digest->reachesEndpoints, digest->isLastResort },
                 steadyNow() + (isNear ? digestLifetime : otherDomainDigestLifetime));
+        m_lending.recordOffers(peer.router, digest->retryOffers,
+                               steadyNow() + (isNear ? digestLifetime : otherDomainDigestLifetime));
         if (isNear) {
             m_ownDomain.onDigest(peer.router, *digest, steadyNow());
         } else {
@@ -258,6 +283,10 @@
             m_network->send(peer.router, bundle_state{ m_configText });
     } else if (const auto *state = std::get_if<bundle_state>(&message)) {
         m_hooks.onConfig(state->checkpoint);
+    } else if (const auto *wanted = std::get_if<retry_request>(&message)) {
+        m_lending.onRequest(peer.router, *wanted, steadyNow());
+    } else if (const auto *loan = std::get_if<retry_loan>(&message)) {
+        m_lending.onLoan(*loan, steadyNow());
     }
 }
 
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -25,6 +25,7 @@
 
 #include "fescuedeck/gateway/gateway_context.h"
 #include "fescuedeck/gateway/peer_topology.h"
+#include "fescuedeck/gateway/retry_lending.h"
 #include "fescuedeck/gateway/table_follower.h"
 #include "fescuedeck/net/peer_network.h"
 #include "fescuedeck/peer/peer_directory.h"
@@ -64,6 +65,7 @@
 
 private:
     table_follower_hooks tableHooks();
+    retry_lending_hooks lendingHooks();
     void registerWithStore(boost::asio::yield_context yield);
     void onPeerRecord(const store_record &record);
     void openNetwork();
@@ -89,6 +91,7 @@
     std::unique_ptr<peer_network> m_network;
     peer_directory m_ownDomain;
     std::map<std::string, peer_directory> m_otherDomains; // by cell
+    retry_lending m_lending;
     // When peers had first read the endpoint table further than this gateway; zero if they have
     // not.
     time_point m_behindSince{};
--- a/src/fescuedeck/gateway/gateway_retry_budget.cpp
+++ b/src/fescuedeck/gateway/gateway_retry_budget.cpp
@@ -12,6 +12,8 @@
 constexpr duration sliceLength = std::chrono::milliseconds(250);
 // Fraction of the fixed retries that is available in the first window of a process.
 constexpr double firstWindowFraction = 0.25;
+// A loan must be used well within windowMargin, in which the lender still counts it.
+constexpr duration loanLifetime = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -58,13 +60,49 @@
 
 bool gateway_retry_budget::takeRetry(const std::string &service, time_point now)
 {
-    if (available(service, now) < 1)
+    std::deque<loan> &loans = m_loans[service];
+    while (!loans.empty() && (loans.front().expiresAt <= now || loans.front().retries == 0))
+        loans.pop_front();
+    if (!loans.empty()) {
+        --loans.front().retries;
+        return true;
+    }
+    return lend(service, 1, now);
+}
+
+bool gateway_retry_budget::lend(const std::string &service, int count, time_point now)
+{
+    if (ownAvailable(service, now) < count)
         return false;
-    ++currentSlice(service, now).retries;
+    currentSlice(service, now).retries += count;
     return true;
 }
 
+void gateway_retry_budget::addLoan(const std::string &service, int count, time_point now)
+{
+    m_loans[service].push_back({ now + loanLifetime, count });
+}
+
+std::vector<std::string> gateway_retry_budget::services() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, counts] : m_services)
+        names.push_back(name);
+    return names;
+}
+
 double gateway_retry_budget::available(const std::string &service, time_point now) const
+{
+    double lent = 0;
+    if (const auto found = m_loans.find(service); found != m_loans.end()) {
+        for (const loan &each : found->second)
+            lent += each.expiresAt > now ? each.retries : 0;
+    }
+    const double own = ownAvailable(service, now);
+    return lent > 0 ? lent + std::max(0.0, own) : own;
+}
+
+double gateway_retry_budget::ownAvailable(const std::string &service, time_point now) const
 {
     double requests = 0;
     double retries = 0;
--- a/src/fescuedeck/gateway/gateway_retry_budget.h
+++ b/src/fescuedeck/gateway/gateway_retry_budget.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "fescuedeck/base/time.h"
 
@@ -57,9 +58,19 @@
     // Takes one retry from the budget. Returns false if none is left; the request then ends with
     // its last failure.
     bool takeRetry(const std::string &service, time_point now);
-    // Number of retries that are left now. Negative if the budget has shrunk since retries were
-    // taken.
+    // Number of retries that are left now, with those that peers have lent. Negative if the budget
+    // has shrunk since retries were taken.
     double available(const std::string &service, time_point now) const;
+    // The same without what peers have lent.
+    double ownAvailable(const std::string &service, time_point now) const;
+    // Counts retries as used that a peer may use instead. Returns false, and counts none, if fewer
+    // are left.
+    bool lend(const std::string &service, int count, time_point now);
+    // Adds retries that a peer has lent. They expire after a fraction of a second, because the
+    // lender counts them in the window in which it has lent them.
+    void addLoan(const std::string &service, int count, time_point now);
+    // Names of the services with requests or retries so far.
+    std::vector<std::string> services() const;
 
 private:
     // Counts in one short interval of time.
@@ -71,12 +82,20 @@
     };
     using slices = std::deque<slice>; // oldest first
 
+    // Retries that a peer has lent.
+    struct loan
+    {
+        time_point expiresAt;
+        int retries = 0;
+    };
+
     slice &currentSlice(const std::string &service, time_point now);
 
     retry_budget_limits m_limits;
     const time_point m_startedAt;
     std::optional<double> m_fraction;
     std::unordered_map<std::string, slices> m_services;
+    std::unordered_map<std::string, std::deque<loan>> m_loans; // by service, oldest first
 };
 
 } // namespace fescuedeck
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -298,7 +298,20 @@
              { "request_limits", encode(message.limits) },
              { "relay_address", message.relayAddress },
              { "reaches_endpoints", message.reachesEndpoints },
-             { "last_resort", message.isLastResort } };
+             { "last_resort", message.isLastResort },
+             { "retry_offers", json(message.retryOffers) } };
+}
+
+json encode(const retry_request &message)
+{
+    return { { "type", "retry_request" },
+             { "service", message.service },
+             { "count", message.count } };
+}
+
+json encode(const retry_loan &message)
+{
+    return { { "type", "retry_loan" }, { "service", message.service }, { "count", message.count } };
 }
 
 json encode(const bundle_request &message)
@@ -441,6 +454,14 @@
     return reports;
 }
 
+std::map<std::string, int> parseRetryOffers(field_reader &fields)
+{
+    std::map<std::string, int> offers;
+    for (const auto &[service, count] : fields.amounts("retry_offers"))
+        offers[service] = static_cast<int>(std::min<double>(count, maxPosition));
+    return offers;
+}
+
 peer_message parseDigest(field_reader &fields)
 {
     peer_digest message;
@@ -473,6 +494,17 @@
         message.reachesEndpoints = fields.flag("reaches_endpoints");
     if (fields.optional("last_resort"))
         message.isLastResort = fields.flag("last_resort");
+    if (fields.optional("retry_offers"))
+        message.retryOffers = parseRetryOffers(fields);
+    return message;
+}
+
+template <class Message>
+peer_message parseRetries(field_reader &fields)
+{
+    Message message;
+    message.service = fields.identifier("service");
+    message.count = static_cast<int>(fields.integer("count", 1, maxPosition));
     return message;
 }
 
@@ -593,6 +625,8 @@
     { "lone_run_reply", parseLoneRunReply },
     { "lone_run_started", parseLoneRunStarted },
     { "lone_run_released", parseLoneRunReleased },
+    { "retry_request", parseRetries<retry_request> },
+    { "retry_loan", parseRetries<retry_loan> },
 };
 
 failure invalid(const std::string &what)
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -57,6 +57,8 @@
     bool reachesEndpoints = false;
     // Whether the sender can do so for a while, although it is stopping.
     bool isLastResort = false;
+    // Retries that the sender, a gateway, would lend, by service. Empty if it offers none.
+    std::map<std::string, int> retryOffers;
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
@@ -70,6 +72,20 @@
     std::string checkpoint; // of the control state
 };
 
+// Asks a peer that has offered retries of the service for some of them.
+struct retry_request
+{
+    std::string service;
+    int count = 0;
+};
+
+// The receiver may use these retries in place of the sender, for a fraction of a second.
+struct retry_loan
+{
+    std::string service;
+    int count = 0;
+};
+
 // Asks whether the peer holds the answer of a non-idempotent call.
 struct outcome_request
 {
@@ -107,7 +123,8 @@
 using peer_message
         = std::variant<peer_hello, peer_proof, peer_digest, bundle_request, bundle_state,
                        outcome_request, outcome_reply, announce_evidence, request_exclusive_run,
-                       exclusive_run_reply, announce_exclusive_run, release_exclusive_run>;
+                       exclusive_run_reply, announce_exclusive_run, release_exclusive_run,
+                       retry_request, retry_loan>;
 
 // A bundle of the planned size (2,000 endpoints, 4,300 workspaces) is below 2 MiB.
 constexpr std::size_t maxPeerFrameBytes = 4 * 1024 * 1024;
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -155,6 +155,24 @@
     CHECK_FALSE(digest.isLastResort);
 }
 
+// Guards against a loan that the receiver takes for another service or another number.
+TEST_CASE("requests for retries and loans keep service and count", "[peer]")
+{
+    const auto request = parsePeerMessage(toCbor(retry_request{ "s", 3 }));
+    REQUIRE(request);
+    CHECK(std::get<retry_request>(request.value()).service == "s");
+    CHECK(std::get<retry_request>(request.value()).count == 3);
+    const auto loan = parsePeerMessage(toCbor(retry_loan{ "s", 2 }));
+    REQUIRE(loan);
+    CHECK(std::get<retry_loan>(loan.value()).count == 2);
+    CHECK_FALSE(parsePeerMessage(toCbor(retry_loan{ "s", -1 })));
+    peer_digest digest;
+    digest.retryOffers["s"] = 7;
+    const auto parsed = parsePeerMessage(toCbor(digest));
+    REQUIRE(parsed);
+    CHECK(std::get<peer_digest>(parsed.value()).retryOffers.at("s") == 7);
+}
+
 TEST_CASE("damaged frames are failures, not exceptions", "[peer]")
 {
     // Guards against one bad frame ending a router.
@@ -191,7 +209,8 @@
         // Gateways of an earlier version send none of these.
         const bool isOptional = item.key() == "crash_reports" || item.key() == "request_limits"
                                 || item.key() == "quarantines" || item.key() == "relay_address"
-                                || item.key() == "reaches_endpoints" || item.key() == "last_resort";
+                                || item.key() == "reaches_endpoints" || item.key() == "last_resort"
+                                || item.key() == "retry_offers";
         const auto parsed = parsePeerMessage(cborOf(lacking));
         CHECK(static_cast<bool>(parsed) == isOptional);
         // Guards against relaying to a gateway that does not say that it can serve a request.
