--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -43,6 +43,10 @@
 // gateway to find out whether it is isolated.
 constexpr int unsentAttemptsBeforeWait = 2;
 constexpr duration maxReachabilityWait = std::chrono::milliseconds(100);
+// How long a request without a retry waits for one from another gateway. A loan takes one round
+// trip, and the lender that is asked first may have nothing left.
+constexpr duration maxLoanWait = std::chrono::milliseconds(100);
+constexpr duration loanPollInterval = std::chrono::milliseconds(10);
 // Attempts that reached no endpoint do not count against the allowed ones, up to this many.
 constexpr int maxUnsentAttempts = 4;
 // The gateway answers this long before the caller's deadline, so that the answer arrives in time.
@@ -202,10 +206,24 @@
     if (!m_hasBeenSent || m_hasUnusedRetry)
         return true;
     m_giveUpReason = give_up_reason::RetryBudgetExhausted;
-    m_hasUnusedRetry = m_context.retryBudget.takeRetry(m_service, steadyNow());
+    m_hasUnusedRetry = m_context.retryBudget.takeRetry(m_service, steadyNow()) || borrowRetry();
     return m_hasUnusedRetry;
 }
 
+bool forwarded_call::borrowRetry()
+{
+    if (!m_context.borrowRetries)
+        return false;
+    const time_point limit = steadyNow() + std::min<duration>(maxLoanWait, remainingTime());
+    bool hasRetry = false;
+    while (!hasRetry && steadyNow() < limit && !m_hasCallerLeft) {
+        m_context.borrowRetries(m_service);
+        sleepFor(loanPollInterval, m_exchange.yield());
+        hasRetry = m_context.retryBudget.takeRetry(m_service, steadyNow());
+    }
+    return hasRetry;
+}
+
 bool forwarded_call::isRetryable(attempt_outcome last, int possibleRuns) const
 {
     const bool isIdempotent = isRepeatable(m_route);
@@ -429,10 +447,12 @@
 
 void forwarded_call::recordWrittenEvents(time_point now)
 {
-    if (m_lastWriteAt == time_point{})
-        m_context.counters.histogramOf("fescuedeck_first_event_seconds").observe(now - arrivedAt);
-    else
+    if (m_lastWriteAt == time_point{}) {
+        m_firstEventAfter = now - arrivedAt;
+        m_context.counters.histogramOf("fescuedeck_first_event_seconds").observe(m_firstEventAfter);
+    } else {
         m_longestGap = std::max<duration>(m_longestGap, now - m_lastWriteAt);
+    }
     m_lastWriteAt = now;
 }
 
@@ -590,6 +610,8 @@
             .field("last_endpoint", m_lastEndpoint)
             .field("last_event", m_lastEventId.value_or(0))
             .field("silent_ms", duration(now - lastActivityAt))
+            .field("first_event_ms", m_firstEventAfter)
+            .field("longest_pause_ms", m_longestGap)
             .field("took_ms", duration(now - arrivedAt));
     const std::string kind(nameOf(callKindNames, m_route.kind));
     metrics &counters = m_context.counters;
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -125,6 +125,9 @@
     // The next functions run replacements of silent attempts. Only those that say so may suspend
     // the coroutine.
     //
+    // Asks peers for a retry if the attempt is silent and lacks one. Returns the time until the
+    // attempt is to be checked again.
+    duration borrowIfSilent(const attempt &current);
     // Whether the attempt may get a replacement now. Reserves a retry for it.
     bool mayReplace(attempt &current) const;
     // Open attempts that may have run the request. Whoever runs it next must count them.
@@ -185,6 +188,8 @@
     // Decides whether another attempt follows, and if so takes a retry from the retry budget. Sets
     // m_giveUpReason.
     bool acquireRetry(attempt_outcome last);
+    // Waits for a retry that a peer lends, and takes it. Suspends the coroutine.
+    bool borrowRetry();
     // Whether another attempt is allowed, regardless of the retry budget, after possibleRuns
     // attempts in which the request may have run.
     bool isRetryable(attempt_outcome last, int possibleRuns) const;
@@ -241,10 +246,11 @@
     bool m_hasBeenSent = false;    // an endpoint may have received the request
     bool m_hasUnusedRetry = false; // taken from the budget for an attempt that reached none
     bool m_isRecordedInBudget = false;
-    std::string m_lastEndpoint; // id of the first endpoint of the last attempt
-    time_point m_lastWriteAt{}; // when events were last sent to the caller
-    duration m_longestGap{};    // between two writes of events to the caller
-    int m_status = 0;           // sent to the caller; 0 if none
+    std::string m_lastEndpoint;   // id of the first endpoint of the last attempt
+    time_point m_lastWriteAt{};   // when events were last sent to the caller
+    duration m_firstEventAfter{}; // from the arrival to the first event; zero if there was none
+    duration m_longestGap{};      // between two writes of events to the caller
+    int m_status = 0;             // sent to the caller; 0 if none
     give_up_reason m_giveUpReason = give_up_reason::NoEndpoint;
     bool m_wasEndpointBusy = false;  // an endpoint refused the request or a chain was full
     bool m_hasStreamStarted = false; // the head of the answer was sent to the caller
