Add ranks to the configuration index, requests and digests

Engines assume priority 5 for every request, because the gateway never sets Request-Priority, and gateways don't know what waits at their peers. A request can now carry its rank, digests can carry the waiting work by service and rank, and the setting admission.lower_rank_share (0 to 0.5, default 0.1) is read and checked. A digest without waiting work is encoded as before; earlier gateways ignore the new field. Nothing fills these yet.

--- a/src/fescuedeck/gateway/gateway_config.cpp
+++ b/src/fescuedeck/gateway/gateway_config.cpp
@@ -1,9 +1,12 @@
 #include "fescuedeck/gateway/gateway_config.h"
 
 #include <algorithm>
+#include <set>
 
 #include <boost/algorithm/string/case_conv.hpp>
 
+#include "fescuedeck/admission/rank_queue.h"
+
 namespace fescuedeck {
 namespace {
 
@@ -44,6 +47,14 @@
     }
     for (const service_rule &service : m_config.services)
         m_services[service.name] = &service;
+    std::set<int> ranks;
+    for (const route_rule &route : m_config.routes) {
+        for (const workspace_rule &workspace : m_config.workspaces)
+            ranks.insert(rankOf(route, &workspace));
+        if (route.isPublic || m_config.workspaces.empty())
+            ranks.insert(rankOf(route, nullptr));
+    }
+    m_hasDifferentRanks = ranks.size() > 1;
 }
 
 const route_rule *config_index::findRoute(std::string_view host, std::string_view path) const
@@ -71,6 +82,12 @@
     return found == m_services.end() ? nullptr : found->second;
 }
 
+int rankOf(const route_rule &route, const workspace_rule *workspace)
+{
+    const bool isOverridden = workspace != nullptr && workspace->priority;
+    return clampRank(isOverridden ? *workspace->priority : route.priority);
+}
+
 const std::string &drawService(const route_rule &route, const random_fn &random)
 {
     double total = 0;
--- a/src/fescuedeck/gateway/gateway_config.h
+++ b/src/fescuedeck/gateway/gateway_config.h
@@ -131,6 +131,8 @@
     const workspace_rule *findWorkspace(const std::string &key) const;
     // Returns null if there is no service of this name.
     const service_rule *findService(const std::string &name) const;
+    // Whether requests of different urgency are possible. See rankOf().
+    bool hasDifferentRanks() const { return m_hasDifferentRanks; }
 
 private:
     gateway_config m_config;
@@ -138,6 +140,7 @@
     std::unordered_map<std::string, std::vector<const route_rule *>> m_routes;
     std::unordered_map<std::string, const workspace_rule *> m_workspaces; // by key
     std::unordered_map<std::string, const service_rule *> m_services;
+    bool m_hasDifferentRanks = false;
 };
 
 // Whether a request of the route may run more than once.
@@ -146,6 +149,10 @@
     return route.kind == call_kind::Safe || (route.kind == call_kind::Stream && route.isResumable);
 }
 
+// Returns the urgency of a request, 0 (first) to 9: the priority of the workspace, otherwise that of
+// the route. workspace is null if the request needs no key.
+int rankOf(const route_rule &route, const workspace_rule *workspace);
+
 // Selects one service of the route at random, with probabilities in proportion to the weights.
 const std::string &drawService(const route_rule &route, const random_fn &random);
 
--- a/src/fescuedeck/gateway/gateway_config_test.cpp
+++ b/src/fescuedeck/gateway/gateway_config_test.cpp
@@ -64,6 +64,30 @@
     CHECK(drawService(route, seededRandom(1)) == "y");
 }
 
+// Guards against deployments without different ranks that get new behaviour.
+TEST_CASE("the rank is the workspace's priority, otherwise the route's", "[gateway]")
+{
+    route_rule route;
+    route.shares = { { "x", 1 } };
+    route.priority = 12;
+    workspace_rule workspace{ "w", { "k" }, std::nullopt };
+    CHECK(rankOf(route, nullptr) == 9);
+    CHECK(rankOf(route, &workspace) == 9);
+    workspace.priority = -1;
+    CHECK(rankOf(route, &workspace) == 0);
+
+    gateway_config config;
+    config.routes = { route, route };
+    CHECK_FALSE(config_index(config).hasDifferentRanks());
+    config.routes[1].priority = 3;
+    CHECK(config_index(config).hasDifferentRanks());
+    // Every request has the rank of the only workspace.
+    config.workspaces = { workspace };
+    CHECK_FALSE(config_index(config).hasDifferentRanks());
+    config.routes[1].isPublic = true;
+    CHECK(config_index(config).hasDifferentRanks());
+}
+
 // Guards against callers that use up their only retry before the cause has passed, or that all
 // return at the same moment. Both can happen when all gateways restart during an outage of the
 // store.
--- a/src/fescuedeck/gateway/gateway_settings.h
+++ b/src/fescuedeck/gateway/gateway_settings.h
@@ -34,6 +34,9 @@
     duration retryWindow = std::chrono::seconds(10);
     // True if engines refuse an order whose fencing token is lower than one that they have seen.
     bool enginesCheckFencing = false;
+    // While requests of several ranks wait, those below the most urgent one together get at least
+    // this share of the admitted work; from 0 to 0.5.
+    double lowerRankShare = 0.1;
     std::string logLevel = "info";
 };
 
--- a/src/fescuedeck/gateway/platform_adapter.h
+++ b/src/fescuedeck/gateway/platform_adapter.h
@@ -49,6 +49,8 @@
     std::vector<chain_part> chain;
     // Id of the last event that the caller has; set if the attempt continues a stream.
     std::optional<std::int64_t> resumeAfter;
+    // Urgency, 0 (first) to 9, for an engine; empty if the configuration has no different ranks.
+    std::optional<int> priority;
 };
 
 // What the gateway changes in a request that it relays to another gateway.
--- a/src/fescuedeck/gateway/settings_reload.cpp
+++ b/src/fescuedeck/gateway/settings_reload.cpp
@@ -31,6 +31,7 @@
     apply(&gateway_settings::retryShare, "retry_share");
     apply(&gateway_settings::minRetriesPerWindow, "retry_reserve");
     apply(&gateway_settings::retryWindow, "retry_window");
+    apply(&gateway_settings::lowerRankShare, "lower_rank_share");
     apply(&gateway_settings::enginesCheckFencing, "engines_check_fencing");
     compare(&gateway_settings::id, "id");
     compare(&gateway_settings::failureDomain, "failure_domain");
--- a/src/fescuedeck/peer/peer_directory.cpp
+++ b/src/fescuedeck/peer/peer_directory.cpp
@@ -51,6 +51,10 @@
             double &demand = view.limitedDemand[incarnation];
             demand = combineLoads(demand, report.demand);
         }
+        for (const auto &[key, work] : digest.waiting) {
+            double &sum = view.waiting[key];
+            sum = combineLoads(sum, work);
+        }
         view.suspects.insert(digest.suspects.begin(), digest.suspects.end());
         view.leaving.insert(digest.leaving.begin(), digest.leaving.end());
         view.drained.insert(digest.drained.begin(), digest.drained.end());
--- a/src/fescuedeck/peer/peer_directory.h
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -23,6 +23,7 @@
     // Sum over the peers of the demand for endpoints that limit their requests, by incarnation
     // name.
     std::map<std::string, double> limitedDemand;
+    waiting_work waiting; // sum over the peers
     std::set<std::string> suspects;
     std::set<std::string> leaving;
     std::set<std::string> drained;
--- a/src/fescuedeck/peer/peer_directory_test.cpp
+++ b/src/fescuedeck/peer/peer_directory_test.cpp
@@ -48,6 +48,24 @@
     CHECK(directory.livePeers(at(4)).empty());
 }
 
+// Guards against work that counts as waiting after its gateway has died, and against a domain whose
+// waiting work counts once for each gateway that reports it.
+TEST_CASE("waiting work is added up, or taken once for a domain, until it expires", "[peer]")
+{
+    peer_directory directory(std::chrono::milliseconds(1500));
+    const time_point start{ std::chrono::hours(1) };
+    peer_digest digest;
+    digest.waiting = { { { "model", 1 }, 900 } };
+    directory.onDigest("a", digest, start);
+    digest.waiting[{ "model", 1 }] = 100;
+    directory.onDigest("b", digest, start + std::chrono::seconds(1));
+    const std::pair<std::string, int> key("model", 1);
+    CHECK(directory.merged(start + std::chrono::seconds(1)).waiting[key] == 1000);
+    CHECK(directory.mergedSummaries(start + std::chrono::seconds(1)).waiting[key] == 900);
+    CHECK(directory.merged(start + std::chrono::seconds(2)).waiting[key] == 100);
+    CHECK(directory.merged(start + std::chrono::seconds(3)).waiting.empty());
+}
+
 TEST_CASE("the peer with the newest bundle is found", "[peer]")
 {
     peer_directory directory(lifetime);
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -282,9 +282,20 @@
     return list;
 }
 
+json encode(const waiting_work &waiting)
+{
+    json list = json::array();
+    for (const auto &[key, work] : waiting) {
+        list.push_back({ { "service", key.first },
+                         { "rank", key.second },
+                         { "work", std::min(work, maxAmount) } });
+    }
+    return list;
+}
+
 json encode(const peer_digest &message)
 {
-    return { { "type", "digest" },
+    json object = { { "type", "digest" },
              { "version", message.version },
              { "hash", message.hash },
              { "offset", message.offset },
@@ -299,6 +310,9 @@
              { "relay_address", message.relayAddress },
              { "reaches_endpoints", message.reachesEndpoints },
              { "last_resort", message.isLastResort } };
+    if (!message.waiting.empty())
+        object["waiting"] = encode(message.waiting);
+    return object;
 }
 
 json encode(const bundle_request &message)
@@ -441,6 +455,18 @@
     return reports;
 }
 
+waiting_work parseWaiting(field_reader &fields)
+{
+    constexpr int greatestRank = 9;
+    waiting_work waiting;
+    fields.forEach("waiting", [&](field_reader &each) {
+        const std::string service = each.text("service");
+        const auto rank = static_cast<int>(each.integer("rank", 0, greatestRank));
+        waiting[{ service, rank }] = each.amount("work");
+    });
+    return waiting;
+}
+
 peer_message parseDigest(field_reader &fields)
 {
     peer_digest message;
@@ -473,6 +499,8 @@
         message.reachesEndpoints = fields.flag("reaches_endpoints");
     if (fields.optional("last_resort"))
         message.isLastResort = fields.flag("last_resort");
+    if (fields.optional("waiting"))
+        message.waiting = parseWaiting(fields);
     return message;
 }
 
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 
 #include "fescuedeck/base/error.h"
@@ -35,6 +36,9 @@
     std::string hmac; // hex, see peer_handshake.h
 };
 
+// Predicted work in tokens of requests that wait for capacity, by service and rank.
+using waiting_work = std::map<std::pair<std::string, int>, double>;
+
 // What a router knows and does; sent on change and at least each second.
 struct peer_digest
 {
@@ -57,6 +61,7 @@
     bool reachesEndpoints = false;
     // Whether the sender can do so for a while, although it is stopping.
     bool isLastResort = false;
+    waiting_work waiting; // empty if the sender reports none
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
