Admit requests to engines by rank and fair share

Where ranks differ, requests now wait in a rank_queue for each service. Only its front looks for room, woken when an attempt ends, an endpoint announces itself or the peers' state is applied. Gateways share free capacity by the waiting work in their digests. What cannot begin within its objective is refused at once, Retry-After grows with the rank, and engines get Request-Priority. The waits leave forwarded_call; without different ranks they keep their limits.

--- a/src/fescuedeck/gateway/endpoint_choice.cpp
+++ b/src/fescuedeck/gateway/endpoint_choice.cpp
@@ -75,6 +75,22 @@
     return fillOf(spec, endpoint, { {}, {}, { 0, endpoint.entry.layers->size() } });
 }
 
+double freeTokens(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints,
+                  double maxFill, time_point now)
+{
+    double layerTokens = 0;
+    for (const endpoint_ptr &endpoint : endpoints) {
+        const accelerator_kind *kind = spec.findKind(endpoint->entry.accelerator);
+        if (kind == nullptr || !endpoint->entry.layers || !endpoint->isUsable(now))
+            continue;
+        const int held = endpoint->entry.layers->size();
+        const double used = endpoint->tokensInFlight + endpoint->peerTokensInFlight;
+        const double room = usableCacheShare * cacheTokens(spec, *kind, held, held);
+        layerTokens += std::max(0.0, maxFill * room - used) * held;
+    }
+    return layerTokens / std::max(1, spec.layers);
+}
+
 namespace {
 
 // In milliseconds per token.
--- a/src/fescuedeck/gateway/endpoint_choice.h
+++ b/src/fescuedeck/gateway/endpoint_choice.h
@@ -41,6 +41,11 @@
 // layers.
 double cacheFill(const engine_spec &spec, const endpoint_record &endpoint);
 
+// Returns how many tokens of requests fit into the usable caches of the engines, up to the given
+// fill, if they are spread well. An engine counts by its share of the model's layers.
+double freeTokens(const engine_spec &spec, const std::vector<endpoint_ptr> &endpoints,
+                  double maxFill, time_point now);
+
 // Returns the endpoint with the least load. Prefers endpoints in the failure domain of the gateway
 // unless they are much busier than those in other domains. Empty if no endpoint is usable.
 std::optional<destination> chooseEndpoint(const std::vector<endpoint_ptr> &endpoints,
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -27,11 +27,6 @@
 // its remaining time divided by this.
 constexpr int announcementWaitDivisor = 3;
 constexpr duration endpointPollInterval = std::chrono::milliseconds(20);
-// A request waits while the usable cache of its chain is filled beyond this share.
-constexpr double maxAdmittedFill = 1;
-// If the cache is filled beyond this share after the wait, the request is refused. The caller
-// retries it later, when there may be capacity.
-constexpr double maxFillAfterWait = 1.3;
 // How long a request waits for free cache. Callers disconnect if a stream has not started after
 // about two seconds.
 constexpr duration maxCapacityWait = std::chrono::milliseconds(400);
@@ -79,6 +74,7 @@
 {
     m_exchange.onCallerLeft([this] {
         m_hasCallerLeft = true;
+        m_context.admission.onCallerLeft(m_service);
         for (const auto &each : m_open)
             each->cancellation.cancel();
         if (m_news)
@@ -160,13 +156,13 @@
     const time_point limit
             = steadyNow() + std::min<duration>(endpointWaitLimit(), remainingTime() - answerMargin);
     std::optional<destination> to = chooseDestination();
-    if (to && !mustContinue && to->fill > maxAdmittedFill)
+    if (to && !mustContinue && m_engine != nullptr && !to->isRelay)
         return waitForCapacity(std::move(to));
     bool areFailuresCleared = false;
     while (!to && steadyNow() < limit && !m_hasCallerLeft) {
         if (m_relayed && m_context.isIsolated())
             return std::nullopt; // another peer may reach the endpoints
-        sleepFor(endpointPollInterval, m_exchange.yield());
+        m_context.admission.sleepUntilChange(m_service, m_exchange.yield());
         // Late in the wait, an endpoint that has failed this request is better than none.
         if (mustContinue && !areFailuresCleared && limit - steadyNow() < maxEndpointWait / 2) {
             areFailuresCleared = true;
@@ -177,17 +173,43 @@
     return to;
 }
 
+time_point forwarded_call::latestStart() const
+{
+    const bool hasObjective = m_route.latencyObjective > duration::zero();
+    if (isRanked() && hasObjective)
+        return std::min<time_point>(arrivedAt + m_route.latencyObjective, deadline - answerMargin);
+    return steadyNow() + std::min<duration>(maxCapacityWait, remainingTime() / 2);
+}
+
 std::optional<destination> forwarded_call::waitForCapacity(std::optional<destination> to)
 {
-    const time_point limit = steadyNow() + std::min<duration>(maxCapacityWait, remainingTime() / 2);
-    while (to && to->fill > maxAdmittedFill && steadyNow() < limit && !m_hasCallerLeft) {
-        sleepFor(endpointPollInterval, m_exchange.yield());
+    admission_request request;
+    request.service = m_service;
+    request.workspace = workspace;
+    request.rank = rank;
+    request.work = expectedTokens();
+    request.latestStart = latestStart();
+    request.firstFill = to->fill;
+    request.fill = [this, &to] {
         to = chooseDestination();
-    }
-    if (!to || to->fill <= maxFillAfterWait)
-        return to;
-    m_wasEndpointBusy = true;
-    return std::nullopt;
+        return to ? std::optional<double>(to->fill) : std::nullopt;
+    };
+    request.freeTokens = [this](double maxFill) {
+        return freeTokens(*m_engine, m_context.endpoints.ofService(m_service), maxFill,
+                          steadyNow());
+    };
+    request.hasCallerLeft = [this] { return m_hasCallerLeft; };
+    admission_control &admission = m_context.admission;
+    const admission_outcome outcome = isRanked()
+                                              ? admission.admit(request, m_exchange.yield())
+                                              : admission.waitForRoom(request, m_exchange.yield());
+    m_wasEndpointBusy = m_wasEndpointBusy || outcome == admission_outcome::Refused;
+    return outcome == admission_outcome::Admitted ? to : std::nullopt;
+}
+
+double forwarded_call::expectedTokens() const
+{
+    return static_cast<double>(m_info.promptTokens) + expectedAnswerTokens();
 }
 
 bool forwarded_call::acquireRetry(attempt_outcome last)
@@ -250,9 +272,8 @@
     m_destinations.beginAttempt(to);
     if (m_attempts > 1)
         logRetry(to);
-    const double tokens = static_cast<double>(m_info.promptTokens) + expectedAnswerTokens();
-    m_open.push_back(
-            std::make_unique<attempt>(m_context, m_service, m_lastEventId, m_attempts, to, tokens));
+    m_open.push_back(std::make_unique<attempt>(m_context, m_service, m_lastEventId, m_attempts, to,
+                                               expectedTokens()));
     attempt &current = *m_open.back();
     current.request = requestTo(to);
     current.quarantineWatch.emplace(m_context.crashes, identity, [&current] {
@@ -299,6 +320,8 @@
 
 attempt_outcome forwarded_call::endAttempt(attempt &current, const call_result &result)
 {
+    if (current.hasSurelyBegun())
+        current.running.setAnswered();
     const attempt_outcome outcome = evaluate(current, result);
     if (m_owner == &current)
         m_owner = nullptr;
@@ -369,6 +392,8 @@
     options.timeLimit = remainingTime();
     options.chain = to.chain;
     options.resumeAfter = m_lastEventId;
+    if (isRanked())
+        options.priority = rank;
     return m_context.adapter.forwardRequest(request, options);
 }
 
@@ -525,8 +550,15 @@
     else if (hasRun)
         reason = remainingTime() <= answerMargin ? refusal_reason::TimedOut
                                                  : refusal_reason::Failed;
+    const bool isRankedRefusal = isRanked() && reason == refusal_reason::Busy;
     const duration retryAfter
-            = retryAfterFor(reason, m_context.layersExpectedAt - steadyNow(), m_context.random);
+            = isRankedRefusal
+                      ? retryAfterForRank(rank,
+                                          m_context.admission.predictedWait(m_service, workspace,
+                                                                            rank, expectedTokens()),
+                                          m_context.random)
+                      : retryAfterFor(reason, m_context.layersExpectedAt - steadyNow(),
+                                      m_context.random);
     event_line("request_refused", event_level::Warning)
             .field("request", m_info.id)
             .field("reason", nameOf(refusalReasonNames, reason))
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -68,6 +68,7 @@
     forwarded_call &operator=(const forwarded_call &) = delete;
 
     std::string workspace;
+    int rank = 0; // urgency, 0 (first) to 9
     request_identity identity;
     time_point arrivedAt{}; // time of arrival at this gateway
     time_point deadline{};  // the caller waits for the answer until then
@@ -95,10 +96,15 @@
     // - While the list of endpoints is incomplete, a request that has not run waits longer, up to
     //   maxEndpointWait after its arrival.
     duration endpointWaitLimit() const;
-    // Waits while the caches of the best chain are full, because engines that get more requests
-    // than fit preempt some of them and delay all. Empty if the chain is still too full after the
-    // wait, or as soon as no destination is usable.
+    // Waits for admission while the caches of the best chain are full, because engines that get
+    // more requests than fit preempt some of them and delay all. Empty if the request is not
+    // admitted, or as soon as no destination is usable.
     std::optional<destination> waitForCapacity(std::optional<destination> to);
+    // Whether the request takes part in the order by ranks.
+    bool isRanked() const { return m_engine != nullptr && m_config->hasDifferentRanks(); }
+    // The request must have begun by then. Without ranks, the end of its wait for room.
+    time_point latestStart() const;
+    double expectedTokens() const;
     // The usual length of an answer of this service, but no more than the caller accepts. Callers
     // state a maximum that few answers reach.
     double expectedAnswerTokens() const;
--- a/src/fescuedeck/gateway/forwarded_call_attempt.h
+++ b/src/fescuedeck/gateway/forwarded_call_attempt.h
@@ -30,6 +30,7 @@
             double tokens)
         : number(attemptNumber)
         , to(std::move(chosen))
+        , running(context.admission, service, tokens)
         , inFlight(to.stages, tokens)
         , retry(context, service)
         , events(lastEventId)
@@ -39,6 +40,7 @@
 
     const int number; // of all attempts of the request, the first is 1
     const destination to;
+    running_work running; // declared before inFlight, whose end makes room
     const in_flight_guard inFlight;
     retry_reservation retry;
     call_cancellation cancellation;
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -461,6 +461,7 @@
         return;
     }
     m_context.endpoints.announce(entry.value(), record.offset, steadyNow());
+    m_context.admission.onRoomChanged();
 }
 
 bool gateway::isReady() const
--- a/src/fescuedeck/gateway/gateway_config.h
+++ b/src/fescuedeck/gateway/gateway_config.h
@@ -149,8 +149,8 @@
     return route.kind == call_kind::Safe || (route.kind == call_kind::Stream && route.isResumable);
 }
 
-// Returns the urgency of a request, 0 (first) to 9: the priority of the workspace, otherwise that of
-// the route. workspace is null if the request needs no key.
+// Returns the urgency of a request, 0 (first) to 9: the priority of the workspace, otherwise that
+// of the route. workspace is null if the request needs no key.
 int rankOf(const route_rule &route, const workspace_rule *workspace);
 
 // Selects one service of the route at random, with probabilities in proportion to the weights.
--- a/src/fescuedeck/gateway/gateway_context.cpp
+++ b/src/fescuedeck/gateway/gateway_context.cpp
@@ -11,6 +11,7 @@
     , random(std::move(randomFn))
     , retryBudget({ settings.retryShare, settings.minRetriesPerWindow, settings.retryWindow },
                   steadyNow())
+    , admission(settings, counters, random)
     , requestLimits(random)
 {
     hasVouchingPeer
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -14,6 +14,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "fescuedeck/base/random.h"
+#include "fescuedeck/gateway/admission_control.h"
 #include "fescuedeck/gateway/crash_quarantine.h"
 #include "fescuedeck/gateway/endpoint_registry.h"
 #include "fescuedeck/gateway/gateway_config.h"
@@ -51,6 +52,7 @@
     gateway_retry_budget retryBudget;
     // Retries that are reserved for streams in progress, by service.
     std::map<std::string, int> reservedRetries;
+    admission_control admission;
     crash_quarantine crashes;
     request_limiter requestLimits;
     relay_directory relays;
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -200,6 +200,8 @@
         const auto demand = domain.limitedDemand.find(incarnation);
         report.demand += demand == domain.limitedDemand.end() ? 0 : demand->second;
     }
+    for (const auto &[key, work] : domain.waiting)
+        digest.waiting[key] += work;
     digest.suspects.insert(domain.suspects.begin(), domain.suspects.end());
     return digest;
 }
@@ -225,6 +227,7 @@
         digest.quarantined.insert(key); // for gateways of an earlier version
     digest.crashes = m_context.crashes.reports(now);
     digest.limits = m_context.requestLimits.reports(now);
+    digest.waiting = m_context.admission.waiting();
     digest.relayAddress = m_context.settings.relayAddress;
     const bool reachesEndpoints
             = m_context.config && m_context.endpoints.size() > 0 && !m_context.isIsolated();
@@ -279,6 +282,8 @@
             view.inFlight[endpoint] += tokens;
         for (const auto &[incarnation, demand] : other.limitedDemand)
             view.limitedDemand[incarnation] += demand;
+        for (const auto &[key, work] : other.waiting)
+            view.waiting[key] += work;
         view.suspects.insert(other.suspects.begin(), other.suspects.end());
         view.leaving.insert(other.leaving.begin(), other.leaving.end());
     }
@@ -299,6 +304,8 @@
         if (isLeaving && m_context.isEndpointTableUnavailable)
             m_context.endpoints.markLeaving(endpoint->entry.id);
     }
+    m_context.admission.setPeersWaiting(view.waiting);
+    m_context.admission.onRoomChanged();
     m_context.requestLimits.setPeerDemand(view.limitedDemand);
     updateRetryBudgetShare(m_ownDomain.merged(now), now);
     applyPeerSuspicions(view.suspects, now);
--- a/src/fescuedeck/gateway/request_forwarder.cpp
+++ b/src/fescuedeck/gateway/request_forwarder.cpp
@@ -174,6 +174,7 @@
     if (m_context.crashes.isQuarantined(identity, steadyNow()))
         return refuse(refusal_reason::Quarantined);
     forwarded_call call(m_context, exchange, config, *route, info, relayed);
+    call.rank = rankOf(*route, workspace);
     call.workspace = workspace == nullptr ? std::string() : workspace->name;
     call.identity = std::move(identity);
     call.arrivedAt = arrivedAt;
--- a/src/fescuedeck/gateway/retry_after.h
+++ b/src/fescuedeck/gateway/retry_after.h
@@ -16,6 +16,11 @@
 // expected to be loaded; zero or negative if no load is known to be in progress.
 duration retryAfterFor(refusal_reason reason, duration timeUntilLayers, const random_fn &random);
 
+// Returns the delay for a request that is refused because its service is busy, in a deployment with
+// different ranks. predictedWait is the time until there is room. A less urgent rank gets a longer
+// delay, so that callers return in the order of urgency.
+duration retryAfterForRank(int rank, duration predictedWait, const random_fn &random);
+
 } // namespace fescuedeck
 
 #endif
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -296,20 +296,20 @@
 json encode(const peer_digest &message)
 {
     json object = { { "type", "digest" },
-             { "version", message.version },
-             { "hash", message.hash },
-             { "offset", message.offset },
-             { "in_flight", json(message.inFlight) },
-             { "suspects", json(message.suspects) },
-             { "leaving", json(message.leaving) },
-             { "drained", json(message.drained) },
-             { "quarantined", json(message.quarantined) },
-             { "quarantines", encodeQuarantines(message.quarantines) },
-             { "crash_reports", encode(message.crashes) },
-             { "request_limits", encode(message.limits) },
-             { "relay_address", message.relayAddress },
-             { "reaches_endpoints", message.reachesEndpoints },
-             { "last_resort", message.isLastResort } };
+                    { "version", message.version },
+                    { "hash", message.hash },
+                    { "offset", message.offset },
+                    { "in_flight", json(message.inFlight) },
+                    { "suspects", json(message.suspects) },
+                    { "leaving", json(message.leaving) },
+                    { "drained", json(message.drained) },
+                    { "quarantined", json(message.quarantined) },
+                    { "quarantines", encodeQuarantines(message.quarantines) },
+                    { "crash_reports", encode(message.crashes) },
+                    { "request_limits", encode(message.limits) },
+                    { "relay_address", message.relayAddress },
+                    { "reaches_endpoints", message.reachesEndpoints },
+                    { "last_resort", message.isLastResort } };
     if (!message.waiting.empty())
         object["waiting"] = encode(message.waiting);
     return object;
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -194,7 +194,8 @@
         // Gateways of an earlier version send none of these.
         const bool isOptional = item.key() == "crash_reports" || item.key() == "request_limits"
                                 || item.key() == "quarantines" || item.key() == "relay_address"
-                                || item.key() == "reaches_endpoints" || item.key() == "last_resort" || item.key() == "waiting";
+                                || item.key() == "reaches_endpoints" || item.key() == "last_resort"
+                                || item.key() == "waiting";
         const auto parsed = parsePeerMessage(cborOf(lacking));
         CHECK(static_cast<bool>(parsed) == isOptional);
         // Guards against relaying to a gateway that does not say that it can serve a request.
@@ -214,7 +215,8 @@
            "/crash_reports/crashes/0/suspects/0/segment",
            "/crash_reports/crashes/0/suspects/0/depth",
            "/crash_reports/crashes/0/suspects/0/requests", "/crash_reports/begun/0/segment",
-           "/crash_reports/begun/0/age_ms", "/waiting/0/service", "/waiting/0/rank", "/waiting/0/work", "/quarantines/0/key", "/quarantines/0/remaining_ms",
+           "/crash_reports/begun/0/age_ms", "/waiting/0/service", "/waiting/0/rank",
+           "/waiting/0/work", "/quarantines/0/key", "/quarantines/0/remaining_ms",
            "/request_limits/0/incarnation", "/request_limits/0/age_ms",
            "/request_limits/0/demand" }) {
         const nlohmann::json::json_pointer path(pointer);
