--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -282,24 +282,38 @@
     return list;
 }
 
+json encode(const waiting_work &waiting)
+{
+    json list = json::array();
+    for (const auto &[key, work] : waiting) {
+        list.push_back({ { "service", key.first },
+                         { "rank", key.second },
+                         { "work", std::min(work, maxAmount) } });
+    }
+    return list;
+}
+
 json encode(const peer_digest &message)
 {
-    return { { "type", "digest" },
-             { "version", message.version },
-             { "hash", message.hash },
-             { "offset", message.offset },
-             { "in_flight", json(message.inFlight) },
-             { "suspects", json(message.suspects) },
-             { "leaving", json(message.leaving) },
-             { "drained", json(message.drained) },
-             { "quarantined", json(message.quarantined) },
-             { "quarantines", encodeQuarantines(message.quarantines) },
-             { "crash_reports", encode(message.crashes) },
-             { "request_limits", encode(message.limits) },
-             { "relay_address", message.relayAddress },
-             { "reaches_endpoints", message.reachesEndpoints },
-             { "last_resort", message.isLastResort },
-             { "retry_offers", json(message.retryOffers) } };
+    json object = { { "type", "digest" },
+                    { "version", message.version },
+                    { "hash", message.hash },
+                    { "offset", message.offset },
+                    { "in_flight", json(message.inFlight) },
+                    { "suspects", json(message.suspects) },
+                    { "leaving", json(message.leaving) },
+                    { "drained", json(message.drained) },
+                    { "quarantined", json(message.quarantined) },
+                    { "quarantines", encodeQuarantines(message.quarantines) },
+                    { "crash_reports", encode(message.crashes) },
+                    { "request_limits", encode(message.limits) },
+                    { "relay_address", message.relayAddress },
+                    { "reaches_endpoints", message.reachesEndpoints },
+                    { "last_resort", message.isLastResort },
+                    { "retry_offers", json(message.retryOffers) } };
+    if (!message.waiting.empty())
+        object["waiting"] = encode(message.waiting);
+    return object;
 }
 
 json encode(const retry_request &message)
@@ -462,6 +476,18 @@
     return offers;
 }
 
+waiting_work parseWaiting(field_reader &fields)
+{
+    constexpr int greatestRank = 9;
+    waiting_work waiting;
+    fields.forEach("waiting", [&](field_reader &each) {
+        const std::string service = each.text("service");
+        const auto rank = static_cast<int>(each.integer("rank", 0, greatestRank));
+        waiting[{ service, rank }] = each.amount("work");
+    });
+    return waiting;
+}
+
 peer_message parseDigest(field_reader &fields)
 {
     peer_digest message;
@@ -496,6 +522,8 @@
         message.isLastResort = fields.flag("last_resort");
     if (fields.optional("retry_offers"))
         message.retryOffers = parseRetryOffers(fields);
+    if (fields.optional("waiting"))
+        message.waiting = parseWaiting(fields);
     return message;
 }
 
