Rerouting: find the engine that silent streams have in common

Callers: a silence is acted on only by each stream's own limit of 0.6 of the gap objective, or 1.2 s on busy chains. Cause: streams that share engines are not compared. Change: findStalledEngine names an engine that silent streams share and that gave no stream an event since; reportDelay says when a report can list the wait. Not measured on a site.

--- /dev/null
+++ b/src/fescuedeck/rerouting/stall_finder.h
@@ -0,0 +1,50 @@
+// Finds the engine that silent streams wait for, by the progress of all streams of one gateway.
+//
+// A stream that gets no event for much longer than usual may wait for a lost engine or for a sound
+// one that is busy. An engine that gave another stream an event since the silence began is not the
+// reason. A finding is a guess: it is enough for a change of path, which does no harm if the engine
+// is sound, but never for marking an engine as lost.
+#ifndef FESCUEDECK_REROUTING_STALL_FINDER_H
+#define FESCUEDECK_REROUTING_STALL_FINDER_H
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fescuedeck/base/time.h"
+
+namespace fescuedeck {
+
+// The last progress of one stream.
+struct stream_progress
+{
+    std::vector<std::string> engines; // ids, in the order of the chain
+    time_point activeAt{};            // last event, or later if the silence has another reason
+    duration usualGap{};              // between events, smoothed; zero while unknown
+    duration gapObjective{};          // longest gap that callers accept; zero if none is stated
+    bool isWatched = true; // false: its silence says nothing, because it has not begun or its
+                           // caller is slow
+};
+
+// Silence that the usual gap of the stream does not explain.
+duration unusualSilence(const stream_progress &stream);
+
+// Silence after which a report of the first engine can list what the stream waits for. An earlier
+// report has a cost and no use.
+duration reportDelay(const stream_progress &stream);
+
+// Whether the stream is silent for longer than its usual gap explains.
+bool isSilent(const stream_progress &stream, time_point now);
+
+// Returns the engine that most probably stalls the silent streams, apart from their first engines,
+// whose part of a path cannot change. Empty if nothing distinguishes it:
+// - no stream got an event through it since the silence of a stream through it began, and
+// - at least two silent streams run through it, more than through any other such engine; or one
+//   silent stream that has used up half of its gap objective, if it is the only such engine of that
+//   stream's chain.
+std::optional<std::string> findStalledEngine(const std::vector<stream_progress> &streams,
+                                             time_point now);
+
+} // namespace fescuedeck
+
+#endif
