--- a/src/fescuedeck/gateway/platform_adapter.h
+++ b/src/fescuedeck/gateway/platform_adapter.h
@@ -20,6 +20,7 @@
 #include "fescuedeck/gateway/placement_controller.h"
 #include "fescuedeck/net/http_client.h"
 #include "fescuedeck/net/http_message.h"
+#include "fescuedeck/rerouting/path_change.h"
 
 namespace fescuedeck {
 
@@ -203,6 +204,11 @@
     std::function<order_outcome(const http_response &)> decodeOrderResponse;
     std::function<http_request()> encodeReportRequest;
     std::function<result<engine_report>(const http_response &)> decodeReport;
+    // An order to the first engine of the path of a running request. Without these hooks, paths of
+    // running requests never change.
+    std::function<http_request(const std::string &requestId, const std::vector<chain_part> &path)>
+            encodePathChange;
+    std::function<path_change_answer(const http_response &)> decodePathChangeResponse;
 };
 
 } // namespace fescuedeck
