Rerouting: order path changes for streams of lost or stalled engines

Callers: the loss of an engine behind the first of a chain makes each of its streams wait for its own silence and then read the whole prompt again elsewhere. Cause: a running request could not change its path. Change: running_streams lists the streams; path_mover orders a change as soon as an engine of the path is lost, leaving, without its layers, or found by what silent streams have in common. After an accepted change no replacement starts until the new engines should have read the tokens. Refused and unanswered orders leave the stream to the replacement. Not measured on a site.

--- a/src/fescuedeck/gateway/attempt_guards.cpp
+++ b/src/fescuedeck/gateway/attempt_guards.cpp
@@ -6,17 +6,26 @@
     : m_stages(stages)
     , m_tokens(tokens)
 {
-    for (const endpoint_ptr &stage : m_stages) {
-        ++stage->inFlight;
-        stage->tokensInFlight += m_tokens;
-    }
+    count(1);
 }
 
 in_flight_guard::~in_flight_guard()
+{
+    count(-1);
+}
+
+void in_flight_guard::moveTo(const std::vector<endpoint_ptr> &stages)
+{
+    count(-1);
+    m_stages = stages;
+    count(1);
+}
+
+void in_flight_guard::count(int sign)
 {
     for (const endpoint_ptr &stage : m_stages) {
-        --stage->inFlight;
-        stage->tokensInFlight -= m_tokens;
+        stage->inFlight += sign;
+        stage->tokensInFlight += sign * m_tokens;
     }
 }
 
--- a/src/fescuedeck/gateway/attempt_guards.h
+++ b/src/fescuedeck/gateway/attempt_guards.h
@@ -21,8 +21,13 @@
     in_flight_guard(const in_flight_guard &) = delete;
     in_flight_guard &operator=(const in_flight_guard &) = delete;
 
+    // Counts the request at these endpoints instead.
+    void moveTo(const std::vector<endpoint_ptr> &stages);
+
 private:
-    const std::vector<endpoint_ptr> m_stages;
+    void count(int sign);
+
+    std::vector<endpoint_ptr> m_stages;
     const double m_tokens;
 };
 
--- a/src/fescuedeck/gateway/endpoint_choice.cpp
+++ b/src/fescuedeck/gateway/endpoint_choice.cpp
@@ -222,4 +222,14 @@
     return best ? best : chooseChainAcrossDomains(spec, endpoints, stages, costs);
 }
 
+chain_candidates chainCandidates(const engine_spec &spec,
+                                 const std::vector<endpoint_ptr> &endpoints,
+                                 const choice_request &request)
+{
+    chain_candidates found{ {}, chainCosts(request.requestHash) };
+    for (const auto &[domain, stages] : stagesByDomain(spec, endpoints, request))
+        found.stages.insert(found.stages.end(), stages.begin(), stages.end());
+    return found;
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/endpoint_choice.h
+++ b/src/fescuedeck/gateway/endpoint_choice.h
@@ -53,6 +53,17 @@
                                        const std::vector<endpoint_ptr> &endpoints,
                                        const choice_request &request);
 
+// The engines of all failure domains that may be part of a chain, and what chains cost.
+struct chain_candidates
+{
+    std::vector<chain_stage> stages;
+    chain_costs costs;
+};
+
+chain_candidates chainCandidates(const engine_spec &spec,
+                                 const std::vector<endpoint_ptr> &endpoints,
+                                 const choice_request &request);
+
 } // namespace fescuedeck
 
 #endif
--- a/src/fescuedeck/gateway/event_timing.h
+++ b/src/fescuedeck/gateway/event_timing.h
@@ -30,6 +30,8 @@
     // Time of the last event, or of the start of the attempt if there was no event yet.
     time_point lastActivityAt() const { return hasBegun() ? m_lastEventAt : m_sentAt; }
     time_point sentAt() const { return m_sentAt; }
+    // Moving average of the gaps between events; zero before the second event.
+    duration usualGap() const { return m_usualGap; }
     // Time without an event after which the attempt is to be replaced. The limit is much longer if
     // no other destination can continue the stream.
     duration stallLimit(const event_objectives &objectives, bool hasAlternative) const;
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -263,6 +263,8 @@
     if (!to.isRelay)
         current.openAttempt.emplace(m_context.openAttempts,
                                     [this, &current] { moveIfStalled(current); });
+    if (m_route.kind == call_kind::Stream && m_engine != nullptr && to.chain.size() > 1)
+        listRunningStream(current, tokens);
     return current;
 }
 
--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -108,6 +108,9 @@
     attempt_outcome runAttempt(const destination &to);
     // Lists a further attempt as open. It has not been sent.
     attempt &beginAttempt(const destination &to);
+    // Lists the attempt among the streams whose path may change, with the tokens it needs in
+    // caches.
+    void listRunningStream(attempt &current, double tokens);
     call_options callOptions(attempt &current);
     // Evaluates the result of an open attempt, which is not listed afterwards.
     attempt_outcome endAttempt(attempt &current, const call_result &result);
--- a/src/fescuedeck/gateway/forwarded_call_attempt.h
+++ b/src/fescuedeck/gateway/forwarded_call_attempt.h
@@ -11,6 +11,7 @@
 #include "fescuedeck/gateway/background_call.h"
 #include "fescuedeck/gateway/event_timing.h"
 #include "fescuedeck/gateway/forwarded_call.h"
+#include "fescuedeck/rerouting/running_streams.h"
 
 namespace fescuedeck {
 
@@ -38,8 +39,8 @@
     }
 
     const int number; // of all attempts of the request, the first is 1
-    const destination to;
-    const in_flight_guard inFlight;
+    destination to;   // its chain may change while the attempt runs
+    in_flight_guard inFlight;
     retry_reservation retry;
     call_cancellation cancellation;
     event_splitter events;
@@ -59,6 +60,9 @@
     std::optional<quarantine_watch> quarantineWatch;
     std::optional<open_attempt> openAttempt;
     std::optional<background_call> call; // of a replacement
+    // After a change of the path, the attempt counts as silent from then on only.
+    time_point quietUntil{};
+    std::optional<running_stream_entry> runningStream; // of a stream through several engines
 
     // The first event may be the work of an engine that crashes while it begins to answer.
     bool hasSurelyBegun() const { return events.completeEvents() > 1; }
--- a/src/fescuedeck/gateway/forwarded_call_replacement.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_replacement.cpp
@@ -4,6 +4,7 @@
 // silent attempt. Only that coroutine writes to the caller, so a replacement hands its events over.
 #include <algorithm>
 
+#include "fescuedeck/base/hash.h"
 #include "fescuedeck/gateway/chain_progress.h"
 #include "fescuedeck/gateway/forwarded_call.h"
 #include "fescuedeck/gateway/forwarded_call_attempt.h"
@@ -38,8 +39,9 @@
         limit = std::max(limit, busyChainStallLimit);
     // What arrives while a slow caller takes earlier events is read only afterwards.
     const time_point activeAt = std::max(current.timing.lastActivityAt(), m_writtenAt);
-    const duration timeLeft
-            = fescuedeck::timeUntilStall(current.to.stages, activeAt, limit, steadyNow());
+    const duration timeLeft = std::max<duration>(
+            fescuedeck::timeUntilStall(current.to.stages, activeAt, limit, steadyNow()),
+            current.quietUntil - steadyNow());
     if (timeLeft > duration::zero())
         return timeLeft;
     recordSilence(current);
@@ -47,6 +49,40 @@
     return destinationCheckInterval;
 }
 
+void forwarded_call::listRunningStream(attempt &current, double tokens)
+{
+    running_stream stream;
+    stream.request = m_info.id;
+    stream.service = m_service;
+    stream.engine = m_engine;
+    const workspace_rule *rule = nullptr;
+    for (const workspace_rule &each : m_config->config().workspaces)
+        rule = each.name == workspace ? &each : rule;
+    stream.rank = rule != nullptr && rule->priority ? *rule->priority : m_route.priority;
+    stream.gapObjective = m_route.gapObjective;
+    stream.requestHash = stableHash(m_info.id);
+    stream.cacheTokens = tokens;
+    stream.path = current.to;
+    stream.status = [this, &current] {
+        stream_status status;
+        status.activeAt = std::max(current.timing.lastActivityAt(), m_writtenAt);
+        status.usualGap = current.timing.usualGap();
+        status.tokens
+                = m_info.promptTokens + static_cast<std::int64_t>(current.events.completeEvents());
+        status.hasBegun = current.timing.hasBegun();
+        status.mayMove = current.isSent && !current.isSuperseded && !current.isWithdrawn
+                         && !m_isWriting && !m_hasCallerLeft && m_open.size() == 1;
+        return status;
+    };
+    stream.onMoved = [&current](const destination &path, time_point quietUntil) {
+        current.to = path;
+        current.inFlight.moveTo(path.stages);
+        current.quietUntil = quietUntil;
+        current.silentSince = {};
+    };
+    current.runningStream.emplace(m_context.runningStreams, std::move(stream));
+}
+
 void forwarded_call::moveIfStalled(attempt &current)
 {
     // A request that waits for its connection has not been sent.
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -26,6 +26,7 @@
 #include "fescuedeck/gateway/shutdown_plan.h"
 #include "fescuedeck/gateway/table_follower.h"
 #include "fescuedeck/net/http_server.h"
+#include "fescuedeck/rerouting/path_mover.h"
 #include "fescuedeck/router/wait_event.h"
 #include "fescuedeck/telemetry/event_line.h"
 #include "fescuedeck/telemetry/log_setup.h"
@@ -158,6 +159,7 @@
     time_point m_linksBlamedFrom{};
     endpoint_prober m_prober;
     engine_inspector m_inspector;
+    path_mover m_pathMover;
     placement_lease m_placementLease;
     gateway_peers m_peers;
 };
@@ -195,6 +197,7 @@
                         quarantineHooks(), m_context.random)
     , m_prober(m_context, proberHooks())
     , m_inspector(m_context)
+    , m_pathMover(m_context)
     , m_placementLease(m_context, settings.id + "." + m_incarnation)
     , m_peers(m_context, m_incarnation,
               { [this](const std::string &value) {
@@ -610,8 +613,10 @@
     boost::asio::spawn(m_io, [this](boost::asio::yield_context yield) { runExpiryLoop(yield); });
     boost::asio::spawn(m_io,
                        [this](boost::asio::yield_context yield) { runSettingsReloadLoop(yield); });
-    watchEventLoop(m_io, m_loopWatch, m_context.counters,
-                   [this] { moveRequestsIfIsolated(m_context, m_loopWatch.handledUntil()); });
+    watchEventLoop(m_io, m_loopWatch, m_context.counters, [this] {
+        moveRequestsIfIsolated(m_context, m_loopWatch.handledUntil());
+        m_pathMover.check();
+    });
     m_prober.start();
     m_configTable.start();
     m_endpointTable.start();
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -24,6 +24,7 @@
 #include "fescuedeck/gateway/relay_directory.h"
 #include "fescuedeck/gateway/request_limiter.h"
 #include "fescuedeck/net/http_client.h"
+#include "fescuedeck/rerouting/running_streams.h"
 #include "fescuedeck/telemetry/metrics.h"
 
 namespace fescuedeck {
@@ -55,6 +56,7 @@
     request_limiter requestLimits;
     relay_directory relays;
     open_attempts openAttempts;
+    running_streams runningStreams;
     // Shared by the gateways of the deployment. Empty until it has been read from the store.
     std::string peerSecret;
     // Set by the owner, like the hooks below. Records a crash against the request if the endpoint
--- /dev/null
+++ b/src/fescuedeck/rerouting/path_mover.cpp
@@ -0,0 +1,435 @@
+#include "fescuedeck/rerouting/path_mover.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "fescuedeck/base/hash.h"
+#include "fescuedeck/gateway/attempt_guards.h"
+#include "fescuedeck/gateway/event_timing.h"
+#include "fescuedeck/rerouting/stall_finder.h"
+#include "fescuedeck/telemetry/event_line.h"
+
+namespace fescuedeck {
+namespace {
+
+// A stream that has been moved this often is left to the replacement of silent attempts.
+constexpr int maxOrdersPerStream = 4;
+// After a path was not found, or the chain had no other engine, it is searched again this late.
+constexpr duration planInterval = std::chrono::milliseconds(100);
+// An engine answers an order at once, so that the rest of the accepted gap remains for reading.
+constexpr duration minOrderTimeout = std::chrono::milliseconds(50);
+constexpr duration maxOrderTimeout = std::chrono::milliseconds(150);
+// A guess is forgotten after this time unless it is confirmed.
+constexpr duration suspicionDuration = std::chrono::milliseconds(250);
+// How long a new engine counts as reading the tokens if its stream stays silent.
+constexpr duration maxReadTime = std::chrono::milliseconds(600);
+// Time until the first event through a new path, in addition to the reading.
+constexpr duration pathSetupTime = std::chrono::milliseconds(50);
+// The list of engines without path changes is cleared beyond this size.
+constexpr std::size_t maxUnsupported = 1024;
+// Gateways that see the same loads prefer different engines by up to this share of their cost.
+constexpr double spreadShare = 0.2;
+
+std::optional<path_change_cause> causeOf(const gateway_context &context,
+                                         const std::string &incarnation, const layer_range &layers,
+                                         time_point now)
+{
+    const endpoint_ptr engine = context.endpoints.findIncarnation(incarnation);
+    if (!engine || engine->isLost(now))
+        return path_change_cause::Lost;
+    if (engine->hasStatedLeaving || engine->entry.phase == endpoint_phase_announced::Draining)
+        return path_change_cause::Leaving;
+    if (!engine->entry.layers || !engine->entry.layers->contains(layers))
+        return path_change_cause::LayersGivenUp;
+    return std::nullopt;
+}
+
+stream_progress progressOf(const running_stream &stream, const stream_status &status)
+{
+    stream_progress progress;
+    for (const endpoint_ptr &stage : stream.path.stages)
+        progress.engines.push_back(stage->entry.id);
+    progress.activeAt = status.activeAt;
+    progress.usualGap = status.usualGap;
+    progress.gapObjective = stream.gapObjective;
+    progress.isWatched = status.hasBegun && status.mayMove;
+    return progress;
+}
+
+duration acceptedGap(const running_stream &stream)
+{
+    return stream.gapObjective > duration::zero() ? stream.gapObjective : defaultStallLimit;
+}
+
+bool hasCacheFor(const running_stream &stream, const endpoint_record &engine)
+{
+    endpoint_record loaded = engine;
+    loaded.tokensInFlight += stream.cacheTokens;
+    return cacheFill(*stream.engine, loaded) <= 1;
+}
+
+std::string describe(const std::vector<chain_part> &chain)
+{
+    std::string text;
+    for (const chain_part &part : chain)
+        text += (text.empty() ? "" : ",") + part.endpoint + "=" + toString(part.layers);
+    return text;
+}
+
+} // namespace
+
+void sortByUrgency(std::vector<move_candidate> &candidates)
+{
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
+        return std::tie(a.timeLeft, a.rank) < std::tie(b.timeLeft, b.rank);
+    });
+}
+
+int maxMovesAtOnce(const endpoint_record &engine)
+{
+    return std::max(1, (engine.entry.slots - engine.inFlight - engine.peerInFlight) / 2);
+}
+
+path_mover::path_mover(gateway_context &context)
+    : m_context(context)
+{
+}
+
+void path_mover::check()
+{
+    const time_point now = m_context.inputHandledUntil();
+    updateMoves(now);
+    const bool mayOrder = m_context.adapter.encodePathChange != nullptr && !m_context.isIsolated()
+                          && !m_context.blamesLinks();
+    if (!mayOrder || m_context.runningStreams.all().empty())
+        return;
+    updateSuspect(now);
+    for (const move_candidate &candidate : candidates(now))
+        startMove(candidate);
+    askForReports(now);
+}
+
+void path_mover::updateMoves(time_point now)
+{
+    for (auto it = m_moves.begin(); it != m_moves.end();) {
+        const running_stream *stream = m_context.runningStreams.find(it->first);
+        move_state &move = it->second;
+        if (stream == nullptr) {
+            it = m_moves.erase(it);
+            continue;
+        }
+        ++it;
+        if (move.newParts.empty() || move.isPending)
+            continue;
+        const time_point activeAt = stream->status().activeAt;
+        const bool goesOn = activeAt > move.acceptedAt;
+        if (goesOn)
+            m_context.counters.histogramOf("fescuedeck_path_change_seconds")
+                    .observe(activeAt - move.orderedAt);
+        if (goesOn || now - move.acceptedAt >= maxReadTime)
+            move.newParts.clear();
+    }
+}
+
+void path_mover::updateSuspect(time_point now)
+{
+    std::vector<stream_progress> streams;
+    for (const auto &[number, stream] : m_context.runningStreams.all())
+        streams.push_back(progressOf(stream, stream.status()));
+    const std::optional<std::string> found = findStalledEngine(streams, now);
+    if (found) {
+        m_suspect = *found;
+        m_suspectUntil = now + suspicionDuration;
+        return;
+    }
+    // The streams that moved away no longer show the stall, and those that wait for their turn
+    // still have to move. Any event through the engine ends the suspicion.
+    const endpoint_ptr suspect = m_context.endpoints.find(m_suspect);
+    const bool hasProgressed
+            = suspect && suspect->lastProgressAt > m_suspectUntil - suspicionDuration;
+    if (now >= m_suspectUntil || !suspect || hasProgressed)
+        m_suspect.clear();
+}
+
+std::vector<move_candidate> path_mover::candidates(time_point now)
+{
+    std::vector<move_candidate> found;
+    for (const auto &[number, stream] : m_context.runningStreams.all()) {
+        if (auto candidate = candidateOf(number, stream, now))
+            found.push_back(std::move(*candidate));
+    }
+    sortByUrgency(found);
+    return found;
+}
+
+std::optional<move_candidate> path_mover::candidateOf(int number, const running_stream &stream,
+                                                      time_point now) const
+{
+    const auto state = m_moves.find(number);
+    bool isReading = false; // the new engines read the tokens, which takes some time
+    if (state != m_moves.end()) {
+        const move_state &move = state->second;
+        isReading = !move.newParts.empty();
+        if (move.isPending || move.isClosed || move.orders >= maxOrdersPerStream
+            || now - move.plannedAt < planInterval)
+            return std::nullopt;
+    }
+    const stream_status status = stream.status();
+    if (!status.mayMove || m_unsupported.count(stream.incarnations.front()) > 0)
+        return std::nullopt;
+    move_candidate candidate;
+    candidate.number = number;
+    candidate.rank = stream.rank;
+    candidate.timeLeft = acceptedGap(stream) - (now - status.activeAt);
+    const bool isSuspicious = !isReading && isSilent(progressOf(stream, status), now);
+    for (std::size_t i = 0; i < stream.path.chain.size(); ++i) {
+        const chain_part &part = stream.path.chain[i];
+        std::optional<path_change_cause> cause
+                = causeOf(m_context, stream.incarnations[i], part.layers, steadyNow());
+        if (i == 0 && cause == path_change_cause::Lost)
+            return std::nullopt; // it can't carry out an order
+        if (i == 0)
+            continue;
+        if (!cause && isSuspicious && part.endpoint == m_suspect)
+            cause = path_change_cause::Stalled;
+        if (!cause)
+            continue;
+        if (candidate.avoided.empty())
+            candidate.cause = *cause;
+        candidate.avoided.insert(part.endpoint);
+    }
+    if (candidate.avoided.empty())
+        return std::nullopt;
+    return candidate;
+}
+
+void path_mover::askForReports(time_point now)
+{
+    if (!m_context.inspectEngine)
+        return;
+    for (const auto &[number, stream] : m_context.runningStreams.all()) {
+        const stream_progress progress = progressOf(stream, stream.status());
+        if (!isSilent(progress, now) || now - progress.activeAt < reportDelay(progress))
+            continue;
+        move_state &move = m_moves[number];
+        const bool isMoving = move.isPending || !move.newParts.empty();
+        if (isMoving || move.reportAskedAt > progress.activeAt)
+            continue;
+        move.reportAskedAt = now;
+        m_context.inspectEngine(progress.engines.front(), engine_suspicion::Stalled);
+    }
+}
+
+void path_mover::startMove(const move_candidate &candidate)
+{
+    move_state &state = m_moves[candidate.number];
+    state.plannedAt = m_context.inputHandledUntil();
+    std::optional<planned_move> move = plan(candidate);
+    if (!move) {
+        if (!state.isWithoutPath)
+            count(candidate.cause, "no_path");
+        state.isWithoutPath = true;
+        return;
+    }
+    state.isPending = true;
+    state.newParts = move->newParts;
+    boost::asio::spawn(m_context.io, [this, candidate,
+                                      move = std::move(*move)](boost::asio::yield_context yield) {
+        sendOrders(candidate, move, yield);
+    });
+}
+
+void path_mover::sendOrders(const move_candidate &candidate, planned_move move,
+                            boost::asio::yield_context yield)
+{
+    constexpr int maxTries = 2;
+    for (int tries = 1; tries <= maxTries; ++tries) {
+        const running_stream *stream = m_context.runningStreams.find(candidate.number);
+        if (stream == nullptr || !stream->status().mayMove)
+            break;
+        const path_change_answer answer = sendOrder(candidate, move, yield);
+        if (!evaluate(candidate, move, answer) || tries == maxTries)
+            break;
+        m_moves[candidate.number].newParts.clear();
+        std::optional<planned_move> next = plan(candidate);
+        if (!next)
+            break;
+        move = std::move(*next);
+        m_moves[candidate.number].newParts = move.newParts;
+    }
+    const auto state = m_moves.find(candidate.number);
+    if (state == m_moves.end())
+        return;
+    state->second.isPending = false;
+    const bool isAccepted = state->second.acceptedAt >= state->second.orderedAt
+                            && state->second.orderedAt != time_point{};
+    state->second.isClosed = !isAccepted;
+    if (!isAccepted)
+        state->second.newParts.clear();
+}
+
+path_change_answer path_mover::sendOrder(const move_candidate &candidate, const planned_move &move,
+                                         boost::asio::yield_context yield)
+{
+    running_stream &stream = *m_context.runningStreams.find(candidate.number);
+    move_state &state = m_moves[candidate.number];
+    state.orderedAt = steadyNow();
+    ++state.orders;
+    std::vector<endpoint_ptr> newStages;
+    for (const endpoint_ptr &stage : move.path.stages) {
+        if (move.newParts.count(stage->entry.id) > 0)
+            newStages.push_back(stage);
+    }
+    // Counts the stream at its new engines before the answer, so that others choose by that.
+    const in_flight_guard reservation(newStages, stream.cacheTokens);
+    call_options options;
+    options.timeout = std::clamp(candidate.timeLeft, minOrderTimeout, maxOrderTimeout);
+    // On a reused connection a late response to an earlier request could be taken for the answer.
+    options.freshConnection = true;
+    const std::string address = move.path.first->entry.address;
+    const http_request order = m_context.adapter.encodePathChange(stream.request, move.path.chain);
+    const call_result result = m_context.client.send(address, order, options, yield);
+    if (!result.response)
+        return {};
+    return m_context.adapter.decodePathChangeResponse(result.response.value());
+}
+
+bool path_mover::evaluate(const move_candidate &candidate, const planned_move &move,
+                          const path_change_answer &answer)
+{
+    count(candidate.cause, nameOf(pathChangeOutcomeNames, answer.outcome));
+    // The stream may have ended meanwhile.
+    const running_stream *stream = m_context.runningStreams.find(candidate.number);
+    if (stream == nullptr)
+        return false;
+    if (answer.outcome == path_change_outcome::Accepted) {
+        onAccepted(candidate, move);
+        return false;
+    }
+    event_line("path_change_failed", event_level::Warning)
+            .field("request", stream->request)
+            .field("endpoint", move.path.first->entry.id)
+            .field("cause", nameOf(pathChangeCauseNames, candidate.cause))
+            .field("outcome", nameOf(pathChangeOutcomeNames, answer.outcome))
+            .field("at_fault", answer.address);
+    if (answer.outcome == path_change_outcome::Unsupported) {
+        if (m_unsupported.size() >= maxUnsupported)
+            m_unsupported.clear();
+        m_unsupported.insert(stream->incarnations.front());
+    }
+    const auto &chain = move.path.chain;
+    const auto fault = std::find_if(chain.begin() + 1, chain.end(), [&](const chain_part &part) {
+        return part.address == answer.address;
+    });
+    if (answer.outcome != path_change_outcome::PartUnavailable || fault == chain.end())
+        return false;
+    m_moves[candidate.number].avoided.insert(fault->endpoint);
+    return true;
+}
+
+void path_mover::onAccepted(const move_candidate &candidate, const planned_move &move)
+{
+    running_stream &stream = *m_context.runningStreams.find(candidate.number);
+    move_state &state = m_moves[candidate.number];
+    const time_point now = steadyNow();
+    event_line("path_changed")
+            .field("request", stream.request)
+            .field("endpoint", move.path.first->entry.id)
+            .field("cause", nameOf(pathChangeCauseNames, candidate.cause))
+            .field("from", describe(stream.path.chain))
+            .field("to", describe(move.path.chain))
+            .field("tokens_read_again", move.tokensReadAgain)
+            .field("silent_ms", duration(now - stream.status().activeAt))
+            .field("order_ms", duration(now - state.orderedAt));
+    m_context.counters.counterOf("fescuedeck_path_change_tokens_total")
+            .add(static_cast<std::uint64_t>(move.tokensReadAgain));
+    state.acceptedAt = now;
+    stream.path = move.path;
+    stream.incarnations.clear();
+    for (const endpoint_ptr &stage : move.path.stages)
+        stream.incarnations.push_back(incarnationName(stage->entry));
+    const duration quiet = std::min<duration>(move.readTime + pathSetupTime, maxReadTime);
+    stream.onMoved(move.path, now + quiet);
+}
+
+std::optional<path_mover::planned_move> path_mover::plan(const move_candidate &candidate) const
+{
+    const running_stream *stream = m_context.runningStreams.find(candidate.number);
+    if (stream == nullptr)
+        return std::nullopt;
+    repair_request request;
+    request.avoided = candidate.avoided;
+    const auto state = m_moves.find(candidate.number);
+    if (state != m_moves.end())
+        request.avoided.insert(state->second.avoided.begin(), state->second.avoided.end());
+    const choice_request choice{ m_context.settings.failureDomain, request.avoided, steadyNow(),
+                                 stream->requestHash };
+    chain_candidates found = chainCandidates(
+            *stream->engine, m_context.endpoints.ofService(stream->service), choice);
+    request.stages = stagesWithRoom(*stream, std::move(found.stages));
+    request.costs = std::move(found.costs);
+    request.tokens = stream->status().tokens;
+    for (std::size_t i = 0; i < stream->path.chain.size(); ++i)
+        request.chain.push_back(
+                { stream->path.chain[i], stream->path.stages[i]->entry.failureDomain });
+    chain_repair repair = planRepair(request);
+    if (repair.action != repair_action::ChangePath)
+        return std::nullopt;
+    planned_move move;
+    double factor = 1;
+    for (const chain_part &part : repair.chain) {
+        const bool isKept = std::find(stream->path.chain.begin(), stream->path.chain.end(), part)
+                            != stream->path.chain.end();
+        const endpoint_ptr engine = m_context.endpoints.find(part.endpoint);
+        if (!engine)
+            return std::nullopt;
+        move.path.stages.push_back(engine);
+        if (isKept)
+            continue;
+        move.newParts.insert(part.endpoint);
+        const accelerator_kind *kind = stream->engine->findKind(engine->entry.accelerator);
+        factor = std::max(factor, kind == nullptr ? 1 : kind->prefillFactor);
+    }
+    move.path.first = stream->path.first;
+    move.path.chain = std::move(repair.chain);
+    move.tokensReadAgain = repair.tokensReadAgain;
+    const double rate = std::max(1.0, stream->engine->prefillTokensPerSecond);
+    move.readTime = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(std::min(60.0, repair.tokensReadAgain * factor / rate)));
+    return move;
+}
+
+std::vector<chain_stage> path_mover::stagesWithRoom(const running_stream &stream,
+                                                    std::vector<chain_stage> stages) const
+{
+    const auto lacksRoom = [&](const chain_stage &stage) {
+        const endpoint_ptr engine = m_context.endpoints.find(stage.endpoint);
+        return !engine || movesTo(stage.endpoint) >= maxMovesAtOnce(*engine)
+               || !hasCacheFor(stream, *engine);
+    };
+    stages.erase(std::remove_if(stages.begin(), stages.end(), lacksRoom), stages.end());
+    for (chain_stage &stage : stages) {
+        constexpr std::uint64_t steps = 1024;
+        const std::uint64_t preference = stableHash(stage.endpoint, stream.requestHash) % steps;
+        stage.costPerLayer *= 1 + spreadShare * static_cast<double>(preference) / steps;
+    }
+    return stages;
+}
+
+int path_mover::movesTo(const std::string &engine) const
+{
+    return static_cast<int>(std::count_if(m_moves.begin(), m_moves.end(), [&](const auto &each) {
+        return each.second.newParts.count(engine) > 0;
+    }));
+}
+
+void path_mover::count(path_change_cause cause, std::string_view outcome)
+{
+    m_context.counters
+            .counterOf("fescuedeck_path_changes_total",
+                       { { "cause", std::string(nameOf(pathChangeCauseNames, cause)) },
+                         { "outcome", std::string(outcome) } })
+            .add();
+}
+
+} // namespace fescuedeck
