Rerouting: check streams only after news

Callers: nothing seen; hosts have as little as 0.084 of a core, and each check compared all streams. Change: a check ends early unless the endpoints have changed within a second, a move was due, or a stream is silent for 60 ms. The processor time was not measured.

--- a/src/fescuedeck/rerouting/path_mover.cpp
+++ b/src/fescuedeck/rerouting/path_mover.cpp
@@ -25,6 +25,9 @@
 constexpr duration maxReadTime = std::chrono::milliseconds(600);
 // Time until the first event through a new path, in addition to the reading.
 constexpr duration pathSetupTime = std::chrono::milliseconds(50);
+// After a change of the endpoints or a due move, all streams are checked for this long, because
+// some may not move at once.
+constexpr duration recheckTime = std::chrono::seconds(1);
 // The list of engines without path changes is cleared beyond this size.
 constexpr std::size_t maxUnsupported = 1024;
 // Gateways that see the same loads prefer different engines by up to this share of their cost.
@@ -101,14 +104,30 @@
     updateMoves(now);
     const bool mayOrder = m_context.adapter.encodePathChange != nullptr && !m_context.isIsolated()
                           && !m_context.blamesLinks();
-    if (!mayOrder || m_context.runningStreams.all().empty())
+    if (!mayOrder || m_context.runningStreams.all().empty() || !mayHaveNews(now))
         return;
     updateSuspect(now);
-    for (const move_candidate &candidate : candidates(now))
+    const std::vector<move_candidate> due = candidates(now);
+    if (!due.empty())
+        m_checkUntil = now + recheckTime; // some may have to wait for room
+    for (const move_candidate &candidate : due)
         startMove(candidate);
     askForReports(now);
 }
 
+bool path_mover::mayHaveNews(time_point now)
+{
+    if (m_context.endpoints.revision() != m_seenRevision) {
+        m_seenRevision = m_context.endpoints.revision();
+        m_checkUntil = now + recheckTime;
+    }
+    const auto &streams = m_context.runningStreams.all();
+    const bool isAnySilent = std::any_of(streams.begin(), streams.end(), [&](const auto &each) {
+        return now - each.second.status().activeAt >= minUnusualSilence;
+    });
+    return isAnySilent || now < m_checkUntil;
+}
+
 void path_mover::updateMoves(time_point now)
 {
     for (auto it = m_moves.begin(); it != m_moves.end();) {
--- a/src/fescuedeck/rerouting/path_mover.h
+++ b/src/fescuedeck/rerouting/path_mover.h
@@ -12,6 +12,7 @@
 #ifndef FESCUEDECK_REROUTING_PATH_MOVER_H
 #define FESCUEDECK_REROUTING_PATH_MOVER_H
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -91,6 +92,9 @@
         duration readTime{}; // expected
     };
 
+    // Whether an engine may have been lost or a stream may be silent since the last check. Most
+    // checks end here, because hosts have a small part of a core.
+    bool mayHaveNews(time_point now);
     void updateMoves(time_point now);
     void updateSuspect(time_point now);
     std::vector<move_candidate> candidates(time_point now);
@@ -117,6 +121,8 @@
     std::map<int, move_state> m_moves; // by number of the stream
     std::string m_suspect;             // id of the engine that stalls streams, by a guess
     time_point m_suspectUntil{};
+    std::uint64_t m_seenRevision = 0;    // of the endpoints
+    time_point m_checkUntil{};           // in any case
     std::set<std::string> m_unsupported; // incarnations of engines that know no path changes
 };
 
--- a/src/fescuedeck/rerouting/stall_finder.cpp
+++ b/src/fescuedeck/rerouting/stall_finder.cpp
@@ -8,8 +8,6 @@
 
 // Gaps of a sound stream vary with the load, mostly by less than this factor.
 constexpr double usualGapFactor = 2.5;
-// Shorter silences are within the variation of timers and links.
-constexpr duration minUnusualSilence = std::chrono::milliseconds(60);
 // Engines report with this delay, so an earlier report does not list the wait.
 constexpr duration reportLag = std::chrono::milliseconds(200);
 // A single silent stream is weak evidence. It is used only shortly before the stream would get a
--- a/src/fescuedeck/rerouting/stall_finder.h
+++ b/src/fescuedeck/rerouting/stall_finder.h
@@ -26,6 +26,9 @@
                            // caller is slow
 };
 
+// Shorter silences are within the variation of timers and links.
+constexpr duration minUnusualSilence = std::chrono::milliseconds(60);
+
 // Silence that the usual gap of the stream does not explain.
 duration unusualSilence(const stream_progress &stream);
 
