--- a/src/fescuedeck/gateway/attempt_guards.h
+++ b/src/fescuedeck/gateway/attempt_guards.h
@@ -23,9 +23,13 @@
 
     // Corrects the number of tokens, because the answer is longer than was expected.
     void setTokens(double tokens);
+    // Counts the request at these endpoints instead.
+    void moveTo(const std::vector<endpoint_ptr> &stages);
 
 private:
-    const std::vector<endpoint_ptr> m_stages;
+    void count(int sign);
+
+    std::vector<endpoint_ptr> m_stages;
     double m_tokens;
     const time_point m_since = steadyNow();
 };
