Admission: a request that would be late accepts a fuller cache

With different priorities, only the front of the queue could begin, one after the other up to 400 ms each, and only within a share of the free cache. A request now waits for free cache for a share of its objective that grows with its rank, and then accepts a destination as full as requests without ranks accept it. Prediction refuses only while no such destination exists.

--- a/src/fescuedeck/gateway/admission_control.cpp
+++ b/src/fescuedeck/gateway/admission_control.cpp
@@ -13,9 +13,12 @@
 // If the cache is filled beyond this share after the wait, the request is refused. The caller
 // retries it later, when there may be capacity.
 constexpr double maxFillAfterWait = 1.3;
-// After this time at the front of the queue, a destination up to maxFillAfterWait is accepted. It
-// is the wait of a request without ranks.
-constexpr duration maxFrontWait = std::chrono::milliseconds(400);
+// A request waits for free cache for a share of its latency objective, and then accepts a
+// destination up to maxFillAfterWait, because it would be late otherwise. Less urgent requests wait
+// longer and so leave the free cache to more urgent ones.
+constexpr double firstRankWaitShare = 0.125;
+constexpr double waitSharePerRank = 0.1875;
+constexpr double maxWaitShare = 0.5;
 // Suspicions expire without an event, so that waiting requests also look for room this often.
 constexpr duration fallbackInterval = std::chrono::milliseconds(20);
 // Peers report their waiting work this often within a failure domain.
@@ -101,9 +104,11 @@
         return admission_outcome::Admitted;
     }
     const std::uint64_t id = ++m_lastId;
+    // While chains accept requests after a wait, the rate of completed work limits nothing.
+    const bool acceptsAfterWait = request.firstFill <= maxFillAfterWait;
     const push_result pushed = state.queue.push(
             { id, request.workspace, request.rank, request.work, false, request.latestStart }, now,
-            state.servedPerSecond());
+            acceptsAfterWait ? 0 : state.servedPerSecond());
     if (pushed.outcome != push_outcome::Waiting) {
         const bool isFull = pushed.outcome == push_outcome::QueueFull;
         recordRefused(state, request, isFull ? "queue_full" : "too_late");
@@ -124,12 +129,25 @@
     return outcome;
 }
 
+namespace {
+
+// How long the request waits for a destination up to maxAdmittedFill.
+duration waitForFreeCache(const admission_request &request, time_point now)
+{
+    const double share
+            = std::min(maxWaitShare, firstRankWaitShare + waitSharePerRank * request.rank);
+    return std::chrono::duration_cast<duration>((request.latestStart - now) * share);
+}
+
+} // namespace
+
 admission_outcome admission_control::waitInQueue(service_state &state, std::uint64_t id,
                                                  const admission_request &request,
                                                  boost::asio::yield_context yield)
 {
     waiter &self = state.waiters.at(id);
-    std::optional<time_point> frontSince;
+    const time_point queuedAt = steadyNow();
+    const time_point acceptsMoreFrom = queuedAt + waitForFreeCache(request, queuedAt);
     bool isFirstLook = true;
     while (true) {
         const time_point now = steadyNow();
@@ -142,23 +160,22 @@
             return admission_outcome::CallerLeft;
         }
         const bool isFront = state.queue.front()->id == id;
-        if (!isFront)
-            frontSince.reset();
-        else if (!frontSince)
-            frontSince = now;
-        if (isFront) {
+        const bool acceptsMore = now >= acceptsMoreFrom;
+        if (isFront || acceptsMore) {
             const std::optional<double> fill
                     = isFirstLook ? std::optional<double>(request.firstFill) : request.fill();
             if (!fill) {
                 state.queue.remove(id);
                 return admission_outcome::NoDestination;
             }
-            const double maxFill
-                    = now - *frontSince < maxFrontWait ? maxAdmittedFill : maxFillAfterWait;
-            if (mayBegin(state, request, *fill, maxFill, now)) {
+            if (isFront && mayBegin(state, request, *fill, maxAdmittedFill, now)) {
                 state.queue.popFront();
                 return admission_outcome::Admitted;
             }
+            if (acceptsMore && *fill <= maxFillAfterWait) {
+                state.queue.remove(id);
+                return admission_outcome::Admitted;
+            }
         }
         isFirstLook = false;
         if (now >= request.latestStart) {
@@ -167,7 +184,8 @@
             return admission_outcome::Refused;
         }
         // The others are woken when they become the front.
-        const time_point nextLook = isFront ? now + fallbackInterval : request.latestStart;
+        const bool looksAgain = isFront || acceptsMore;
+        const time_point nextLook = looksAgain ? now + fallbackInterval : acceptsMoreFrom;
         sleep(self, std::min(nextLook, request.latestStart), yield);
     }
 }
--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -326,7 +326,7 @@
         current.openAttempt.emplace(m_context.openAttempts,
                                     [this, &current] { moveIfStalled(current); });
     if (m_route.kind == call_kind::Stream && m_engine != nullptr && to.chain.size() > 1)
-        listRunningStream(current, tokens);
+        listRunningStream(current, expectedTokens());
     return current;
 }
 
