Gateway: a few readers per failure domain pass store tables on

A restarting gateway also wrote a record of its unchanged address, which woke all the others.

Three gateways of each failure domain read the tables now and pass pages on to those of their domain that say in their digest that they understand table_records. The others read the store after a gap, when peers have read more for a second, or as a check. A restart at the same address writes nothing. Counters: fescuedeck_store_calls_total, fescuedeck_table_pages_total.

The number of calls of a site was not measured.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -42,13 +42,10 @@
 // The store holds a read of a table open until there is a new record. A stalled connection hides
 // changes until its read times out, and a change must be in force within a limit of the settings.
 // Therefore the wait, readTimeout and readMargin together stay within that limit. This applies to a
-// few gateways of each failure domain. The others learn from these, within readMargin, that there
-// are records which they have not read, so that they can wait longer.
+// few gateways of each failure domain, which pass the records on to the others.
 constexpr duration readTimeout = std::chrono::milliseconds(500);
 constexpr duration readMargin = std::chrono::milliseconds(300);
 constexpr duration minReadWait = std::chrono::milliseconds(300);
-constexpr duration longReadWait = std::chrono::seconds(20);
-constexpr int frequentReadersPerDomain = 3;
 // Reads of the quarantine table may wait long, because quarantined requests are rare and gateways
 // also tell each other about them.
 constexpr duration quarantineWait = std::chrono::seconds(20);
@@ -189,8 +186,8 @@
                       endpointHooks(), m_context.random)
     , m_quarantineTable(m_io, m_context.adapter.store, store_table::Quarantine,
                         { "quarantine",
-                          [] {
-                              return read_pace{ quarantineWait, {} };
+                          [this] {
+                              return read_pace{ quarantineWait, {}, m_peers.readsTables() };
                           } },
                         quarantineHooks(), m_context.random)
     , m_prober(m_context, proberHooks())
@@ -200,8 +197,11 @@
               { [this](const std::string &value) {
                    m_configIntake.receive(value, config_source::Peer);
                },
-                [this] { return m_endpointTable.position(); }, [this] { readMissedEndpoints(); } })
+                [this] { return m_endpointTable.position(); }, [this] { readMissedEndpoints(); },
+                [this] { m_configTable.restartRead(); } })
 {
+    m_peers.relayTable(store_table::Endpoints, m_endpointTable);
+    m_peers.relayTable(store_table::Quarantine, m_quarantineTable);
     m_context.isAmongFirst = [this](int count) { return m_peers.isAmongFirst(count, steadyNow()); };
     m_context.inputHandledUntil = [this] { return m_loopWatch.handledUntil(); };
     m_context.isIsolated = [this] { return m_prober.state() == link_state::Isolated; };
@@ -259,9 +259,8 @@
                       [this] { return static_cast<double>(m_peers.livePeers(steadyNow())); });
     counters.setGauge("fescuedeck_known_gateways", {},
                       [this] { return static_cast<double>(m_peers.knownGateways()); });
-    counters.setGauge("fescuedeck_frequent_reader", {}, [this] {
-        return m_peers.isAmongFirst(frequentReadersPerDomain, steadyNow()) ? 1.0 : 0.0;
-    });
+    counters.setGauge("fescuedeck_frequent_reader", {},
+                      [this] { return m_peers.readsTables() ? 1.0 : 0.0; });
     counters.setGauge("fescuedeck_placement_duty", {},
                       [this] { return m_placementLease.isHolder(steadyNow()) ? 1.0 : 0.0; });
     counters.setGauge("fescuedeck_open_requests", {},
@@ -275,8 +274,6 @@
 // Returns how long a read may wait for a new record that must be known within the limit.
 duration gateway::readWait(duration limit) const
 {
-    if (!m_peers.isAmongFirst(frequentReadersPerDomain, steadyNow()))
-        return longReadWait;
     return std::max<duration>(limit - readTimeout - readMargin, minReadWait);
 }
 
@@ -292,7 +289,7 @@
 
 read_pace gateway::configPace() const
 {
-    return { readWait(m_context.settings.configApplyLimit), {} };
+    return { readWait(m_context.settings.configApplyLimit), {}, m_peers.readsTables() };
 }
 
 read_pace gateway::endpointsPace() const
@@ -300,8 +297,10 @@
     const duration limit = m_context.settings.drainLimit;
     const duration interval
             = minEndpointsReadInterval * m_peers.knownGateways() / gatewaysPerReadInterval;
-    return { readWait(limit), std::max(minEndpointsReadInterval,
-                                       std::min<duration>(interval, limit / drainLimitDivisor)) };
+    return { readWait(limit),
+             std::max(minEndpointsReadInterval,
+                      std::min<duration>(interval, limit / drainLimitDivisor)),
+             m_peers.readsTables() };
 }
 
 table_follower_hooks gateway::configHooks()
@@ -333,7 +332,10 @@
             return;
         // The table now replaces what peers reported during the outage.
         awaitAnnouncements();
-        m_endpointTable.refresh();
+        m_endpointTable.refresh(whole_read::FromPeer);
+    };
+    hooks.onPage = [this](const applied_page &page) {
+        m_peers.onTablePage(store_table::Endpoints, page);
     };
     return hooks;
 }
@@ -355,6 +357,9 @@
     };
     hooks.onWholeTableRead
             = [this](const std::vector<std::string> &keys) { storeMissingQuarantines(keys); };
+    hooks.onPage = [this](const applied_page &page) {
+        m_peers.onTablePage(store_table::Quarantine, page);
+    };
     return hooks;
 }
 
--- a/src/fescuedeck/gateway/gateway_context.cpp
+++ b/src/fescuedeck/gateway/gateway_context.cpp
@@ -1,11 +1,23 @@
 #include "fescuedeck/gateway/gateway_context.h"
 
+#include "fescuedeck/gateway/store_call_counters.h"
+
 namespace fescuedeck {
+namespace {
+
+platform_adapter withCountedCalls(platform_adapter adapter, metrics &counters)
+{
+    adapter.store = countStoreCalls(std::move(adapter.store), counters);
+    return adapter;
+}
+
+} // namespace
+
 gateway_context::gateway_context(gateway_settings gatewaySettings, platform_adapter platformAdapter,
                                  boost::asio::io_context &ioContext, http_client &httpClient,
                                  random_fn randomFn)
     : settings(std::move(gatewaySettings))
-    , adapter(std::move(platformAdapter))
+    , adapter(withCountedCalls(std::move(platformAdapter), counters))
     , io(ioContext)
     , client(httpClient)
     , random(std::move(randomFn))
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -40,6 +40,10 @@
 // peer does not apply.
 constexpr duration activeTime = std::chrono::milliseconds(200);
 constexpr duration configRequestInterval = std::chrono::milliseconds(300);
+// A text usually arrives within 0.2 s. After this time the gateway reads the store, within the
+// limit for the application of a configuration (3 s).
+constexpr duration maxConfigLag = std::chrono::milliseconds(1500);
+constexpr duration unusableConfigInterval = std::chrono::seconds(20);
 
 std::string cellOf(const gateway_settings &settings)
 {
@@ -69,13 +73,19 @@
     , m_hooks(std::move(hooks))
     , m_table(context.io, context.adapter.store, store_table::Peers,
               { "peers",
-                [] {
-                    return read_pace{ tableWait, peersReadDelay };
+                [this] {
+                    return read_pace{ tableWait, peersReadDelay, readsTables() };
                 } },
               tableHooks(), context.random)
     , m_cell(cellOf(context.settings))
     , m_ownDomain(digestLifetime)
+    , m_relay(context.settings.id, m_ownDomain, context.counters,
+              [this](const std::vector<std::string> &routers, const table_records &message) {
+                  if (m_network)
+                      m_network->send(routers, message);
+              })
 {
+    m_relay.add(store_table::Peers, m_table);
 }
 
 table_follower_hooks gateway_peers::tableHooks()
@@ -84,27 +94,43 @@
     hooks.onRecord = [this](const store_record &record) { onPeerRecord(record); };
     hooks.onWholeTableRead = [this](const std::vector<std::string> &keys) {
         openNetwork();
-        const std::string &own = m_context.settings.id;
-        const bool isListed = std::find(keys.begin(), keys.end(), own) != keys.end();
-        if (isListed)
+        if (m_isRegistering || isRegistered(keys))
             return;
-        // The store was restored from a copy that is older than this gateway.
+        m_isRegistering = true;
+        // This gateway is new, or the store was restored from a copy that is older than it.
         boost::asio::spawn(m_context.io,
                            [this](boost::asio::yield_context yield) { registerWithStore(yield); });
     };
+    hooks.onPage = [this](const applied_page &page) { onTablePage(store_table::Peers, page); };
     return hooks;
 }
 
+// Whether the table has what registerWithStore() writes. A gateway that restarts at its address
+// writes nothing, because each record wakes the readers of all failure domains.
+bool gateway_peers::isRegistered(const std::vector<std::string> &keys) const
+{
+    const auto isListed = [&keys](const std::string &key) {
+        return std::find(keys.begin(), keys.end(), key) != keys.end();
+    };
+    const gateway_settings &settings = m_context.settings;
+    const auto own = m_locations.find(settings.id);
+    return isListed(secretKey) && isListed(settings.id) && own != m_locations.end()
+           && own->second.address == settings.peersAddress
+           && own->second.failureDomain == settings.failureDomain;
+}
+
+void gateway_peers::onTablePage(store_table table, const applied_page &page)
+{
+    m_relay.onPage(table, page, steadyNow());
+}
+
 void gateway_peers::start()
 {
     if (m_context.settings.peersAddress.empty()) {
         m_context.retryBudget.adjustFraction(unsharedRetryFraction, {});
         return;
     }
-    boost::asio::spawn(m_context.io, [this](boost::asio::yield_context yield) {
-        registerWithStore(yield);
-        m_table.start();
-    });
+    m_table.start();
     boost::asio::spawn(m_context.io,
                        [this](boost::asio::yield_context yield) { runRefreshLoop(yield); });
 }
@@ -137,6 +163,7 @@
         m_context.adapter.store.write(secret, storeTimeout, yield);
         error = m_context.adapter.store.write(own, storeTimeout, yield);
     }
+    m_isRegistering = false;
 }
 
 void gateway_peers::onPeerRecord(const store_record &record)
@@ -191,8 +218,10 @@
 peer_digest gateway_peers::currentDigest(const std::string &cell) const
 {
     peer_digest digest = ownDigest();
-    if (cell == m_cell)
+    if (cell == m_cell) {
+        digest.tables = m_relay.report();
         return digest;
+    }
     const peer_view domain = m_ownDomain.merged(steadyNow());
     for (const auto &[endpoint, tokens] : domain.inFlight)
         digest.inFlight[endpoint] += tokens;
@@ -258,6 +287,9 @@
             m_network->send(peer.router, bundle_state{ m_configText });
     } else if (const auto *state = std::get_if<bundle_state>(&message)) {
         m_hooks.onConfig(state->checkpoint);
+    } else if (const auto *records = std::get_if<table_records>(&message)) {
+        if (peer.cell == m_cell)
+            m_relay.receive(*records);
     }
 }
 
@@ -304,6 +336,8 @@
     applyPeerSuspicions(view.suspects, now);
     requestNewerConfig(now);
     checkEndpointOffset(now);
+    if (m_network && m_relay.update(now))
+        announceChange();
 }
 
 void gateway_peers::requestNewerConfig(time_point now)
@@ -319,6 +353,23 @@
         m_lastConfigRequest = now;
         m_network->send(newest->router, bundle_request{ newest->version });
     }
+    checkConfigLag(newest.has_value(), now);
+}
+
+void gateway_peers::checkConfigLag(bool isBehind, time_point now)
+{
+    if (!isBehind) {
+        m_configBehindSince = {};
+        return;
+    }
+    if (m_configBehindSince == time_point{})
+        m_configBehindSince = now;
+    if (now - m_configBehindSince < maxConfigLag)
+        return;
+    // A configuration that this gateway cannot use remains newer.
+    m_configBehindSince = now + unusableConfigInterval;
+    if (m_hooks.onConfigBehind)
+        m_hooks.onConfigBehind();
 }
 
 void gateway_peers::checkEndpointOffset(time_point now)
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -5,7 +5,8 @@
 // be leaving, the endpoints that it has found lost, the requests that crash endpoints, and how far
 // it has read the table of endpoints. A gateway that cannot reach the store learns of changes from
 // gateways that can. Gateways read each other's addresses and the shared secret that authenticates
-// them from a table of the store.
+// them from a table of the store. Few gateways of each failure domain read the store's tables and
+// pass them on to the others (table_relay.h).
 //
 // Gateways of one failure domain tell each other their own load. To the gateways of other domains,
 // of which each is connected to a few, they tell the load of their whole domain.
@@ -26,6 +27,7 @@
 #include "fescuedeck/gateway/gateway_context.h"
 #include "fescuedeck/gateway/peer_topology.h"
 #include "fescuedeck/gateway/table_follower.h"
+#include "fescuedeck/gateway/table_relay.h"
 #include "fescuedeck/net/peer_network.h"
 #include "fescuedeck/peer/peer_directory.h"
 
@@ -39,6 +41,8 @@
     std::function<std::int64_t()> endpointOffset;
     // Called while peers have read the table of endpoints further for a while.
     std::function<void()> onEndpointTableBehind;
+    // Called while a peer has had a newer configuration for a while that has not arrived from it.
+    std::function<void()> onConfigBehind;
 };
 
 // Not thread-safe. It must not be destroyed while the io_context of the gateway runs.
@@ -61,9 +65,15 @@
     // Whether this gateway is among the first live gateways of its failure domain, in the order of
     // their hosts.
     bool isAmongFirst(int count, time_point now) const;
+    // Whether this gateway reads the store's tables; else peers read them and pass them on.
+    bool readsTables() const { return m_relay.isReader(); }
+    // Lets the table be passed on. The follower's hook onPage must call onTablePage().
+    void relayTable(store_table table, table_follower &follower) { m_relay.add(table, follower); }
+    void onTablePage(store_table table, const applied_page &page);
 
 private:
     table_follower_hooks tableHooks();
+    bool isRegistered(const std::vector<std::string> &keys) const;
     void registerWithStore(boost::asio::yield_context yield);
     void onPeerRecord(const store_record &record);
     void openNetwork();
@@ -73,6 +83,7 @@
     void applyPeerSuspicions(const std::set<std::string> &suspects, time_point now);
     void updateSuspectedSince(const std::set<std::string> &suspects, time_point now);
     void requestNewerConfig(time_point now);
+    void checkConfigLag(bool isBehind, time_point now);
     void checkEndpointOffset(time_point now);
     peer_view mergedView(time_point now) const;
     peer_digest currentDigest(const std::string &cell) const;
@@ -86,8 +97,10 @@
     std::string m_secret;
     const std::string m_cell;      // the name of the failure domain on connections to peers
     gateway_locations m_locations; // of all gateways
+    bool m_isRegistering = false;
     std::unique_ptr<peer_network> m_network;
     peer_directory m_ownDomain;
+    table_relay m_relay;
     std::map<std::string, peer_directory> m_otherDomains; // by cell
     // When peers had first read the endpoint table further than this gateway; zero if they have
     // not.
@@ -95,6 +108,7 @@
     std::map<std::string, time_point> m_suspectedSince; // by id, of the suspects of peers
     std::string m_configText;
     time_point m_lastConfigRequest{};
+    time_point m_configBehindSince{}; // zero if no peer has a newer configuration
 };
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -31,14 +31,18 @@
                              boost::asio::yield_context) -> std::optional<failure> {
             if (wanted.onlyIfEmpty && !m_records.empty())
                 return makeFailure(errc::LogUnavailable, "the table is not empty");
-            const auto offset = static_cast<std::int64_t>(m_records.size());
-            m_records.push_back({ wanted.key, wanted.value, offset, false });
+            add(wanted.key, wanted.value);
             return std::nullopt;
         };
         return store;
     }
 
     std::size_t size() const { return m_records.size(); }
+    void add(const std::string &key, const std::string &value)
+    {
+        const auto offset = static_cast<std::int64_t>(m_records.size());
+        m_records.push_back({ key, value, offset, false });
+    }
     void loseEverything()
     {
         m_records.clear();
@@ -96,7 +100,9 @@
                   seededRandom(id.size()))
         , peers(context, "1",
                 { [this](const std::string &value) { configs.push_back(value); },
-                  [this] { return endpointOffset; }, [this] { ++timesBehind; } })
+                  [this] { return endpointOffset; },
+                  [this] { ++timesBehind; },
+                  {} })
     {
     }
 
@@ -375,6 +381,85 @@
     CHECK(gateways.onThread([&] { return gateways.first.timesBehind; }) == 0);
 }
 
+// Guards against a deployment in which each record of a table wakes every gateway: here the fourth
+// and fifth gateway of a domain get it from the readers. The sixth has a domain of its own.
+TEST_CASE("three gateways of a domain read the tables and pass new records on", "[gateway][tables]")
+{
+    test_io io{ 1 };
+    fake_table table;
+    std::vector<std::unique_ptr<test_gateway>> gateways;
+    for (const char *id : { "a1", "a2", "a3", "a4", "a5" })
+        gateways.push_back(std::make_unique<test_gateway>(io, table, id, "a"));
+    gateways.push_back(std::make_unique<test_gateway>(io, table, "b1", "b"));
+    const auto onThread = [&](auto function) {
+        return io.run([&](boost::asio::yield_context) { return function(); });
+    };
+    const auto readers = [&] {
+        return onThread([&] {
+            return std::count_if(gateways.begin(), gateways.end(),
+                                 [](const auto &each) { return each->peers.readsTables(); });
+        });
+    };
+    const auto pagesOf = [&](test_gateway &gateway, const char *source) {
+        return gateway.context.counters
+                .counterOf("fescuedeck_table_pages_total",
+                           { { "table", "peers" }, { "source", source } })
+                .value();
+    };
+    std::vector<std::unique_ptr<table_follower>> endpointTables;
+    onThread([&] {
+        for (const auto &gateway : gateways) {
+            table_follower_settings settings;
+            settings.pace = [&peers = gateway->peers] {
+                return read_pace{ std::chrono::seconds(1), std::chrono::milliseconds(50),
+                                  peers.readsTables() };
+            };
+            table_follower_hooks hooks;
+            hooks.onRecord = [](const store_record &) {};
+            hooks.onWholeTableRead = [](const std::vector<std::string> &) {};
+            endpointTables.push_back(std::make_unique<table_follower>(
+                    io.context(), gateway->context.adapter.store, store_table::Endpoints, settings,
+                    hooks, seededRandom(1)));
+            gateway->peers.relayTable(store_table::Endpoints, *endpointTables.back());
+            endpointTables.back()->start();
+            gateway->peers.start();
+        }
+        return true;
+    });
+    CHECK(eventually([&] { return readers() == 4; }));
+    CHECK_FALSE(onThread([&] { return gateways[4]->peers.readsTables(); }));
+    // A read that was under way may return the first of these records.
+    int added = 0;
+    CHECK(eventually([&] {
+        const auto ownPages = onThread([&] { return pagesOf(*gateways[4], "store"); });
+        const auto passedPages = onThread([&] { return pagesOf(*gateways[4], "peer"); });
+        onThread([&] {
+            table.add("c" + std::to_string(++added), "127.0.0.1:9 c");
+            return true;
+        });
+        CHECK(eventually([&] {
+            return onThread([&] { return gateways[4]->peers.knownGateways() == 6 + added; });
+        }));
+        return onThread([&] {
+            return pagesOf(*gateways[4], "store") == ownPages
+                   && pagesOf(*gateways[4], "peer") > passedPages;
+        });
+    }));
+    CHECK(onThread([&] { return pagesOf(*gateways[5], "peer"); }) == 0);
+    // The readers of the domain end: the others take over.
+    onThread([&] {
+        for (int i = 0; i < 3; ++i)
+            gateways[static_cast<std::size_t>(i)]->peers.stop();
+        return true;
+    });
+    CHECK(eventually([&] {
+        return onThread([&] {
+            return gateways[3]->peers.readsTables() && gateways[4]->peers.readsTables();
+        });
+    }));
+    io.stop();
+}
+
 // Guards against a gateway that is cut off from a few engines and shuts them out at its peers.
 TEST_CASE("a loss that a peer reports is ignored while the endpoint sends to this gateway",
           "[gateway]")
--- a/src/fescuedeck/net/peer_network.cpp
+++ b/src/fescuedeck/net/peer_network.cpp
@@ -105,7 +105,7 @@
     std::uint16_t port() const { return m_port; }
     void stop();
     void setPeers(const std::vector<std::string> &addresses);
-    void send(const std::string &router, const peer_message &message);
+    void send(const std::vector<std::string> &routers, const peer_message &message);
     void broadcast(const peer_message &message);
     void digestChanged();
     std::vector<std::string> peers() const;
@@ -255,13 +255,15 @@
     });
 }
 
-void peer_network_core::send(const std::string &router, const peer_message &message)
+void peer_network_core::send(const std::vector<std::string> &routers, const peer_message &message)
 {
-    post([router, frame = toCbor(message)](peer_network_core &self) {
-        const auto found = self.m_inUse.find(router);
-        const link_ptr link = found == self.m_inUse.end() ? nullptr : found->second;
-        if (link)
-            self.enqueue(link, frame, false);
+    post([routers, frame = toCbor(message)](peer_network_core &self) {
+        for (const std::string &router : routers) {
+            const auto found = self.m_inUse.find(router);
+            const link_ptr link = found == self.m_inUse.end() ? nullptr : found->second;
+            if (link)
+                self.enqueue(link, frame, false);
+        }
     });
 }
 
@@ -723,7 +725,12 @@
 
 void peer_network::send(const std::string &router, const peer_message &message)
 {
-    m_core->send(router, message);
+    send(std::vector<std::string>{ router }, message);
+}
+
+void peer_network::send(const std::vector<std::string> &routers, const peer_message &message)
+{
+    m_core->send(routers, message);
 }
 
 void peer_network::broadcast(const peer_message &message)
--- a/src/fescuedeck/net/peer_network.h
+++ b/src/fescuedeck/net/peer_network.h
@@ -82,6 +82,8 @@
 
     // Sends when the peer is up, else drops the message.
     void send(const std::string &router, const peer_message &message);
+    // The same for several peers.
+    void send(const std::vector<std::string> &routers, const peer_message &message);
     void broadcast(const peer_message &message);
     // Sends a digest to all peers as soon as digestGap allows.
     void digestChanged();
--- a/src/fescuedeck/peer/peer_directory.cpp
+++ b/src/fescuedeck/peer/peer_directory.cpp
@@ -106,6 +106,16 @@
     return routers;
 }
 
+void peer_directory::forEachLive(
+        time_point now,
+        const std::function<void(const std::string &, const peer_digest &)> &visit) const
+{
+    for (const auto &[router, entry] : m_entries) {
+        if (entry.expires > now)
+            visit(router, entry.digest);
+    }
+}
+
 std::optional<peer_digest> peer_directory::digestOf(const std::string &router, time_point now) const
 {
     const auto found = m_entries.find(router);
--- a/src/fescuedeck/peer/peer_directory.h
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -65,6 +65,10 @@
     // Peers whose digest is in force, in order of their ids.
     std::vector<std::string> livePeers(time_point now) const;
     std::optional<peer_digest> digestOf(const std::string &router, time_point now) const;
+    // Calls visit with each digest in force, in order of the routers' ids.
+    void forEachLive(
+            time_point now,
+            const std::function<void(const std::string &router, const peer_digest &)> &visit) const;
 
 private:
     struct entry
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -282,23 +282,52 @@
     return list;
 }
 
+json encode(const table_report &report)
+{
+    json positions = json::array();
+    for (const auto &[table, position] : report.positions) {
+        positions.push_back(
+                { { "table", table }, { "epoch", position.epoch }, { "next", position.next } });
+    }
+    return { { "access", std::string(nameOf(storeAccessNames, report.access)) },
+             { "positions", std::move(positions) } };
+}
+
+json encode(const table_records &message)
+{
+    json records = json::array();
+    for (const table_record &record : message.records) {
+        records.push_back({ { "key", record.key },
+                            { "value", record.value },
+                            { "offset", record.offset },
+                            { "removal", record.isRemoval } });
+    }
+    return { { "type", "table_records" },      { "table", message.table },
+             { "epoch", message.epoch },       { "from", message.from },
+             { "next", message.next },         { "whole", message.isWhole },
+             { "records", std::move(records) } };
+}
+
 json encode(const peer_digest &message)
 {
-    return { { "type", "digest" },
-             { "version", message.version },
-             { "hash", message.hash },
-             { "offset", message.offset },
-             { "in_flight", json(message.inFlight) },
-             { "suspects", json(message.suspects) },
-             { "leaving", json(message.leaving) },
-             { "drained", json(message.drained) },
-             { "quarantined", json(message.quarantined) },
-             { "quarantines", encodeQuarantines(message.quarantines) },
-             { "crash_reports", encode(message.crashes) },
-             { "request_limits", encode(message.limits) },
-             { "relay_address", message.relayAddress },
-             { "reaches_endpoints", message.reachesEndpoints },
-             { "last_resort", message.isLastResort } };
+    json object = { { "type", "digest" },
+                    { "version", message.version },
+                    { "hash", message.hash },
+                    { "offset", message.offset },
+                    { "in_flight", json(message.inFlight) },
+                    { "suspects", json(message.suspects) },
+                    { "leaving", json(message.leaving) },
+                    { "drained", json(message.drained) },
+                    { "quarantined", json(message.quarantined) },
+                    { "quarantines", encodeQuarantines(message.quarantines) },
+                    { "crash_reports", encode(message.crashes) },
+                    { "request_limits", encode(message.limits) },
+                    { "relay_address", message.relayAddress },
+                    { "reaches_endpoints", message.reachesEndpoints },
+                    { "last_resort", message.isLastResort } };
+    if (message.tables)
+        object["tables"] = encode(*message.tables);
+    return object;
 }
 
 json encode(const bundle_request &message)
@@ -441,6 +470,38 @@
     return reports;
 }
 
+table_report parseTableReport(field_reader &fields)
+{
+    table_report report;
+    // A state that a later version adds counts as unused.
+    report.access = valueOf(storeAccessNames, fields.text("access")).value_or(store_access::Unused);
+    fields.forEach("positions", [&](field_reader &item) {
+        table_position &position = report.positions[item.identifier("table")];
+        position.epoch = item.integer("epoch", 0, maxInteger);
+        position.next = item.integer("next", 0, maxInteger);
+    });
+    return report;
+}
+
+peer_message parseTableRecords(field_reader &fields)
+{
+    table_records message;
+    message.table = fields.identifier("table");
+    message.epoch = fields.integer("epoch", 0, maxInteger);
+    message.from = fields.integer("from", 0, maxInteger);
+    message.next = fields.integer("next", 0, maxInteger);
+    message.isWhole = fields.flag("whole");
+    fields.forEach("records", [&](field_reader &item) {
+        table_record record;
+        record.key = item.text("key");
+        record.value = item.text("value", maxPeerFrameBytes);
+        record.offset = item.integer("offset", 0, maxInteger);
+        record.isRemoval = item.flag("removal");
+        message.records.push_back(std::move(record));
+    });
+    return message;
+}
+
 peer_message parseDigest(field_reader &fields)
 {
     peer_digest message;
@@ -473,6 +534,12 @@
         message.reachesEndpoints = fields.flag("reaches_endpoints");
     if (fields.optional("last_resort"))
         message.isLastResort = fields.flag("last_resort");
+    if (const json *tables = fields.optional("tables")) {
+        field_reader tableFields(*tables);
+        message.tables = parseTableReport(tableFields);
+        if (!tables->is_object() || !tableFields.invalidField().empty())
+            fields.reject("tables");
+    }
     return message;
 }
 
@@ -593,6 +660,7 @@
     { "lone_run_reply", parseLoneRunReply },
     { "lone_run_started", parseLoneRunStarted },
     { "lone_run_released", parseLoneRunReleased },
+    { "table_records", parseTableRecords },
 };
 
 failure invalid(const std::string &what)
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -16,6 +16,7 @@
 #include "fescuedeck/base/name_table.h"
 #include "fescuedeck/peer/crash_report.h"
 #include "fescuedeck/peer/request_limit_report.h"
+#include "fescuedeck/peer/table_records.h"
 #include "fescuedeck/stream/crash_suspects.h"
 
 namespace fescuedeck {
@@ -57,6 +58,8 @@
     bool reachesEndpoints = false;
     // Whether the sender can do so for a while, although it is stopping.
     bool isLastResort = false;
+    // Set by gateways that understand table_records. Others close the connection on that message.
+    std::optional<table_report> tables;
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
@@ -104,10 +107,10 @@
 
 // The messages about requests that crash endpoints are defined with their rules in
 // stream/crash_suspects.h. The peer of an exclusive_run_reply is the receiver and is not sent.
-using peer_message
-        = std::variant<peer_hello, peer_proof, peer_digest, bundle_request, bundle_state,
-                       outcome_request, outcome_reply, announce_evidence, request_exclusive_run,
-                       exclusive_run_reply, announce_exclusive_run, release_exclusive_run>;
+using peer_message = std::variant<peer_hello, peer_proof, peer_digest, bundle_request, bundle_state,
+                                  outcome_request, outcome_reply, announce_evidence,
+                                  request_exclusive_run, exclusive_run_reply,
+                                  announce_exclusive_run, release_exclusive_run, table_records>;
 
 // A bundle of the planned size (2,000 endpoints, 4,300 workspaces) is below 2 MiB.
 constexpr std::size_t maxPeerFrameBytes = 4 * 1024 * 1024;
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -28,9 +28,16 @@
     digest.reachesEndpoints = true;
     digest.isLastResort = true;
     digest.crashes.begun = { { "s1", std::chrono::milliseconds(900) } };
+    digest.tables = table_report{ store_access::Served, { { "endpoints", { 2, 41 } } } };
     return digest;
 }
 
+table_records sampleRecords()
+{
+    return { "endpoints", 2,     40,
+             42,          false, { { "e1", "\xff{}", 40, false }, { "e2", "", 41, true } } };
+}
+
 crash_evidence sampleEvidence()
 {
     crash_evidence evidence;
@@ -97,7 +104,8 @@
                                       request_exclusive_run{ "f1", "e1", 7 },
                                       exclusive_run_reply{ "", 7, true, { sampleEvidence() } },
                                       announce_exclusive_run{ 7, unix_millis(5), 12 },
-                                      release_exclusive_run{ 7 } };
+                                      release_exclusive_run{ 7 },
+                                      sampleRecords() };
     for (const peer_message &message : messages) {
         const std::string frame = toCbor(message);
         const auto parsed = parsePeerMessage(frame);
@@ -122,6 +130,12 @@
     CHECK(digest.relayAddress == "10.1.0.40:7341");
     CHECK(digest.reachesEndpoints);
     CHECK(digest.isLastResort);
+    REQUIRE(digest.tables);
+    CHECK(digest.tables->access == store_access::Served);
+    CHECK(digest.tables->positions.at("endpoints").next == 41);
+    const auto records = std::get<table_records>(parsePeerMessage(toCbor(sampleRecords())).value());
+    CHECK(records.records.at(0).value == "\xff{}");
+    CHECK(records.records.at(1).isRemoval);
     CHECK(digest.crashes.begun.at("s1") == std::chrono::milliseconds(900));
 }
 
