--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -308,6 +308,9 @@
     table_follower_hooks hooks;
     hooks.onRecord = [this](const store_record &record) { onConfigRecord(record); };
     hooks.onWholeTableRead = [](const std::vector<std::string> &) {};
+    hooks.onPage = [this](const applied_page &page) {
+        m_peers.onTablePage(store_table::Configuration, page);
+    };
     return hooks;
 }
 
--- a/src/fescuedeck/gateway/table_relay.cpp
+++ b/src/fescuedeck/gateway/table_relay.cpp
@@ -107,12 +107,14 @@
 
 void table_relay::onPage(store_table table, const applied_page &page, time_point now)
 {
+    const std::string name(nameOf(storeTableNames, table));
     m_counters
             .counterOf("fescuedeck_table_pages_total",
-                       { { "table", std::string(nameOf(storeTableNames, table)) },
+                       { { "table", name },
                          { "source", std::string(nameOf(pageSourceNames, page.source)) } })
             .add();
-    if (page.source != page_source::Store || !m_readers.isReader())
+    const bool isRelayed = m_followers.count(name) > 0;
+    if (!isRelayed || page.source != page_source::Store || !m_readers.isReader())
         return;
     const std::vector<std::string> receivers = tableReceivers(m_domain, now);
     if (receivers.empty())
--- a/src/fescuedeck/gateway/table_relay.h
+++ b/src/fescuedeck/gateway/table_relay.h
@@ -54,8 +54,8 @@
     bool isReader() const { return m_readers.isReader(); }
     // For the digest.
     table_report report() const;
-    // Counts a page that a follower of this gateway has applied, and passes it on if this gateway
-    // is a reader and the page is from the store.
+    // Counts a page that a follower of this gateway has applied. Passes it on if this gateway is a
+    // reader, the page is from the store, and the table was added.
     void onPage(store_table table, const applied_page &page, time_point now);
     void receive(const table_records &message);
 
