--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -293,6 +293,32 @@
     return list;
 }
 
+json encode(const table_report &report)
+{
+    json positions = json::array();
+    for (const auto &[table, position] : report.positions) {
+        positions.push_back(
+                { { "table", table }, { "epoch", position.epoch }, { "next", position.next } });
+    }
+    return { { "access", std::string(nameOf(storeAccessNames, report.access)) },
+             { "positions", std::move(positions) } };
+}
+
+json encode(const table_records &message)
+{
+    json records = json::array();
+    for (const table_record &record : message.records) {
+        records.push_back({ { "key", record.key },
+                            { "value", record.value },
+                            { "offset", record.offset },
+                            { "removal", record.isRemoval } });
+    }
+    return { { "type", "table_records" },      { "table", message.table },
+             { "epoch", message.epoch },       { "from", message.from },
+             { "next", message.next },         { "whole", message.isWhole },
+             { "records", std::move(records) } };
+}
+
 json encode(const peer_digest &message)
 {
     json object = { { "type", "digest" },
@@ -313,6 +339,8 @@
                     { "retry_offers", json(message.retryOffers) } };
     if (!message.waiting.empty())
         object["waiting"] = encode(message.waiting);
+    if (message.tables)
+        object["tables"] = encode(*message.tables);
     return object;
 }
 
@@ -488,6 +516,38 @@
     return waiting;
 }
 
+table_report parseTableReport(field_reader &fields)
+{
+    table_report report;
+    // A state that a later version adds counts as unused.
+    report.access = valueOf(storeAccessNames, fields.text("access")).value_or(store_access::Unused);
+    fields.forEach("positions", [&](field_reader &item) {
+        table_position &position = report.positions[item.identifier("table")];
+        position.epoch = item.integer("epoch", 0, maxInteger);
+        position.next = item.integer("next", 0, maxInteger);
+    });
+    return report;
+}
+
+peer_message parseTableRecords(field_reader &fields)
+{
+    table_records message;
+    message.table = fields.identifier("table");
+    message.epoch = fields.integer("epoch", 0, maxInteger);
+    message.from = fields.integer("from", 0, maxInteger);
+    message.next = fields.integer("next", 0, maxInteger);
+    message.isWhole = fields.flag("whole");
+    fields.forEach("records", [&](field_reader &item) {
+        table_record record;
+        record.key = item.text("key");
+        record.value = item.text("value", maxPeerFrameBytes);
+        record.offset = item.integer("offset", 0, maxInteger);
+        record.isRemoval = item.flag("removal");
+        message.records.push_back(std::move(record));
+    });
+    return message;
+}
+
 peer_message parseDigest(field_reader &fields)
 {
     peer_digest message;
@@ -524,6 +584,12 @@
         message.retryOffers = parseRetryOffers(fields);
     if (fields.optional("waiting"))
         message.waiting = parseWaiting(fields);
+    if (const json *tables = fields.optional("tables")) {
+        field_reader tableFields(*tables);
+        message.tables = parseTableReport(tableFields);
+        if (!tables->is_object() || !tableFields.invalidField().empty())
+            fields.reject("tables");
+    }
     return message;
 }
 
@@ -655,6 +721,7 @@
     { "lone_run_released", parseLoneRunReleased },
     { "retry_request", parseRetries<retry_request> },
     { "retry_loan", parseRetries<retry_loan> },
+    { "table_records", parseTableRecords },
 };
 
 failure invalid(const std::string &what)
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -17,6 +17,7 @@
 #include "fescuedeck/base/name_table.h"
 #include "fescuedeck/peer/crash_report.h"
 #include "fescuedeck/peer/request_limit_report.h"
+#include "fescuedeck/peer/table_records.h"
 #include "fescuedeck/stream/crash_suspects.h"
 
 namespace fescuedeck {
@@ -64,6 +65,8 @@
     // Retries that the sender, a gateway, would lend, by service. Empty if it offers none.
     std::map<std::string, int> retryOffers;
     waiting_work waiting; // empty if the sender reports none
+    // Set by gateways that understand table_records. Others close the connection on that message.
+    std::optional<table_report> tables;
 };
 
 // Asks for the state of the control stream of a peer whose bundle has this or a greater version.
@@ -129,7 +132,7 @@
         = std::variant<peer_hello, peer_proof, peer_digest, bundle_request, bundle_state,
                        outcome_request, outcome_reply, announce_evidence, request_exclusive_run,
                        exclusive_run_reply, announce_exclusive_run, release_exclusive_run,
-                       retry_request, retry_loan>;
+                       retry_request, retry_loan, table_records>;
 
 // A bundle of the planned size (2,000 endpoints, 4,300 workspaces) is below 2 MiB.
 constexpr std::size_t maxPeerFrameBytes = 4 * 1024 * 1024;
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -29,9 +29,16 @@
     digest.isLastResort = true;
     digest.waiting = { { { "model", 0 }, 900 }, { { "model", 9 }, 1800.5 } };
     digest.crashes.begun = { { "s1", std::chrono::milliseconds(900) } };
+    digest.tables = table_report{ store_access::Served, { { "endpoints", { 2, 41 } } } };
     return digest;
 }
 
+table_records sampleRecords()
+{
+    return { "endpoints", 2,     40,
+             42,          false, { { "e1", "\xff{}", 40, false }, { "e2", "", 41, true } } };
+}
+
 crash_evidence sampleEvidence()
 {
     crash_evidence evidence;
@@ -98,7 +105,8 @@
                                       request_exclusive_run{ "f1", "e1", 7 },
                                       exclusive_run_reply{ "", 7, true, { sampleEvidence() } },
                                       announce_exclusive_run{ 7, unix_millis(5), 12 },
-                                      release_exclusive_run{ 7 } };
+                                      release_exclusive_run{ 7 },
+                                      sampleRecords() };
     for (const peer_message &message : messages) {
         const std::string frame = toCbor(message);
         const auto parsed = parsePeerMessage(frame);
@@ -124,6 +132,12 @@
     CHECK(digest.reachesEndpoints);
     CHECK(digest.isLastResort);
     CHECK(digest.waiting == sampleDigest().waiting);
+    REQUIRE(digest.tables);
+    CHECK(digest.tables->access == store_access::Served);
+    CHECK(digest.tables->positions.at("endpoints").next == 41);
+    const auto records = std::get<table_records>(parsePeerMessage(toCbor(sampleRecords())).value());
+    CHECK(records.records.at(0).value == "\xff{}");
+    CHECK(records.records.at(1).isRemoval);
     CHECK(digest.crashes.begun.at("s1") == std::chrono::milliseconds(900));
 }
 
@@ -213,7 +227,8 @@
         const bool isOptional = item.key() == "crash_reports" || item.key() == "request_limits"
                                 || item.key() == "quarantines" || item.key() == "relay_address"
                                 || item.key() == "reaches_endpoints" || item.key() == "last_resort"
-                                || item.key() == "retry_offers" || item.key() == "waiting";
+                                || item.key() == "retry_offers" || item.key() == "waiting"
+                                || item.key() == "tables";
         const auto parsed = parsePeerMessage(cborOf(lacking));
         CHECK(static_cast<bool>(parsed) == isOptional);
         // Guards against relaying to a gateway that does not say that it can serve a request.
@@ -223,20 +238,36 @@
             CHECK_FALSE(std::get<peer_digest>(parsed.value()).reachesEndpoints);
         if (parsed && item.key() == "last_resort")
             CHECK_FALSE(std::get<peer_digest>(parsed.value()).isLastResort);
+        // Guards against sending table_records to a gateway that closes the connection on them.
+        if (parsed && item.key() == "tables")
+            CHECK_FALSE(std::get<peer_digest>(parsed.value()).tables);
         nlohmann::json wrong = object;
         wrong[item.key()] = nlohmann::json::binary({ 1, 2 });
         CHECK_FALSE(parsePeerMessage(cborOf(wrong)));
     }
-    for (const char *pointer :
-         { "/crash_reports/crashes", "/crash_reports/begun", "/crash_reports/crashes/0/incarnation",
-           "/crash_reports/crashes/0/age_ms", "/crash_reports/crashes/0/suspects",
-           "/crash_reports/crashes/0/suspects/0/segment",
-           "/crash_reports/crashes/0/suspects/0/depth",
-           "/crash_reports/crashes/0/suspects/0/requests", "/crash_reports/begun/0/segment",
-           "/crash_reports/begun/0/age_ms", "/waiting/0/service", "/waiting/0/rank",
-           "/waiting/0/work", "/quarantines/0/key", "/quarantines/0/remaining_ms",
-           "/request_limits/0/incarnation", "/request_limits/0/age_ms",
-           "/request_limits/0/demand" }) {
+    for (const char *pointer : { "/crash_reports/crashes",
+                                 "/crash_reports/begun",
+                                 "/crash_reports/crashes/0/incarnation",
+                                 "/crash_reports/crashes/0/age_ms",
+                                 "/crash_reports/crashes/0/suspects",
+                                 "/crash_reports/crashes/0/suspects/0/segment",
+                                 "/crash_reports/crashes/0/suspects/0/depth",
+                                 "/crash_reports/crashes/0/suspects/0/requests",
+                                 "/crash_reports/begun/0/segment",
+                                 "/crash_reports/begun/0/age_ms",
+                                 "/waiting/0/service",
+                                 "/waiting/0/rank",
+                                 "/waiting/0/work",
+                                 "/quarantines/0/key",
+                                 "/quarantines/0/remaining_ms",
+                                 "/request_limits/0/incarnation",
+                                 "/request_limits/0/age_ms",
+                                 "/request_limits/0/demand",
+                                 "/tables/access",
+                                 "/tables/positions",
+                                 "/tables/positions/0/table",
+                                 "/tables/positions/0/epoch",
+                                 "/tables/positions/0/next" }) {
         const nlohmann::json::json_pointer path(pointer);
         nlohmann::json lacking = object;
         lacking[path.parent_pointer()].erase(path.back());
