Net: bodies of requests are paid for before they are read

Callers that sent many bodies at once made the server read all of them, each up to the body limit. With a memory account, the server reserves what an announced body needs before it reads it and before it sends 100 Continue, and reserves in doubling steps for chunked ones. What does not fit gets 503 with Retry-After and "not-run", and the connection is closed. A connection whose caller stopped to send or to read may lose its memory, and with it its socket, to others. Responses count while they are written.

With closesIdleForNew, the longest idle connection is closed for a new one beyond maxConnections. Its read is cancelled, because its bytes may have been read already when it is chosen. Connections that wait or linger use a buffer of 8 KiB in place of 64 KiB.

Tests: a body refused before it is read (Expect, announced, chunked), a small one served beside it, and an answer under way that outlives the closing of an idle connection.

--- a/src/fescuedeck/net/connection_end.h
+++ b/src/fescuedeck/net/connection_end.h
@@ -24,9 +24,12 @@
     ClosedBeforeHandler, // a whole request was read, but the socket was closed already
     Shutdown,
     TooManyConnections,
+    IdleClosedForOthers, // the connections were used up
+    BodyRefused,         // no memory for it; the caller was told so
+    MemoryReclaimed,     // the caller had stopped to send or to read
 };
 
-constexpr name_table<connection_end_reason, 13> connectionEndReasonNames = { {
+constexpr name_table<connection_end_reason, 16> connectionEndReasonNames = { {
         { connection_end_reason::IdleTimeout, "idle_timeout" },
         { connection_end_reason::HeadTimeout, "head_timeout" },
         { connection_end_reason::BodyTimeout, "body_timeout" },
@@ -40,6 +43,9 @@
         { connection_end_reason::ClosedBeforeHandler, "closed_before_handler" },
         { connection_end_reason::Shutdown, "shutdown" },
         { connection_end_reason::TooManyConnections, "too_many_connections" },
+        { connection_end_reason::IdleClosedForOthers, "idle_closed_for_others" },
+        { connection_end_reason::BodyRefused, "body_refused" },
+        { connection_end_reason::MemoryReclaimed, "memory_reclaimed" },
 } };
 
 struct connection_end
@@ -60,6 +66,11 @@
     {
         const bool isCallersWish = reason == connection_end_reason::CallerLeft
                                    || reason == connection_end_reason::WriteFailed;
+        // Their number may be large, and none of these requests has run.
+        const bool isForMemory = reason == connection_end_reason::BodyRefused
+                                 || reason == connection_end_reason::MemoryReclaimed;
+        if (isForMemory)
+            return false;
         return unreadBytes > 0 || bufferedBytes > 0 || hasPartialRequest
                || (hasUnansweredRequest && !isCallersWish);
     }
--- a/src/fescuedeck/net/http_connection.cpp
+++ b/src/fescuedeck/net/http_connection.cpp
@@ -19,17 +19,33 @@
 
 using boost::system::error_code;
 
-constexpr std::size_t readChunkBytes = 64 * 1024;
 // Time and bytes for which a closing connection is still read, because closing a socket with unread
 // input discards the response that was just sent.
 constexpr duration lingerTimeout = std::chrono::seconds(1);
 constexpr std::size_t maxLingerBytes = 8 * 1024 * 1024;
+// Buffers of connections that wait or linger, of which there may be many.
+constexpr std::size_t idleBufferBytes = 8 * 1024;
+// What is paid for a body: the buffer and stack that its connection uses meanwhile, and the body
+// itself, the copy that is forwarded, and a second such copy or one for the fingerprint.
+constexpr std::size_t bodyOverheadBytes = 32 * 1024;
+constexpr std::size_t bodyCopies = 3;
+// A body without an announced length is paid for in steps, from this size on, each twice the last.
+// The cost of a chunk is that of its bytes, because the parser keeps nothing else of it.
+constexpr std::size_t firstAllowanceBytes = 8 * 1024;
+// A response and the answer of the endpoint that it was made from.
+constexpr std::size_t answerCopies = 2;
 
 bool isHttpError(const error_code &error)
 {
     return error.category() == http::make_error_code(http::error::bad_target).category();
 }
 
+// Without the port.
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
 std::optional<http_response> rejection(const error_code &error, const http_server_limits &limits)
 {
     if (error == http::error::body_limit) {
@@ -158,6 +174,14 @@
         m_deadline.startReading(m_core->limits()->drainGrace);
 }
 
+void http_connection::closeIfIdle()
+{
+    if (!m_isIdle)
+        return;
+    m_isIdleTimeOver = true;
+    m_deadline.startReading(duration::zero());
+}
+
 void http_connection::close()
 {
     setEndReason(connection_end_reason::Shutdown);
@@ -187,14 +211,18 @@
     if (m_buffer.size() > 0)
         return true;
     m_isIdle = true;
+    m_isIdleTimeOver = false;
     m_idleSince = steadyNow();
     const auto timeLeft = [this] { return idleTimeLeft(); };
     m_deadline.startReading(m_core->isDraining ? m_core->limits()->drainGrace : timeLeft());
     m_deadline.onExpiry(timeLeft);
     error_code error;
-    const auto space = m_buffer.prepare(std::min(readChunkBytes, m_buffer.max_size()));
+    m_buffer.shrink_to_fit();
+    const auto position = m_core->addIdle(*this);
+    const auto space = m_buffer.prepare(idleBufferBytes);
     const std::size_t count = m_reader.async_read_some(space, (*m_yield)[error]);
     m_buffer.commit(count);
+    m_core->removeIdle(position);
     m_deadline.onExpiry({});
     m_isIdle = false;
     if (error)
@@ -205,7 +233,7 @@
 // By the newest limit, because callers keep their connections by that.
 duration http_connection::idleTimeLeft() const
 {
-    if (m_core->isDraining)
+    if (m_core->isDraining || m_isIdleTimeOver)
         return duration::zero();
     return m_idleSince + m_core->limits()->idleTimeout - steadyNow();
 }
@@ -224,11 +252,20 @@
     error_code error;
     m_deadline.startReading(limits.headerTimeout);
     http::async_read_header(m_reader, m_buffer, *m_parser, (*m_yield)[error]);
-    if (!error && !m_parser->is_done() && sendContinue()) {
-        m_deadline.startReading(limits.bodyTimeout);
-        http::async_read(m_reader, m_buffer, *m_parser, (*m_yield)[error]);
+    if (!error && !m_parser->is_done()) {
+        const auto length = m_parser->content_length();
+        if (!reserveBody(length ? *length : firstAllowanceBytes)) {
+            refuseBody();
+            return false;
+        }
+        if (sendContinue())
+            readBody(limits, error);
     }
     m_deadline.stop();
+    if (error == asio::error::no_memory) {
+        refuseBody();
+        return false;
+    }
     if (error) {
         m_end.hasPartialRequest = true;
         setEndReason(reasonOfFailedRead(error));
@@ -250,6 +287,72 @@
     return true;
 }
 
+// size is that of the body. Returns false if the body must be refused.
+bool http_connection::reserveBody(std::size_t size)
+{
+    if (m_core->memory == nullptr)
+        return true;
+    const time_point now = steadyNow();
+    if (!m_bodyMemory) {
+        // Peers are not limited to a share, because each sends requests of many callers.
+        const bool isCallers = m_core->bodyOwner == memory_owner::CallerBodies;
+        m_bodyMemory.emplace(*m_core->memory, m_core->bodyOwner,
+                             isCallers ? hostOf(m_end.caller) : std::string(), now);
+    }
+    m_bodyAllowance = size;
+    return m_bodyMemory->reserve(bodyOverheadBytes + bodyCopies * size, now);
+}
+
+// error is no_memory if the body must be refused.
+void http_connection::readBody(const http_server_limits &limits, error_code &error)
+{
+    m_deadline.startReading(limits.bodyTimeout);
+    m_parser->eager(true);
+    if (m_bodyMemory)
+        m_bodyMemory->allowReclaim([this] { loseMemory(); });
+    while (!error && !m_parser->is_done()) {
+        const std::size_t count
+                = http::async_read_some(m_reader, m_buffer, *m_parser, (*m_yield)[error]);
+        if (!m_bodyMemory || error || !m_socket.is_open())
+            continue;
+        m_bodyMemory->noteProgress(count, steadyNow());
+        if (!reserveGrowth())
+            error = asio::error::no_memory;
+    }
+    if (m_bodyMemory)
+        m_bodyMemory->allowReclaim(nullptr);
+}
+
+bool http_connection::reserveGrowth()
+{
+    const std::size_t size = m_parser->get().body().size();
+    if (size <= m_bodyAllowance)
+        return true;
+    const std::size_t step = std::max(size, 2 * m_bodyAllowance);
+    return reserveBody(std::max(size, std::min(step, m_core->limits()->maxBodyBytes)));
+}
+
+// The body is not read any further, because others need the memory.
+void http_connection::refuseBody()
+{
+    m_deadline.stop();
+    m_parser->get().body() = std::string();
+    m_bodyMemory.reset();
+    setEndReason(connection_end_reason::BodyRefused);
+    http_response response = errorResponse(
+            503, makeFailure(errc::Overloaded, "no memory for the body"), "not-run");
+    response.headers.push_back({ "Retry-After", "1" });
+    respond(response);
+}
+
+void http_connection::loseMemory()
+{
+    setEndReason(connection_end_reason::MemoryReclaimed);
+    noteInput();
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
 bool http_connection::sendContinue()
 {
     if (!beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
@@ -279,6 +382,8 @@
 connection_end_reason http_connection::reasonOfFailedRead(const error_code &error) const
 {
     const bool isTimeout = error == asio::error::timed_out;
+    if (isTimeout && !m_parser && m_isIdleTimeOver)
+        return connection_end_reason::IdleClosedForOthers;
     if (isTimeout && !m_parser)
         return m_core->isDraining ? connection_end_reason::Shutdown
                                   : connection_end_reason::IdleTimeout;
@@ -338,6 +443,7 @@
     ++m_exchange;
     m_leftHook = nullptr;
     m_parser.reset();
+    m_bodyMemory.reset();
     if (!m_isWatching)
         return;
     m_isWatching = false;
@@ -352,8 +458,9 @@
     m_socket.shutdown(tcp::socket::shutdown_send, error);
     m_deadline.start(lingerTimeout);
     m_buffer.clear();
+    m_buffer.shrink_to_fit();
     for (std::size_t total = 0; !error && total < maxLingerBytes;) {
-        const auto space = m_buffer.prepare(std::min(readChunkBytes, m_buffer.max_size()));
+        const auto space = m_buffer.prepare(idleBufferBytes);
         total += m_socket.async_read_some(space, (*m_yield)[error]);
     }
     close();
@@ -388,10 +495,22 @@
     http::response_serializer<body_type> serializer(message);
     const bool sendsBody = hasBody(response.status) && !m_isHead;
     write([&](const asio::yield_context &yield) {
-        if (sendsBody)
-            http::async_write(m_socket, serializer, yield);
-        else
+        if (!sendsBody) {
             http::async_write_header(m_socket, serializer, yield);
+            return;
+        }
+        std::optional<memory_holder> memory;
+        if (m_core->memory != nullptr) {
+            memory.emplace(*m_core->memory, memory_owner::PendingAnswers, "", steadyNow());
+            memory->charge(answerCopies * response.body.size(), steadyNow());
+            memory->allowReclaim([this] { loseMemory(); });
+        }
+        error_code &error = *yield.ec_;
+        do {
+            const std::size_t count = http::async_write_some(m_socket, serializer, yield);
+            if (memory)
+                memory->noteProgress(count, steadyNow());
+        } while (!error && !serializer.is_done());
     });
 }
 
--- a/src/fescuedeck/net/http_connection.h
+++ b/src/fescuedeck/net/http_connection.h
@@ -34,6 +34,8 @@
     void run(boost::asio::yield_context yield);
     void refuse(boost::asio::yield_context yield);
     void beginDrain();
+    // Does nothing once a byte of the next request has arrived.
+    void closeIfIdle();
     void close();
 
     const http_request &request() const { return m_request; }
@@ -55,6 +57,11 @@
     duration idleTimeLeft() const;
     bool readRequest();
     bool sendContinue();
+    bool reserveBody(std::size_t size);
+    void readBody(const http_server_limits &limits, boost::system::error_code &error);
+    bool reserveGrowth();
+    void refuseBody();
+    void loseMemory();
     void reject(const boost::system::error_code &error);
     void rejectFraming();
     connection_end_reason reasonOfFailedRead(const boost::system::error_code &error) const;
@@ -83,9 +90,13 @@
     boost::asio::yield_context *m_yield = nullptr;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
 
+    std::optional<memory_holder> m_bodyMemory; // of the current request
+    std::size_t m_bodyAllowance = 0;           // bytes of the body that are paid for
+
     http_request m_request;
     unsigned m_version = 11;
     bool m_isIdle = false;
+    bool m_isIdleTimeOver = false; // others need the connection
     time_point m_idleSince{};
     bool m_keepAlive = false;
     bool m_isHead = false;
--- a/src/fescuedeck/net/http_server.cpp
+++ b/src/fescuedeck/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "fescuedeck/net/http_server.h"
 
+#include <algorithm>
+
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
@@ -19,6 +21,8 @@
 constexpr int listenBacklog = 1024;
 // Connections beyond the limit that are told so at the same time; further ones are just closed.
 constexpr int maxRefusals = 64;
+// Of the limit, so that refusals do not use up the descriptors of a small host.
+constexpr int refusalsDivisor = 8;
 // Pause after a failed accept, for example when file descriptors have run out.
 constexpr duration acceptPause = std::chrono::milliseconds(100);
 
@@ -76,7 +80,7 @@
 {
     const int count = ++openConnections;
     const int maxConnections = limits()->maxConnections;
-    if (count > maxConnections + maxRefusals) {
+    if (count > maxConnections + std::min(maxRefusals, maxConnections / refusalsDivisor + 1)) {
         --openConnections;
         return;
     }
@@ -89,7 +93,8 @@
         const std::lock_guard lock(m_mutex);
         m_connections.emplace(connection.get(), connection);
     }
-    const bool isRefused = count > maxConnections;
+    const bool isRefused
+            = count > maxConnections && !(limits()->closesIdleForNew && closeLongestIdle());
     asio::spawn(
             strand,
             [connection = std::move(connection), isRefused](const asio::yield_context &yield) {
@@ -101,6 +106,37 @@
             boost::coroutines::attributes(coroutineStackBytes));
 }
 
+http_server_core::idle_position http_server_core::addIdle(http_connection &connection)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_idle.insert(m_idle.end(), connection.weak_from_this());
+}
+
+void http_server_core::removeIdle(idle_position position)
+{
+    const std::lock_guard lock(m_mutex);
+    m_idle.erase(position);
+}
+
+// Returns false if no connection is idle.
+bool http_server_core::closeLongestIdle()
+{
+    std::shared_ptr<http_connection> connection;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (std::weak_ptr<http_connection> &idle : m_idle) {
+            connection = idle.lock();
+            idle.reset(); // is closed once
+            if (connection)
+                break;
+        }
+    }
+    if (!connection)
+        return false;
+    asio::post(connection->strand(), [connection] { connection->closeIfIdle(); });
+    return true;
+}
+
 void http_server_core::remove(http_connection *connection)
 {
     --openConnections;
@@ -231,6 +267,12 @@
     m_core->endHook = std::move(hook);
 }
 
+void http_server::useMemory(memory_account &account, memory_owner owner)
+{
+    m_core->memory = &account;
+    m_core->bodyOwner = owner;
+}
+
 std::error_code http_server::listen(const std::string &address)
 {
     const auto endpoint = parseAddress(address);
--- a/src/fescuedeck/net/http_server.h
+++ b/src/fescuedeck/net/http_server.h
@@ -19,6 +19,7 @@
 #include "fescuedeck/base/time.h"
 #include "fescuedeck/net/connection_end.h"
 #include "fescuedeck/net/http_message.h"
+#include "fescuedeck/net/memory_account.h"
 
 namespace fescuedeck {
 
@@ -32,6 +33,9 @@
     std::size_t maxHeaderBytes = 16 * 1024; // 64 KiB at most, whatever is set
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     int maxConnections = 4096;
+    // Beyond maxConnections, the longest idle connection is closed for a new one, which is refused
+    // only if none is idle.
+    bool closesIdleForNew = false;
     duration headerTimeout = std::chrono::seconds(10); // from the first byte of a request
     duration bodyTimeout = std::chrono::seconds(30);
     duration idleTimeout = std::chrono::seconds(75);  // between requests
@@ -103,6 +107,12 @@
     // end with the io_context are not reported. Set before listen().
     void onConnectionEnd(std::function<void(const connection_end &)> hook);
 
+    // From now on bodies of requests are read only if the account grants their memory to the owner,
+    // and responses count as pending answers. Otherwise the request is refused with status 503. The
+    // io_context must run on one thread, and the account must outlive the connections. Set before
+    // listen().
+    void useMemory(memory_account &account, memory_owner owner);
+
     // address is ip:port; port 0 picks a free one.
     std::error_code listen(const std::string &address);
     std::uint16_t port() const;
--- a/src/fescuedeck/net/http_server_core.h
+++ b/src/fescuedeck/net/http_server_core.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -42,6 +43,10 @@
     void closeAll();
     void remove(http_connection *connection);
 
+    using idle_position = std::list<std::weak_ptr<http_connection>>::iterator;
+    idle_position addIdle(http_connection &connection);
+    void removeIdle(idle_position position);
+
     std::shared_ptr<const http_server_limits> limits() const { return std::atomic_load(&m_limits); }
     void setLimits(const http_server_limits &limits)
     {
@@ -51,6 +56,8 @@
     const http_handler handler;
     std::function<void(const std::string &)> exceptionHook;
     std::function<void(const connection_end &)> endHook;
+    memory_account *memory = nullptr; // null if bodies are not accounted
+    memory_owner bodyOwner = memory_owner::CallerBodies;
     std::atomic<bool> keepsConnections{ true };
     std::atomic<bool> isDraining{ false };
     std::atomic<int> openExchanges{ 0 };
@@ -61,6 +68,7 @@
     void onAccept(const boost::system::error_code &error, boost::asio::ip::tcp::socket socket);
     void startConnection(boost::asio::ip::tcp::socket socket);
     void closeAcceptor();
+    bool closeLongestIdle();
     template <class Function>
     void forEachConnection(Function function);
 
@@ -74,6 +82,8 @@
     // Leaf lock: nothing else is locked or called while it is held.
     std::mutex m_mutex;
     std::unordered_map<http_connection *, std::weak_ptr<http_connection>> m_connections;
+    // The longest idle one first. Entries of connections that are being closed are empty.
+    std::list<std::weak_ptr<http_connection>> m_idle;
 };
 
 } // namespace fescuedeck::detail
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -272,4 +272,70 @@
     CHECK(first.receiveUntil("echo /2").find("200 OK") != std::string::npos);
 }
 
+// Guards against idle connections that keep new callers out, and against the loss of an answer.
+TEST_CASE("the longest idle connection is closed for a new one", "[net]")
+{
+    http_server_limits limits;
+    limits.maxConnections = 2;
+    limits.closesIdleForNew = true;
+    test_io io(1);
+    awaited_value<bool> hasBegun;
+    std::atomic<bool> mayAnswer{ false };
+    http_server server(io.context(), limits, [&](http_exchange &exchange) {
+        if (exchange.request().target == "/slow") {
+            hasBegun.set(true);
+            boost::asio::steady_timer timer(io.context());
+            while (!mayAnswer) {
+                timer.expires_after(std::chrono::milliseconds(1));
+                timer.async_wait(exchange.yield());
+            }
+        }
+        echo(exchange);
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection busy(server.port());
+    busy.send(get("/slow"));
+    hasBegun.wait();
+    raw_connection idle(server.port());
+    idle.send(get("/1"));
+    idle.receiveUntil("echo /1");
+    raw_connection next(server.port());
+    CHECK(idle.receiveAll().empty());
+    next.send(get("/2"));
+    CHECK(next.receiveUntil("echo /2").find("200 OK") != std::string::npos);
+    mayAnswer = true;
+    CHECK(busy.receiveUntil("echo /slow").find("200 OK") != std::string::npos);
+}
+
+// Guards against bodies that are read although there is no memory for them.
+TEST_CASE("a body without memory is refused before it is read", "[net][memory]")
+{
+    memory_account account(4 * 1024 * 1024);
+    memory_holder other(account, memory_owner::CollectedAnswers, "", steadyNow());
+    test_io io(1);
+    std::atomic<int> handled{ 0 };
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        ++handled;
+        echo(exchange);
+    });
+    server.useMemory(account, memory_owner::CallerBodies);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    other.charge(3 * 1024 * 1024, steadyNow());
+    const std::string framing
+            = GENERATE(as<std::string>{}, "Expect: 100-continue\r\nContent-Length: 1000000\r\n\r\n",
+                       "Content-Length: 1000000\r\n\r\n",
+                       "Transfer-Encoding: chunked\r\n\r\n80000\r\n" + std::string(0x80000, 'x'));
+    raw_connection caller(server.port());
+    caller.send("POST / HTTP/1.1\r\n" + framing);
+    const std::string refusal = caller.receiveAll();
+    CHECK(refusal.find("HTTP/1.1 503") == 0);
+    CHECK(refusal.find("Retry-After: ") != std::string::npos);
+    CHECK(outcomeOf(refusal) == "not-run");
+    CHECK(handled == 0);
+    // A small one is served.
+    raw_connection ordinary(server.port());
+    ordinary.send("POST /small HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+    CHECK(ordinary.receiveUntil("echo /small").find("200 OK") != std::string::npos);
+}
+
 } // namespace fescuedeck
