Net: collected answers count in the memory account

40 large answers for callers that read nothing were collected at once. A call may now wait for the memory of an answer of announced length before it reads it. The endpoint's bytes stay in the kernel meanwhile, so the answer is late rather than lost. Other answers are charged as they come; those of unknown length keep the limit of collected_bodies.

--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -5,6 +5,7 @@
 #include <mutex>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -23,6 +24,11 @@
 using boost::system::error_code;
 
 constexpr int firstErrorStatus = 400;
+// A collected body and the response that is made from it.
+constexpr std::size_t collectedCopies = 2;
+// How often a body that waits for memory looks whether there is some: idle holders become so by
+// the passing of time.
+constexpr duration memoryPollInterval = std::chrono::milliseconds(20);
 // A connection that has been made when its time is up is used: the event loop was busy. This is the
 // time between two looks whether it has learned of it.
 constexpr duration connectedCheckInterval = std::chrono::milliseconds(10);
@@ -158,6 +164,7 @@
     const http_client_limits limits;
     connection_pool idle;
     collected_bodies bodies;
+    memory_account *memory = nullptr; // null if bodies are not accounted
     connection_observer observer;
     std::atomic<std::uint64_t> lastAttempt{ 0 }; // number of the last attempt to connect
 };
@@ -218,6 +225,7 @@
     void readHead(error_code &error);
     void skipResponse(error_code &error);
     void readBody(error_code &error);
+    void payForBody(memory_holder &memory, error_code &error);
     duration timeLeft(duration limit) const;
     void limitNextStep(duration limit);
     void limitReading(duration limit);
@@ -449,6 +457,13 @@
     // An eager parser would also wait for the header of the next chunk.
     m_parser->eager(!m_options.onBodyPart);
     collected_body collected(m_core.bodies);
+    std::optional<memory_holder> memory;
+    const bool isCollected = !m_options.onBodyPart || m_options.collectsBody;
+    if (m_core.memory != nullptr && isCollected) {
+        memory.emplace(*m_core.memory, memory_owner::CollectedAnswers, "", steadyNow());
+        payForBody(*memory, error);
+    }
+    const bool isPaid = memory && memory->size() > 0;
     std::size_t delivered = 0;
     while (!error && !m_parser->is_done()) {
         watchForStall();
@@ -459,11 +474,32 @@
         if (m_options.onBodyPart && !m_options.collectsBody)
             body.clear();
         delivered = body.size();
-        if (!collected.resize(body.size()) && !m_parser->is_done())
+        if (memory && collectedCopies * body.size() > memory->size())
+            memory->charge(collectedCopies * body.size(), steadyNow());
+        if (!isPaid && !collected.resize(body.size()) && !m_parser->is_done())
             error = http::error::body_limit;
     }
 }
 
+// The other end waits meanwhile, because its bytes stay in the kernel.
+void http_call::payForBody(memory_holder &memory, error_code &error)
+{
+    const auto length = m_parser->content_length();
+    if (!length)
+        return;
+    const std::size_t size = collectedCopies * *length;
+    const bool mayWait = m_options.waitsForMemory && size > memory_account::smallSize;
+    asio::steady_timer timer(m_strand);
+    while (mayWait && !error && !memory.reserve(size, steadyNow())) {
+        timer.expires_after(memoryPollInterval);
+        timer.async_wait(m_yield[error]);
+        if (isAborted())
+            error = asio::error::timed_out;
+    }
+    if (!error)
+        memory.charge(std::max(size, memory.size()), steadyNow());
+}
+
 bool http_call::mayRetry() const
 {
     return !isAborted() && !m_gotBytes && (!m_wroteBytes || m_options.idempotent);
@@ -543,6 +579,11 @@
     return call.open(endpoint.value());
 }
 
+void http_client::useMemory(memory_account &account)
+{
+    m_core->memory = &account;
+}
+
 void http_client::observeConnections(connection_observer observer)
 {
     m_core->observer = std::move(observer);
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -18,6 +18,7 @@
 #include "fescuedeck/base/time.h"
 #include "fescuedeck/net/connection_observer.h"
 #include "fescuedeck/net/http_message.h"
+#include "fescuedeck/net/memory_account.h"
 
 namespace fescuedeck {
 
@@ -77,6 +78,9 @@
     std::function<void(const http_response &)> onHead;
     // Gets each part of the response body as it arrives, on the strand of the caller.
     std::function<void(std::string_view)> onBodyPart;
+    // Whether a collected body of announced length waits until there is memory for it. Otherwise it
+    // is read at once, as are small ones. Applies to a client with a memory account.
+    bool waitsForMemory = false;
     // Whether the body is also collected in the response when onBodyPart is set.
     bool collectsBody = true;
 };
@@ -124,6 +128,9 @@
     call_result send(const std::string &address, const http_request &request,
                      const call_options &options, boost::asio::yield_context yield);
 
+    // From now on collected bodies count in the account. The io_context must run on one thread, and
+    // the account must outlive the calls. Call it before the first request.
+    void useMemory(memory_account &account);
     // Opens a connection to the address within the limit and keeps it for later requests. Returns
     // whether that succeeded.
     bool openIdle(const std::string &address, duration limit, boost::asio::yield_context yield);
