Gateway: stay within the memory and descriptors of the host

Clients outside the promises ended a gateway: it ran out of memory. The gateway now reads limits.memoryMb and limits.fileDescriptors of the settings (default: the limits of the process, or the memory of the machine). Half of the memory is the account for bodies of callers, relayed requests and answers; half of the descriptors is for callers' connections, an eighth for relays.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -273,6 +273,7 @@
     call.connectTimeout = connectTimeout;
     call.cancellation = current.cancellation;
     call.requestId = m_info.id;
+    call.waitsForMemory = true;
     call.onSending = [&current] { current.isSent = true; };
     // Without an id, a late response to an earlier request cannot be told from the expected one.
     call.freshConnection = m_info.id.empty();
--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -110,6 +110,7 @@
     bool isReady() const;
     http_response statusResponse(const http_request &request) const;
     void registerGauges();
+    void accountMemory();
     void onConfigRecord(const store_record &record);
     void onConfigInForce(const std::string &text);
     void publishQuarantine(const std::string &key, duration remaining);
@@ -140,6 +141,8 @@
     // True if the settings file was unusable when it was last read. The error is logged only when
     // this becomes true.
     bool m_hasBadSettings = false;
+    const host_limits m_host;
+    memory_account m_memory;
     http_client m_client;
     gateway_context m_context;
     event_loop_watch m_loopWatch{ steadyNow() };
@@ -148,7 +151,7 @@
     http_server m_callerServer;
     http_server m_readinessServer;
     http_server m_operatorServer;
-    http_server_limits m_relayLimits = firstRelayServerLimits();
+    http_server_limits m_relayLimits = firstRelayServerLimits(m_host);
     http_server m_relayServer;
     config_intake m_configIntake;
     table_follower m_configTable;
@@ -165,11 +168,14 @@
 gateway::gateway(const gateway_settings &settings, const make_adapter_fn &makeAdapter,
                  read_settings_fn readSettings)
     : m_readSettings(std::move(readSettings))
-    , m_client(m_io, gatewayClientLimits())
+    , m_host(hostLimits(settings))
+    , m_memory(bodyMemoryOf(m_host))
+    , m_client(m_io, gatewayClientLimits(m_host))
     , m_context(settings, makeAdapter(m_client), m_io, m_client, systemRandom())
     , m_incarnation(randomHex(incarnationBytes, m_context.random))
     , m_forwarder(m_context)
-    , m_callerServer(m_io, {}, [this](http_exchange &exchange) { m_forwarder.handle(exchange); })
+    , m_callerServer(m_io, callerServerLimits({}, m_host),
+                     [this](http_exchange &exchange) { m_forwarder.handle(exchange); })
     , m_readinessServer(m_io, {},
                         [this](http_exchange &exchange) {
                             exchange.respond(statusResponse(exchange.request()));
@@ -222,6 +228,7 @@
         publishQuarantine(key, remaining);
     };
     registerGauges();
+    accountMemory();
     const auto log = [this](const std::string &what) {
         m_context.counters.counterOf("fescuedeck_handler_exceptions_total").add();
         event_line("handler_failed", event_level::Error).field("detail", what);
@@ -272,6 +279,32 @@
                       [this] { return m_context.hasVouchingPeer() ? 1.0 : 0.0; });
 }
 
+void gateway::accountMemory()
+{
+    metrics &counters = m_context.counters;
+    for (const auto &entry : memoryOwnerNames) {
+        counters.setGauge("fescuedeck_body_memory_bytes",
+                          { { "owner", std::string(entry.second) } }, [this, owner = entry.first] {
+                              return static_cast<double>(m_memory.usedBy(owner));
+                          });
+    }
+    counters.setGauge("fescuedeck_body_memory_limit_bytes", {},
+                      [this] { return static_cast<double>(m_memory.limit()); });
+    counters.setGauge("fescuedeck_caller_connections", {},
+                      [this] { return static_cast<double>(m_callerServer.openConnections()); });
+    const auto countBy = [&counters](const char *name) {
+        return [&counters, name](memory_owner owner) {
+            counters.counterOf(name, { { "owner", std::string(nameOf(memoryOwnerNames, owner)) } })
+                    .add();
+        };
+    };
+    m_memory.onRefused(countBy("fescuedeck_body_memory_refused_total"));
+    m_memory.onReclaimed(countBy("fescuedeck_body_memory_reclaimed_total"));
+    m_callerServer.useMemory(m_memory, memory_owner::CallerBodies);
+    m_relayServer.useMemory(m_memory, memory_owner::RelayedBodies);
+    m_client.useMemory(m_memory);
+}
+
 // Returns how long a read may wait for a new record that must be known within the limit.
 duration gateway::readWait(duration limit) const
 {
@@ -437,7 +470,7 @@
 void gateway::onConfigInForce(const std::string &text)
 {
     const caller_limits &limits = m_context.config->config().limits;
-    m_callerServer.setLimits(callerServerLimits(limits));
+    m_callerServer.setLimits(callerServerLimits(limits, m_host));
     m_relayLimits = nextRelayServerLimits(m_relayLimits, limits);
     m_relayServer.setLimits(m_relayLimits);
     m_peers.setConfigText(text);
--- a/src/fescuedeck/gateway/gateway_settings.h
+++ b/src/fescuedeck/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 #ifndef FESCUEDECK_GATEWAY_GATEWAY_SETTINGS_H
 #define FESCUEDECK_GATEWAY_GATEWAY_SETTINGS_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -32,6 +33,9 @@
     double retryShare = 0.2;
     double minRetriesPerWindow = 196;
     duration retryWindow = std::chrono::seconds(10);
+    // Of the host; 0 if unknown.
+    std::size_t memoryBytes = 0;
+    std::size_t fileDescriptors = 0;
     // True if engines refuse an order whose fencing token is lower than one that they have seen.
     bool enginesCheckFencing = false;
     std::string logLevel = "info";
--- a/src/fescuedeck/gateway/server_limits_test.cpp
+++ b/src/fescuedeck/gateway/server_limits_test.cpp
@@ -8,12 +8,35 @@
 #include "fescuedeck/net/test_io.h"
 
 namespace fescuedeck {
+namespace {
+
+constexpr host_limits host{ 512000000, 8192 };
+
+} // namespace
+
+// Guards against limits that the memory and the descriptors of a small host do not bear.
+TEST_CASE("limits follow from the host", "[gateway]")
+{
+    gateway_settings settings;
+    CHECK(hostLimits(settings).memoryBytes > 0);
+    CHECK(hostLimits(settings).fileDescriptors > 0);
+    settings.memoryBytes = 112000000;
+    settings.fileDescriptors = 2870;
+    const host_limits small = hostLimits(settings);
+    CHECK(bodyMemoryOf(small) == 56000000);
+    CHECK(callerConnectionsOf(small) == 1435);
+    CHECK(callerServerLimits({}, small).maxConnections == 1435);
+    CHECK(firstRelayServerLimits(small).maxConnections == 358);
+    CHECK(gatewayClientLimits(small).maxCollectedBytes == 14000000);
+    CHECK(callerConnectionsOf(host) == 4096);
+    CHECK(gatewayClientLimits(host).maxCollectedBytes == http_client_limits{}.maxCollectedBytes);
+}
 
 // Guards against a peer that rejects or cuts off a request which the relaying gateway has accepted
 // under an earlier configuration.
 TEST_CASE("the limits of the relay server do not shrink with those of callers", "[gateway]")
 {
-    const http_server_limits first = firstRelayServerLimits();
+    const http_server_limits first = firstRelayServerLimits(host);
     caller_limits limits;
     limits.maxHeaderBytes = 100 * 1024;
     limits.maxBodyBytes = 10 * 1024 * 1024;
@@ -32,7 +55,7 @@
 TEST_CASE("callers get the limits of the configuration", "[gateway]")
 {
     const caller_limits limits{ 10, 20, std::chrono::seconds(1), std::chrono::seconds(2) };
-    const http_server_limits server = callerServerLimits(limits);
+    const http_server_limits server = callerServerLimits(limits, host);
     CHECK(server.maxHeaderBytes == 10);
     CHECK(server.maxBodyBytes == 20);
     CHECK(server.headerTimeout == std::chrono::seconds(1));
@@ -46,15 +69,15 @@
 {
     caller_limits callers;
     callers.idleTimeout = std::chrono::milliseconds(20);
-    const http_server_limits limits = nextRelayServerLimits(firstRelayServerLimits(), callers);
-    CHECK(limits.idleTimeout > gatewayClientLimits().maxIdleAge);
+    const http_server_limits limits = nextRelayServerLimits(firstRelayServerLimits(host), callers);
+    CHECK(limits.idleTimeout > gatewayClientLimits(host).maxIdleAge);
 
     test_io io;
     http_server server(io.context(), limits, [](http_exchange &exchange) {
         exchange.respond({ 200, {}, "" });
     });
     REQUIRE_FALSE(server.listen("127.0.0.1:0"));
-    http_client client(io.context(), gatewayClientLimits());
+    http_client client(io.context(), gatewayClientLimits(host));
     const auto call = [&] {
         return io.run([&](boost::asio::yield_context yield) {
             return client.send(loopback(server.port()), { "POST", "/", {}, "" }, {}, yield);
--- a/src/fescuedeck/gateway/settings_reload.cpp
+++ b/src/fescuedeck/gateway/settings_reload.cpp
@@ -40,6 +40,8 @@
     compare(&gateway_settings::peersAddress, "peers_address");
     compare(&gateway_settings::relayAddress, "relay_address");
     compare(&gateway_settings::storeAddress, "store_address");
+    compare(&gateway_settings::memoryBytes, "memory");
+    compare(&gateway_settings::fileDescriptors, "file_descriptors");
     compare(&gateway_settings::logLevel, "log_level");
     return change;
 }
