Path changes: all streams avoid an engine that an order named

The address of a 409 is now kept for 500 ms and avoided by the orders of all streams of the gateway, and the engine is inspected at once. If it was a part of the running path, which needs no new room, the other streams through it move as well. Nothing is marked lost by the answer alone.

--- a/src/fescuedeck/rerouting/path_mover.cpp
+++ b/src/fescuedeck/rerouting/path_mover.cpp
@@ -28,6 +28,9 @@
 // After a change of the endpoints or a due move, all streams are checked for this long, because
 // some may not move at once.
 constexpr duration recheckTime = std::chrono::seconds(1);
+// An engine that was full or not there is left out of new paths for this long. It is inspected
+// meanwhile, which takes 400 ms if it does not answer.
+constexpr duration unavailableDuration = std::chrono::milliseconds(500);
 // The list of engines without path changes is cleared beyond this size.
 constexpr std::size_t maxUnsupported = 1024;
 // Gateways that see the same loads prefer different engines by up to this share of their cost.
@@ -130,6 +133,8 @@
 
 void path_mover::updateMoves(time_point now)
 {
+    for (auto it = m_unavailable.begin(); it != m_unavailable.end();)
+        it = now >= it->second.until ? m_unavailable.erase(it) : std::next(it);
     for (auto it = m_moves.begin(); it != m_moves.end();) {
         const running_stream *stream = m_context.runningStreams.find(it->first);
         move_state &move = it->second;
@@ -209,7 +214,8 @@
             return std::nullopt; // it can't carry out an order
         if (i == 0)
             continue;
-        if (!cause && isSuspicious && part.endpoint == m_suspect)
+        const bool mayStall = isSuspicious && part.endpoint == m_suspect;
+        if (!cause && (mayStall || isGone(stream.incarnations[i])))
             cause = path_change_cause::Stalled;
         if (!cause)
             continue;
@@ -343,9 +349,38 @@
     if (answer.outcome != path_change_outcome::PartUnavailable || fault == chain.end())
         return false;
     m_moves[candidate.number].avoided.insert(fault->endpoint);
+    recordUnavailable(fault->endpoint, move.newParts.count(fault->endpoint) == 0);
     return true;
 }
 
+void path_mover::recordUnavailable(const std::string &engine, bool isKeptPart)
+{
+    const endpoint_ptr known = m_context.endpoints.find(engine);
+    if (!known)
+        return;
+    const time_point now = steadyNow();
+    unavailable_engine &entry = m_unavailable[incarnationName(known->entry)];
+    entry.until = now + unavailableDuration;
+    entry.isGone = entry.isGone || isKeptPart;
+    if (entry.isGone)
+        m_checkUntil = now + recheckTime;
+    // A refused connection settles at once whether the engine is lost.
+    if (m_context.inspectEngine)
+        m_context.inspectEngine(engine, engine_suspicion::Stalled);
+}
+
+bool path_mover::isUnavailable(const std::string &engine) const
+{
+    const endpoint_ptr known = m_context.endpoints.find(engine);
+    return known && m_unavailable.count(incarnationName(known->entry)) > 0;
+}
+
+bool path_mover::isGone(const std::string &incarnation) const
+{
+    const auto found = m_unavailable.find(incarnation);
+    return found != m_unavailable.end() && found->second.isGone;
+}
+
 void path_mover::onAccepted(const move_candidate &candidate, const planned_move &move)
 {
     running_stream &stream = *m_context.runningStreams.find(candidate.number);
@@ -388,9 +423,14 @@
     request.stages = stagesWithRoom(*stream, std::move(found.stages));
     request.costs = std::move(found.costs);
     request.tokens = stream->status().tokens;
-    for (std::size_t i = 0; i < stream->path.chain.size(); ++i)
-        request.chain.push_back(
-                { stream->path.chain[i], stream->path.stages[i]->entry.failureDomain });
+    for (std::size_t i = 0; i < stream->path.chain.size(); ++i) {
+        const chain_part &part = stream->path.chain[i];
+        request.chain.push_back({ part, stream->path.stages[i]->entry.failureDomain });
+        const bool isLost = causeOf(m_context, stream->incarnations[i], part.layers, steadyNow())
+                            == path_change_cause::Lost;
+        if (i > 0 && (isLost || isGone(stream->incarnations[i])))
+            request.avoided.insert(part.endpoint);
+    }
     chain_repair repair = planRepair(request);
     if (repair.action != repair_action::ChangePath)
         return std::nullopt;
@@ -423,7 +463,8 @@
 {
     const auto lacksRoom = [&](const chain_stage &stage) {
         const endpoint_ptr engine = m_context.endpoints.find(stage.endpoint);
-        return !engine || movesTo(stage.endpoint) >= maxMovesAtOnce(*engine)
+        return !engine || isUnavailable(stage.endpoint)
+               || movesTo(stage.endpoint) >= maxMovesAtOnce(*engine)
                || !hasCacheFor(stream, *engine);
     };
     stages.erase(std::remove_if(stages.begin(), stages.end(), lacksRoom), stages.end());
--- a/src/fescuedeck/rerouting/path_mover.h
+++ b/src/fescuedeck/rerouting/path_mover.h
@@ -84,6 +84,12 @@
         time_point acceptedAt{};
         time_point reportAskedAt{};
     };
+    // An engine that an order named as not there or without room.
+    struct unavailable_engine
+    {
+        time_point until{};
+        bool isGone = false; // it was a part of the running path, which needs no new room
+    };
     struct planned_move
     {
         destination path;
@@ -105,6 +111,11 @@
     void startMove(const move_candidate &candidate);
     void sendOrders(const move_candidate &candidate, planned_move move,
                     boost::asio::yield_context yield);
+    // Remembers for the next orders of all streams that the engine is not there or has no room.
+    void recordUnavailable(const std::string &engine, bool isKeptPart);
+    bool isUnavailable(const std::string &engine) const;
+    // Whether the engine is known to be gone, although it is not marked as lost.
+    bool isGone(const std::string &incarnation) const;
     // Returns whether another order may follow.
     bool evaluate(const move_candidate &candidate, const planned_move &move,
                   const path_change_answer &answer);
@@ -121,8 +132,9 @@
     std::map<int, move_state> m_moves; // by number of the stream
     std::string m_suspect;             // id of the engine that stalls streams, by a guess
     time_point m_suspectUntil{};
-    std::uint64_t m_seenRevision = 0;    // of the endpoints
-    time_point m_checkUntil{};           // in any case
+    std::uint64_t m_seenRevision = 0;                        // of the endpoints
+    time_point m_checkUntil{};                               // in any case
+    std::map<std::string, unavailable_engine> m_unavailable; // by incarnation
     std::set<std::string> m_unsupported; // incarnations of engines that know no path changes
 };
 
