Path changes: replace a stream at once that can't move, find several lost engines

Streams now vote only about engines of their own chain. Doubtful engines are the last choice for new parts. * A stream whose events were being written when its order was due got no further order. It is now tried again.

--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -131,6 +131,9 @@
     void countSending(bool hasReachedEndpoint);
     // Replaces an attempt without progress, while this gateway is isolated, if another may follow.
     void moveIfStalled(attempt &current);
+    // Replaces an attempt that has lost an engine, without waiting for a silence, if another may
+    // follow.
+    void replaceLost(attempt &current);
     // The next functions run replacements of silent attempts. Only those that say so may suspend
     // the coroutine.
     //
--- a/src/fescuedeck/gateway/forwarded_call_replacement.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_replacement.cpp
@@ -91,6 +91,16 @@
         current.quietUntil = quietUntil;
         current.silentSince = {};
     };
+    stream.onOrdered = [&current](time_point holdUntil) {
+        current.quietUntil = std::max(current.quietUntil, holdUntil);
+    };
+    stream.onNotMoved = [this, &current](bool isLost) {
+        current.quietUntil = {};
+        if (isLost)
+            replaceLost(current);
+        else
+            timeUntilStall(current); // the replacement may be due
+    };
     current.runningStream.emplace(m_context.runningStreams, std::move(stream));
 }
 
@@ -107,6 +117,15 @@
         startReplacement(current);
 }
 
+void forwarded_call::replaceLost(attempt &current)
+{
+    if (!mayReplace(current))
+        return;
+    // The first engine still has the request, and other engines of the chain may be sound.
+    m_destinations.exclude(current.to.first->entry.id);
+    startReplacement(current);
+}
+
 bool forwarded_call::mayReplace(attempt &current) const
 {
     const bool isNewest = !m_open.empty() && m_open.back().get() == &current;
--- a/src/fescuedeck/rerouting/path_mover.cpp
+++ b/src/fescuedeck/rerouting/path_mover.cpp
@@ -109,7 +109,7 @@
                           && !m_context.blamesLinks();
     if (!mayOrder || m_context.runningStreams.all().empty() || !mayHaveNews(now))
         return;
-    updateSuspect(now);
+    updateSuspects(now);
     const std::vector<move_candidate> due = candidates(now);
     if (!due.empty())
         m_checkUntil = now + recheckTime; // some may have to wait for room
@@ -155,24 +155,24 @@
     }
 }
 
-void path_mover::updateSuspect(time_point now)
+void path_mover::updateSuspects(time_point now)
 {
     std::vector<stream_progress> streams;
     for (const auto &[number, stream] : m_context.runningStreams.all())
         streams.push_back(progressOf(stream, stream.status()));
-    const std::optional<std::string> found = findStalledEngine(streams, now);
-    if (found) {
-        m_suspect = *found;
-        m_suspectUntil = now + suspicionDuration;
-        return;
-    }
+    stall_findings findings = findStalledEngines(streams, now);
+    for (const std::string &engine : findings.stalled)
+        m_suspects[engine] = now;
+    m_doubtful = std::move(findings.doubtful);
     // The streams that moved away no longer show the stall, and those that wait for their turn
     // still have to move. Any event through the engine ends the suspicion.
-    const endpoint_ptr suspect = m_context.endpoints.find(m_suspect);
-    const bool hasProgressed
-            = suspect && suspect->lastProgressAt > m_suspectUntil - suspicionDuration;
-    if (now >= m_suspectUntil || !suspect || hasProgressed)
-        m_suspect.clear();
+    for (auto it = m_suspects.begin(); it != m_suspects.end();) {
+        const auto &[id, foundAt] = *it;
+        const endpoint_ptr engine = m_context.endpoints.find(id);
+        const bool hasProgressed = engine && engine->lastProgressAt > foundAt;
+        const bool hasEnded = !engine || hasProgressed || now >= foundAt + suspicionDuration;
+        it = hasEnded ? m_suspects.erase(it) : std::next(it);
+    }
 }
 
 std::vector<move_candidate> path_mover::candidates(time_point now)
@@ -205,21 +205,27 @@
     candidate.number = number;
     candidate.rank = stream.rank;
     candidate.timeLeft = acceptedGap(stream) - (now - status.activeAt);
-    const bool isSuspicious = !isReading && isSilent(progressOf(stream, status), now);
+    const bool isStreamSilent = isSilent(progressOf(stream, status), now);
+    const bool isSuspicious = !isReading && isStreamSilent;
     for (std::size_t i = 0; i < stream.path.chain.size(); ++i) {
         const chain_part &part = stream.path.chain[i];
         std::optional<path_change_cause> cause
                 = causeOf(m_context, stream.incarnations[i], part.layers, steadyNow());
-        if (i == 0 && cause == path_change_cause::Lost)
-            return std::nullopt; // it can't carry out an order
+        if (i == 0 && cause == path_change_cause::Lost) {
+            // It can't carry out an order. While events arrive, the loss may be an error.
+            candidate.mayOrder = false;
+            if (status.hasBegun && !isStreamSilent)
+                return std::nullopt;
+            return candidate;
+        }
         if (i == 0)
             continue;
-        const bool mayStall = isSuspicious && part.endpoint == m_suspect;
+        const bool mayStall = isSuspicious && m_suspects.count(part.endpoint) > 0;
         if (!cause && (mayStall || isGone(stream.incarnations[i])))
             cause = path_change_cause::Stalled;
         if (!cause)
             continue;
-        if (candidate.avoided.empty())
+        if (candidate.avoided.empty() || *cause == path_change_cause::Lost)
             candidate.cause = *cause;
         candidate.avoided.insert(part.endpoint);
     }
@@ -249,11 +255,17 @@
 {
     move_state &state = m_moves[candidate.number];
     state.plannedAt = m_context.inputHandledUntil();
-    std::optional<planned_move> move = plan(candidate);
+    std::optional<planned_move> move;
+    if (candidate.mayOrder)
+        move = plan(candidate);
     if (!move) {
         if (!state.isWithoutPath)
-            count(candidate.cause, "no_path");
+            count(candidate.cause, candidate.mayOrder ? "no_path" : "first_engine_lost");
         state.isWithoutPath = true;
+        // Room for a stream that has begun may become free before its replacement is due.
+        const running_stream *stream = m_context.runningStreams.find(candidate.number);
+        if (!candidate.mayOrder || (stream != nullptr && !stream->status().hasBegun))
+            reportNotMoved(candidate);
         return;
     }
     state.isPending = true;
@@ -264,14 +276,23 @@
     });
 }
 
+void path_mover::reportNotMoved(const move_candidate &candidate)
+{
+    const running_stream *stream = m_context.runningStreams.find(candidate.number);
+    if (stream != nullptr)
+        stream->onNotMoved(candidate.cause == path_change_cause::Lost);
+}
+
 void path_mover::sendOrders(const move_candidate &candidate, planned_move move,
                             boost::asio::yield_context yield)
 {
     constexpr int maxTries = 2;
+    bool hasOrdered = false;
     for (int tries = 1; tries <= maxTries; ++tries) {
         const running_stream *stream = m_context.runningStreams.find(candidate.number);
         if (stream == nullptr || !stream->status().mayMove)
             break;
+        hasOrdered = true;
         const path_change_answer answer = sendOrder(candidate, move, yield);
         if (!evaluate(candidate, move, answer) || tries == maxTries)
             break;
@@ -286,11 +307,14 @@
     if (state == m_moves.end())
         return;
     state->second.isPending = false;
-    const bool isAccepted = state->second.acceptedAt >= state->second.orderedAt
-                            && state->second.orderedAt != time_point{};
-    state->second.isClosed = !isAccepted;
-    if (!isAccepted)
-        state->second.newParts.clear();
+    const bool isAccepted = hasOrdered && state->second.acceptedAt >= state->second.orderedAt;
+    // A stream that was not free to move, because its events were being written, is tried again.
+    state->second.isClosed = hasOrdered && !isAccepted;
+    if (isAccepted)
+        return;
+    state->second.newParts.clear();
+    if (hasOrdered)
+        reportNotMoved(candidate);
 }
 
 path_change_answer path_mover::sendOrder(const move_candidate &candidate, const planned_move &move,
@@ -309,6 +333,7 @@
     const in_flight_guard reservation(newStages, stream.cacheTokens);
     call_options options;
     options.timeout = std::clamp(candidate.timeLeft, minOrderTimeout, maxOrderTimeout);
+    stream.onOrdered(state.orderedAt + minOrderTimeout);
     // On a reused connection a late response to an earlier request could be taken for the answer.
     options.freshConnection = true;
     const std::string address = move.path.first->entry.address;
@@ -431,14 +456,34 @@
         if (i > 0 && (isLost || isGone(stream->incarnations[i])))
             request.avoided.insert(part.endpoint);
     }
+    // A doubtful engine may have been lost together with the one to avoid.
+    repair_request cautious = request;
+    auto &stages = cautious.stages;
+    stages.erase(std::remove_if(stages.begin(), stages.end(),
+                                [&](const chain_stage &stage) {
+                                    return m_doubtful.count(stage.endpoint) > 0;
+                                }),
+                 stages.end());
     chain_repair repair = planRepair(request);
+    if (stages.size() < request.stages.size()) {
+        chain_repair other = planRepair(cautious);
+        if (other.action == repair_action::ChangePath
+            && other.tokensReadAgain <= repair.tokensReadAgain)
+            repair = std::move(other);
+    }
     if (repair.action != repair_action::ChangePath)
         return std::nullopt;
+    return makeMove(*stream, std::move(repair));
+}
+
+std::optional<path_mover::planned_move> path_mover::makeMove(const running_stream &stream,
+                                                             chain_repair repair) const
+{
     planned_move move;
     double factor = 1;
     for (const chain_part &part : repair.chain) {
-        const bool isKept = std::find(stream->path.chain.begin(), stream->path.chain.end(), part)
-                            != stream->path.chain.end();
+        const bool isKept = std::find(stream.path.chain.begin(), stream.path.chain.end(), part)
+                            != stream.path.chain.end();
         const endpoint_ptr engine = m_context.endpoints.find(part.endpoint);
         if (!engine)
             return std::nullopt;
@@ -446,13 +491,13 @@
         if (isKept)
             continue;
         move.newParts.insert(part.endpoint);
-        const accelerator_kind *kind = stream->engine->findKind(engine->entry.accelerator);
+        const accelerator_kind *kind = stream.engine->findKind(engine->entry.accelerator);
         factor = std::max(factor, kind == nullptr ? 1 : kind->prefillFactor);
     }
-    move.path.first = stream->path.first;
+    move.path.first = stream.path.first;
     move.path.chain = std::move(repair.chain);
     move.tokensReadAgain = repair.tokensReadAgain;
-    const double rate = std::max(1.0, stream->engine->prefillTokensPerSecond);
+    const double rate = std::max(1.0, stream.engine->prefillTokensPerSecond);
     move.readTime = std::chrono::duration_cast<duration>(
             std::chrono::duration<double>(std::min(60.0, repair.tokensReadAgain * factor / rate)));
     return move;
--- a/src/fescuedeck/rerouting/path_mover.h
+++ b/src/fescuedeck/rerouting/path_mover.h
@@ -51,6 +51,7 @@
     std::set<std::string> avoided; // ids of the engines to avoid
     duration timeLeft{};           // until the silence exceeds what callers accept
     int rank = 0;                  // 0 is the most urgent
+    bool mayOrder = true;          // false if the first engine is lost: only a new run helps
 };
 
 // The stream that is nearest to its limit comes first; among equals, the most urgent one.
@@ -102,7 +103,7 @@
     // checks end here, because hosts have a small part of a core.
     bool mayHaveNews(time_point now);
     void updateMoves(time_point now);
-    void updateSuspect(time_point now);
+    void updateSuspects(time_point now);
     std::vector<move_candidate> candidates(time_point now);
     std::optional<move_candidate> candidateOf(int number, const running_stream &stream,
                                               time_point now) const;
@@ -111,6 +112,8 @@
     void startMove(const move_candidate &candidate);
     void sendOrders(const move_candidate &candidate, planned_move move,
                     boost::asio::yield_context yield);
+    // Tells the owner of the stream that its path does not change.
+    void reportNotMoved(const move_candidate &candidate);
     // Remembers for the next orders of all streams that the engine is not there or has no room.
     void recordUnavailable(const std::string &engine, bool isKeptPart);
     bool isUnavailable(const std::string &engine) const;
@@ -123,6 +126,7 @@
     path_change_answer sendOrder(const move_candidate &candidate, const planned_move &move,
                                  boost::asio::yield_context yield);
     std::optional<planned_move> plan(const move_candidate &candidate) const;
+    std::optional<planned_move> makeMove(const running_stream &stream, chain_repair repair) const;
     std::vector<chain_stage> stagesWithRoom(const running_stream &stream,
                                             std::vector<chain_stage> stages) const;
     int movesTo(const std::string &engine) const;
@@ -130,8 +134,9 @@
 
     gateway_context &m_context;
     std::map<int, move_state> m_moves; // by number of the stream
-    std::string m_suspect;             // id of the engine that stalls streams, by a guess
-    time_point m_suspectUntil{};
+    // When each engine was last found to stall streams, by a guess; by id.
+    std::map<std::string, time_point> m_suspects;
+    std::set<std::string> m_doubtful;                        // ids of engines of silent streams
     std::uint64_t m_seenRevision = 0;                        // of the endpoints
     time_point m_checkUntil{};                               // in any case
     std::map<std::string, unavailable_engine> m_unavailable; // by incarnation
--- a/src/fescuedeck/rerouting/running_streams.h
+++ b/src/fescuedeck/rerouting/running_streams.h
@@ -42,6 +42,11 @@
     // The first engine has accepted the path. The stream may be silent until quietUntil, while the
     // new engines read its tokens. The owner must not start a replacement for that silence before.
     std::function<void(const destination &path, time_point quietUntil)> onMoved;
+    // An order has been sent. The owner must not start a replacement before the given time.
+    std::function<void(time_point holdUntil)> onOrdered;
+    // The path cannot change, or the order had no effect as far as is known. If isLost, an engine
+    // of the path is known to be lost, so that the owner should start a replacement now, if it may.
+    std::function<void(bool isLost)> onNotMoved;
 };
 
 // Not thread-safe.
--- a/src/fescuedeck/rerouting/stall_finder.cpp
+++ b/src/fescuedeck/rerouting/stall_finder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 namespace fescuedeck {
 namespace {
@@ -46,6 +47,32 @@
            && now - engine.progressAt >= minUnusualSilence;
 }
 
+// The engines that may stall one silent stream.
+struct silent_chain
+{
+    std::vector<std::string> possible;
+    bool isLate = false;
+};
+
+// Several engines may be lost at once, so that streams only vote about engines of their own chain.
+std::optional<std::string> mostProbable(const silent_chain &chain,
+                                        const std::map<std::string, int> &votes)
+{
+    int most = 0;
+    std::vector<std::string> best;
+    for (const std::string &engine : chain.possible) {
+        const int count = votes.at(engine);
+        if (count > most)
+            best.clear();
+        most = std::max(most, count);
+        if (count == most)
+            best.push_back(engine);
+    }
+    const bool isShared = most >= 2 && best.size() == 1;
+    const bool isLone = chain.possible.size() == 1 && chain.isLate;
+    return isShared || isLone ? std::optional<std::string>(best.front()) : std::nullopt;
+}
+
 bool isLate(const stream_progress &stream, time_point now)
 {
     return stream.gapObjective > duration::zero()
@@ -72,41 +99,30 @@
            && now - stream.activeAt >= unusualSilence(stream);
 }
 
-std::optional<std::string> findStalledEngine(const std::vector<stream_progress> &streams,
-                                             time_point now)
+stall_findings findStalledEngines(const std::vector<stream_progress> &streams, time_point now)
 {
     const evidence_by_engine evidence = collect(streams, now);
+    std::vector<silent_chain> chains;
     std::map<std::string, int> votes; // of silent streams, by possible engine
-    std::optional<std::string> lone;
+    stall_findings findings;
     for (const stream_progress &stream : streams) {
         if (!isSilent(stream, now))
             continue;
-        std::vector<std::string> possible;
+        chains.push_back({ {}, isLate(stream, now) });
         for (const std::string &engine : stream.engines) {
-            if (mayHaveStalled(evidence.at(engine), stream, now))
-                possible.push_back(engine);
-        }
-        for (const std::string &engine : possible)
+            if (!mayHaveStalled(evidence.at(engine), stream, now))
+                continue;
+            chains.back().possible.push_back(engine);
+            findings.doubtful.insert(engine);
             ++votes[engine];
-        if (possible.size() == 1 && isLate(stream, now))
-            lone = possible.front();
+        }
     }
-    int most = 0;
-    std::vector<std::string> best;
-    for (const auto &[engine, count] : votes) {
-        if (count > most)
-            best.clear();
-        most = std::max(most, count);
-        if (count == most)
-            best.push_back(engine);
+    for (const silent_chain &chain : chains) {
+        const std::optional<std::string> found = mostProbable(chain, votes);
+        if (found && !evidence.at(*found).isFirst)
+            findings.stalled.insert(*found);
     }
-    std::optional<std::string> found;
-    if (most >= 2 && best.size() == 1)
-        found = best.front();
-    else if (most == 1)
-        found = lone;
-    const bool isMovable = found && !evidence.at(*found).isFirst;
-    return isMovable ? found : std::nullopt;
+    return findings;
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/rerouting/stall_finder.h
+++ b/src/fescuedeck/rerouting/stall_finder.h
@@ -7,7 +7,7 @@
 #ifndef FESCUEDECK_REROUTING_STALL_FINDER_H
 #define FESCUEDECK_REROUTING_STALL_FINDER_H
 
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,14 +39,23 @@
 // Whether the stream is silent for longer than its usual gap explains.
 bool isSilent(const stream_progress &stream, time_point now);
 
-// Returns the engine that most probably stalls the silent streams, apart from their first engines,
-// whose part of a path cannot change. Empty if nothing distinguishes it:
-// - no stream got an event through it since the silence of a stream through it began, and
-// - at least two silent streams run through it, more than through any other such engine; or one
-//   silent stream that has used up half of its gap objective, if it is the only such engine of that
-//   stream's chain.
-std::optional<std::string> findStalledEngine(const std::vector<stream_progress> &streams,
-                                             time_point now);
+struct stall_findings
+{
+    // Engines that most probably stall silent streams, apart from first engines of such streams,
+    // whose part of a path cannot change.
+    std::set<std::string> stalled;
+    // Engines of silent streams through which no stream got an event since the silence of one of
+    // them began. Several engines may be lost at once, so these are the last choice for new parts.
+    std::set<std::string> doubtful;
+};
+
+// For each silent stream, finds the engine of its chain that most probably stalls it, if one is
+// distinguished:
+// - no stream got an event through it since the silence of this stream began, and
+// - at least two silent streams run through it, more than through any other such engine of this
+//   chain; or only this one, which has used up a part of its gap objective, if it is the only such
+//   engine of the chain.
+stall_findings findStalledEngines(const std::vector<stream_progress> &streams, time_point now);
 
 } // namespace fescuedeck
 
--- a/src/fescuedeck/rerouting/stall_finder_test.cpp
+++ b/src/fescuedeck/rerouting/stall_finder_test.cpp
@@ -19,7 +19,10 @@
 
 std::string found(const std::vector<stream_progress> &streams)
 {
-    return findStalledEngine(streams, now).value_or("none");
+    std::string names;
+    for (const std::string &engine : findStalledEngines(streams, now).stalled)
+        names += (names.empty() ? "" : " ") + engine;
+    return names.empty() ? "none" : names;
 }
 
 } // namespace
@@ -33,6 +36,20 @@
           == "x");
 }
 
+// Guards against no guess at all, or only one at a time, after several engines crashed together.
+TEST_CASE("engines that are lost at once under different chains are all found", "[rerouting]")
+{
+    const std::vector<stream_progress> streams = {
+        stream({ "a", "x", "c" }, 110), stream({ "b", "x", "d" }, 120),
+        stream({ "e", "y", "c" }, 110), stream({ "f", "y", "d" }, 120),
+        stream({ "g", "c", "d" }, 20),
+    };
+    CHECK(found(streams) == "x y");
+    // Neither is a good new part for a stream of the other one.
+    const std::set<std::string> doubtful = findStalledEngines(streams, now).doubtful;
+    CHECK(doubtful == std::set<std::string>{ "a", "b", "e", "f", "x", "y" });
+}
+
 // Guards against a guess among engines that nothing distinguishes.
 TEST_CASE("two silent streams of one chain distinguish no engine", "[rerouting]")
 {
