Path changes: spread the streams that move at once

Streams that moved at once preferred the same engine, whose prompts then queue. Each move under way now adds to the cost of its engine. The count of an order's new engines no longer enters their usual hold time: an order without an answer counted as a request of 150 ms, which load estimates then used. A second engine lost within 100 ms after an accepted order no longer waits for the rest of these 100 ms. Not measured in a trial yet.

--- a/src/fescuedeck/gateway/attempt_guards.cpp
+++ b/src/fescuedeck/gateway/attempt_guards.cpp
@@ -28,8 +28,10 @@
 in_flight_guard::~in_flight_guard()
 {
     const duration held = steadyNow() - m_since;
-    for (const endpoint_ptr &stage : m_stages)
-        recordHoldTime(*stage, held);
+    if (m_recordsHoldTime) {
+        for (const endpoint_ptr &stage : m_stages)
+            recordHoldTime(*stage, held);
+    }
     count(-1);
 }
 
--- a/src/fescuedeck/gateway/attempt_guards.h
+++ b/src/fescuedeck/gateway/attempt_guards.h
@@ -23,6 +23,9 @@
 
     // Corrects the number of tokens, because the answer is longer than was expected.
     void setTokens(double tokens);
+    // For a guard that ends before the request does, so that it says nothing about how long
+    // endpoints have requests.
+    void ignoreHoldTime() { m_recordsHoldTime = false; }
     // Counts the request at these endpoints instead.
     void moveTo(const std::vector<endpoint_ptr> &stages);
 
@@ -31,6 +34,7 @@
 
     std::vector<endpoint_ptr> m_stages;
     double m_tokens;
+    bool m_recordsHoldTime = true;
     const time_point m_since = steadyNow();
 };
 
--- a/src/fescuedeck/rerouting/path_mover.cpp
+++ b/src/fescuedeck/rerouting/path_mover.cpp
@@ -35,6 +35,10 @@
 constexpr std::size_t maxUnsupported = 1024;
 // Gateways that see the same loads prefer different engines by up to this share of their cost.
 constexpr double spreadShare = 0.2;
+// Each stream that moves to an engine adds this share to the cost of its layers, because the engine
+// reads the tokens of one stream after the other. It exceeds spreadShare, so that the streams of
+// one gateway spread over engines of equal load.
+constexpr double moveCostShare = 0.5;
 
 std::optional<path_change_cause> causeOf(const gateway_context &context,
                                          const std::string &incarnation, const layer_range &layers,
@@ -254,11 +258,11 @@
 void path_mover::startMove(const move_candidate &candidate)
 {
     move_state &state = m_moves[candidate.number];
-    state.plannedAt = m_context.inputHandledUntil();
     std::optional<planned_move> move;
     if (candidate.mayOrder)
         move = plan(candidate);
     if (!move) {
+        state.plannedAt = m_context.inputHandledUntil();
         if (!state.isWithoutPath)
             count(candidate.cause, candidate.mayOrder ? "no_path" : "first_engine_lost");
         state.isWithoutPath = true;
@@ -330,7 +334,8 @@
             newStages.push_back(stage);
     }
     // Counts the stream at its new engines before the answer, so that others choose by that.
-    const in_flight_guard reservation(newStages, stream.cacheTokens);
+    in_flight_guard reservation(newStages, stream.cacheTokens);
+    reservation.ignoreHoldTime();
     call_options options;
     options.timeout = std::clamp(candidate.timeLeft, minOrderTimeout, maxOrderTimeout);
     stream.onOrdered(state.orderedAt + minOrderTimeout);
@@ -517,6 +522,7 @@
         constexpr std::uint64_t steps = 1024;
         const std::uint64_t preference = stableHash(stage.endpoint, stream.requestHash) % steps;
         stage.costPerLayer *= 1 + spreadShare * static_cast<double>(preference) / steps;
+        stage.costPerLayer *= 1 + moveCostShare * movesTo(stage.endpoint);
     }
     return stages;
 }
--- a/src/fescuedeck/rerouting/path_mover.h
+++ b/src/fescuedeck/rerouting/path_mover.h
@@ -80,7 +80,7 @@
         bool isWithoutPath = false;     // was counted as such
         std::set<std::string> avoided;  // ids of engines that were not there or had no room
         std::set<std::string> newParts; // ids of engines that read the tokens now
-        time_point plannedAt{};         // of the last attempt to find a path
+        time_point plannedAt{};         // when no path was found last
         time_point orderedAt{};
         time_point acceptedAt{};
         time_point reportAskedAt{};
