Stall finder: guess in time for the gap objective

On slow chains (a usual gap of 70 to 100 ms) a silence counted as unusual only after 175 to 250 ms, so that the order came after the objective of 250 ms. From half of the objective on, 1.6 times the usual gap is now enough; a lone silent stream is used at 0.4 of its objective instead of 0.5. A wrong guess costs one order. The due time of reports stays as it was.

--- a/src/fescuedeck/rerouting/stall_finder.cpp
+++ b/src/fescuedeck/rerouting/stall_finder.cpp
@@ -11,9 +11,13 @@
 constexpr double usualGapFactor = 2.5;
 // Engines report with this delay, so an earlier report does not list the wait.
 constexpr duration reportLag = std::chrono::milliseconds(200);
-// A single silent stream is weak evidence. It is used only shortly before the stream would get a
-// new run elsewhere, at 0.6 of its gap objective.
-constexpr double loneStreamShare = 0.5;
+// Beyond this share of the gap objective, a gap that is longer than usual by a smaller factor
+// counts too. The rest of the objective is needed for the order and for reading the tokens again.
+constexpr double urgentShare = 0.5;
+constexpr double urgentGapFactor = 1.6;
+// A single silent stream is weak evidence. It is used only before the stream would get a new run
+// elsewhere, at 0.6 of its gap objective, and in time for the order.
+constexpr double loneStreamShare = 0.4;
 
 struct engine_evidence
 {
@@ -79,18 +83,27 @@
            && now - stream.activeAt >= stream.gapObjective * loneStreamShare;
 }
 
+duration explainedSilence(const stream_progress &stream)
+{
+    return std::chrono::duration_cast<duration>(stream.usualGap * usualGapFactor);
+}
+
 } // namespace
 
 duration unusualSilence(const stream_progress &stream)
 {
-    const auto explained = std::chrono::duration_cast<duration>(stream.usualGap * usualGapFactor);
-    return std::max(minUnusualSilence, explained);
+    const duration explained = explainedSilence(stream);
+    const auto urgent
+            = std::max(std::chrono::duration_cast<duration>(stream.usualGap * urgentGapFactor),
+                       std::chrono::duration_cast<duration>(stream.gapObjective * urgentShare));
+    const bool hasObjective = stream.gapObjective > duration::zero();
+    return std::max(minUnusualSilence, hasObjective ? std::min(explained, urgent) : explained);
 }
 
 duration reportDelay(const stream_progress &stream)
 {
     // The engine may have stopped up to one gap after the last event.
-    return std::max<duration>(unusualSilence(stream), reportLag + stream.usualGap);
+    return std::max<duration>(explainedSilence(stream), reportLag + stream.usualGap);
 }
 
 bool isSilent(const stream_progress &stream, time_point now)
