Path changes: move streams as soon as an engine is found lost

The streams of an engine that a report or an order had shown to be gone waited for the next regular check, up to 25 ms of the 250 ms that callers accept. A check is now posted at once, after all engines of the same report have been marked.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -220,6 +220,8 @@
     m_context.onEngineLost = [this] {
         m_context.crashes.update(steadyNow());
         m_peers.announceChange();
+        // After all engines of the same report have been marked.
+        boost::asio::post(m_io, [this] { m_pathMover.check(); });
     };
     m_context.crashes.onQuarantine = [this](const std::string &key, duration remaining) {
         publishQuarantine(key, remaining);
--- a/src/fescuedeck/rerouting/path_mover.cpp
+++ b/src/fescuedeck/rerouting/path_mover.cpp
@@ -1,8 +1,11 @@
 #include "fescuedeck/rerouting/path_mover.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
+#include <boost/asio/post.hpp>
+
 #include "fescuedeck/base/hash.h"
 #include "fescuedeck/gateway/attempt_guards.h"
 #include "fescuedeck/gateway/event_timing.h"
@@ -392,8 +395,11 @@
     unavailable_engine &entry = m_unavailable[incarnationName(known->entry)];
     entry.until = now + unavailableDuration;
     entry.isGone = entry.isGone || isKeptPart;
-    if (entry.isGone)
+    if (entry.isGone) {
         m_checkUntil = now + recheckTime;
+        // The other streams of the engine do not wait for the next regular check.
+        boost::asio::post(m_context.io, [this] { check(); });
+    }
     // A refused connection settles at once whether the engine is lost.
     if (m_context.inspectEngine)
         m_context.inspectEngine(engine, engine_suspicion::Stalled);
