--- a/src/fescuedeck/rerouting/path_mover.cpp
+++ b/src/fescuedeck/rerouting/path_mover.cpp
@@ -1,8 +1,11 @@
 #include "fescuedeck/rerouting/path_mover.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
+#include <boost/asio/post.hpp>
+
 #include "fescuedeck/base/hash.h"
 #include "fescuedeck/gateway/attempt_guards.h"
 #include "fescuedeck/gateway/event_timing.h"
@@ -28,10 +31,17 @@
 // After a change of the endpoints or a due move, all streams are checked for this long, because
 // some may not move at once.
 constexpr duration recheckTime = std::chrono::seconds(1);
+// An engine that was full or not there is left out of new paths for this long. It is inspected
+// meanwhile, which takes 400 ms if it does not answer.
+constexpr duration unavailableDuration = std::chrono::milliseconds(500);
 // The list of engines without path changes is cleared beyond this size.
 constexpr std::size_t maxUnsupported = 1024;
 // Gateways that see the same loads prefer different engines by up to this share of their cost.
 constexpr double spreadShare = 0.2;
+// Each stream that moves to an engine adds this share to the cost of its layers, because the engine
+// reads the tokens of one stream after the other. It exceeds spreadShare, so that the streams of
+// one gateway spread over engines of equal load.
+constexpr double moveCostShare = 0.5;
 
 std::optional<path_change_cause> causeOf(const gateway_context &context,
                                          const std::string &incarnation, const layer_range &layers,
@@ -106,7 +116,7 @@
                           && !m_context.blamesLinks();
     if (!mayOrder || m_context.runningStreams.all().empty() || !mayHaveNews(now))
         return;
-    updateSuspect(now);
+    updateSuspects(now);
     const std::vector<move_candidate> due = candidates(now);
     if (!due.empty())
         m_checkUntil = now + recheckTime; // some may have to wait for room
@@ -130,6 +140,8 @@
 
 void path_mover::updateMoves(time_point now)
 {
+    for (auto it = m_unavailable.begin(); it != m_unavailable.end();)
+        it = now >= it->second.until ? m_unavailable.erase(it) : std::next(it);
     for (auto it = m_moves.begin(); it != m_moves.end();) {
         const running_stream *stream = m_context.runningStreams.find(it->first);
         move_state &move = it->second;
@@ -150,24 +162,24 @@
     }
 }
 
-void path_mover::updateSuspect(time_point now)
+void path_mover::updateSuspects(time_point now)
 {
     std::vector<stream_progress> streams;
     for (const auto &[number, stream] : m_context.runningStreams.all())
         streams.push_back(progressOf(stream, stream.status()));
-    const std::optional<std::string> found = findStalledEngine(streams, now);
-    if (found) {
-        m_suspect = *found;
-        m_suspectUntil = now + suspicionDuration;
-        return;
-    }
+    stall_findings findings = findStalledEngines(streams, now);
+    for (const std::string &engine : findings.stalled)
+        m_suspects[engine] = now;
+    m_doubtful = std::move(findings.doubtful);
     // The streams that moved away no longer show the stall, and those that wait for their turn
     // still have to move. Any event through the engine ends the suspicion.
-    const endpoint_ptr suspect = m_context.endpoints.find(m_suspect);
-    const bool hasProgressed
-            = suspect && suspect->lastProgressAt > m_suspectUntil - suspicionDuration;
-    if (now >= m_suspectUntil || !suspect || hasProgressed)
-        m_suspect.clear();
+    for (auto it = m_suspects.begin(); it != m_suspects.end();) {
+        const auto &[id, foundAt] = *it;
+        const endpoint_ptr engine = m_context.endpoints.find(id);
+        const bool hasProgressed = engine && engine->lastProgressAt > foundAt;
+        const bool hasEnded = !engine || hasProgressed || now >= foundAt + suspicionDuration;
+        it = hasEnded ? m_suspects.erase(it) : std::next(it);
+    }
 }
 
 std::vector<move_candidate> path_mover::candidates(time_point now)
@@ -200,20 +212,27 @@
     candidate.number = number;
     candidate.rank = stream.rank;
     candidate.timeLeft = acceptedGap(stream) - (now - status.activeAt);
-    const bool isSuspicious = !isReading && isSilent(progressOf(stream, status), now);
+    const bool isStreamSilent = isSilent(progressOf(stream, status), now);
+    const bool isSuspicious = !isReading && isStreamSilent;
     for (std::size_t i = 0; i < stream.path.chain.size(); ++i) {
         const chain_part &part = stream.path.chain[i];
         std::optional<path_change_cause> cause
                 = causeOf(m_context, stream.incarnations[i], part.layers, steadyNow());
-        if (i == 0 && cause == path_change_cause::Lost)
-            return std::nullopt; // it can't carry out an order
+        if (i == 0 && cause == path_change_cause::Lost) {
+            // It can't carry out an order. While events arrive, the loss may be an error.
+            candidate.mayOrder = false;
+            if (status.hasBegun && !isStreamSilent)
+                return std::nullopt;
+            return candidate;
+        }
         if (i == 0)
             continue;
-        if (!cause && isSuspicious && part.endpoint == m_suspect)
+        const bool mayStall = isSuspicious && m_suspects.count(part.endpoint) > 0;
+        if (!cause && (mayStall || isGone(stream.incarnations[i])))
             cause = path_change_cause::Stalled;
         if (!cause)
             continue;
-        if (candidate.avoided.empty())
+        if (candidate.avoided.empty() || *cause == path_change_cause::Lost)
             candidate.cause = *cause;
         candidate.avoided.insert(part.endpoint);
     }
@@ -242,12 +261,18 @@
 void path_mover::startMove(const move_candidate &candidate)
 {
     move_state &state = m_moves[candidate.number];
-    state.plannedAt = m_context.inputHandledUntil();
-    std::optional<planned_move> move = plan(candidate);
+    std::optional<planned_move> move;
+    if (candidate.mayOrder)
+        move = plan(candidate);
     if (!move) {
+        state.plannedAt = m_context.inputHandledUntil();
         if (!state.isWithoutPath)
-            count(candidate.cause, "no_path");
+            count(candidate.cause, candidate.mayOrder ? "no_path" : "first_engine_lost");
         state.isWithoutPath = true;
+        // Room for a stream that has begun may become free before its replacement is due.
+        const running_stream *stream = m_context.runningStreams.find(candidate.number);
+        if (!candidate.mayOrder || (stream != nullptr && !stream->status().hasBegun))
+            reportNotMoved(candidate);
         return;
     }
     state.isPending = true;
@@ -258,14 +283,23 @@
     });
 }
 
+void path_mover::reportNotMoved(const move_candidate &candidate)
+{
+    const running_stream *stream = m_context.runningStreams.find(candidate.number);
+    if (stream != nullptr)
+        stream->onNotMoved(candidate.cause == path_change_cause::Lost);
+}
+
 void path_mover::sendOrders(const move_candidate &candidate, planned_move move,
                             boost::asio::yield_context yield)
 {
     constexpr int maxTries = 2;
+    bool hasOrdered = false;
     for (int tries = 1; tries <= maxTries; ++tries) {
         const running_stream *stream = m_context.runningStreams.find(candidate.number);
         if (stream == nullptr || !stream->status().mayMove)
             break;
+        hasOrdered = true;
         const path_change_answer answer = sendOrder(candidate, move, yield);
         if (!evaluate(candidate, move, answer) || tries == maxTries)
             break;
@@ -280,11 +314,14 @@
     if (state == m_moves.end())
         return;
     state->second.isPending = false;
-    const bool isAccepted = state->second.acceptedAt >= state->second.orderedAt
-                            && state->second.orderedAt != time_point{};
-    state->second.isClosed = !isAccepted;
-    if (!isAccepted)
-        state->second.newParts.clear();
+    const bool isAccepted = hasOrdered && state->second.acceptedAt >= state->second.orderedAt;
+    // A stream that was not free to move, because its events were being written, is tried again.
+    state->second.isClosed = hasOrdered && !isAccepted;
+    if (isAccepted)
+        return;
+    state->second.newParts.clear();
+    if (hasOrdered)
+        reportNotMoved(candidate);
 }
 
 path_change_answer path_mover::sendOrder(const move_candidate &candidate, const planned_move &move,
@@ -300,9 +337,11 @@
             newStages.push_back(stage);
     }
     // Counts the stream at its new engines before the answer, so that others choose by that.
-    const in_flight_guard reservation(newStages, stream.cacheTokens);
+    in_flight_guard reservation(newStages, stream.cacheTokens);
+    reservation.ignoreHoldTime();
     call_options options;
     options.timeout = std::clamp(candidate.timeLeft, minOrderTimeout, maxOrderTimeout);
+    stream.onOrdered(state.orderedAt + minOrderTimeout);
     // On a reused connection a late response to an earlier request could be taken for the answer.
     options.freshConnection = true;
     const std::string address = move.path.first->entry.address;
@@ -343,9 +382,41 @@
     if (answer.outcome != path_change_outcome::PartUnavailable || fault == chain.end())
         return false;
     m_moves[candidate.number].avoided.insert(fault->endpoint);
+    recordUnavailable(fault->endpoint, move.newParts.count(fault->endpoint) == 0);
     return true;
 }
 
+void path_mover::recordUnavailable(const std::string &engine, bool isKeptPart)
+{
+    const endpoint_ptr known = m_context.endpoints.find(engine);
+    if (!known)
+        return;
+    const time_point now = steadyNow();
+    unavailable_engine &entry = m_unavailable[incarnationName(known->entry)];
+    entry.until = now + unavailableDuration;
+    entry.isGone = entry.isGone || isKeptPart;
+    if (entry.isGone) {
+        m_checkUntil = now + recheckTime;
+        // The other streams of the engine do not wait for the next regular check.
+        boost::asio::post(m_context.io, [this] { check(); });
+    }
+    // A refused connection settles at once whether the engine is lost.
+    if (m_context.inspectEngine)
+        m_context.inspectEngine(engine, engine_suspicion::Stalled);
+}
+
+bool path_mover::isUnavailable(const std::string &engine) const
+{
+    const endpoint_ptr known = m_context.endpoints.find(engine);
+    return known && m_unavailable.count(incarnationName(known->entry)) > 0;
+}
+
+bool path_mover::isGone(const std::string &incarnation) const
+{
+    const auto found = m_unavailable.find(incarnation);
+    return found != m_unavailable.end() && found->second.isGone;
+}
+
 void path_mover::onAccepted(const move_candidate &candidate, const planned_move &move)
 {
     running_stream &stream = *m_context.runningStreams.find(candidate.number);
@@ -388,17 +459,42 @@
     request.stages = stagesWithRoom(*stream, std::move(found.stages));
     request.costs = std::move(found.costs);
     request.tokens = stream->status().tokens;
-    for (std::size_t i = 0; i < stream->path.chain.size(); ++i)
-        request.chain.push_back(
-                { stream->path.chain[i], stream->path.stages[i]->entry.failureDomain });
+    for (std::size_t i = 0; i < stream->path.chain.size(); ++i) {
+        const chain_part &part = stream->path.chain[i];
+        request.chain.push_back({ part, stream->path.stages[i]->entry.failureDomain });
+        const bool isLost = causeOf(m_context, stream->incarnations[i], part.layers, steadyNow())
+                            == path_change_cause::Lost;
+        if (i > 0 && (isLost || isGone(stream->incarnations[i])))
+            request.avoided.insert(part.endpoint);
+    }
+    // A doubtful engine may have been lost together with the one to avoid.
+    repair_request cautious = request;
+    auto &stages = cautious.stages;
+    stages.erase(std::remove_if(stages.begin(), stages.end(),
+                                [&](const chain_stage &stage) {
+                                    return m_doubtful.count(stage.endpoint) > 0;
+                                }),
+                 stages.end());
     chain_repair repair = planRepair(request);
+    if (stages.size() < request.stages.size()) {
+        chain_repair other = planRepair(cautious);
+        if (other.action == repair_action::ChangePath
+            && other.tokensReadAgain <= repair.tokensReadAgain)
+            repair = std::move(other);
+    }
     if (repair.action != repair_action::ChangePath)
         return std::nullopt;
+    return makeMove(*stream, std::move(repair));
+}
+
+std::optional<path_mover::planned_move> path_mover::makeMove(const running_stream &stream,
+                                                             chain_repair repair) const
+{
     planned_move move;
     double factor = 1;
     for (const chain_part &part : repair.chain) {
-        const bool isKept = std::find(stream->path.chain.begin(), stream->path.chain.end(), part)
-                            != stream->path.chain.end();
+        const bool isKept = std::find(stream.path.chain.begin(), stream.path.chain.end(), part)
+                            != stream.path.chain.end();
         const endpoint_ptr engine = m_context.endpoints.find(part.endpoint);
         if (!engine)
             return std::nullopt;
@@ -406,13 +502,13 @@
         if (isKept)
             continue;
         move.newParts.insert(part.endpoint);
-        const accelerator_kind *kind = stream->engine->findKind(engine->entry.accelerator);
+        const accelerator_kind *kind = stream.engine->findKind(engine->entry.accelerator);
         factor = std::max(factor, kind == nullptr ? 1 : kind->prefillFactor);
     }
-    move.path.first = stream->path.first;
+    move.path.first = stream.path.first;
     move.path.chain = std::move(repair.chain);
     move.tokensReadAgain = repair.tokensReadAgain;
-    const double rate = std::max(1.0, stream->engine->prefillTokensPerSecond);
+    const double rate = std::max(1.0, stream.engine->prefillTokensPerSecond);
     move.readTime = std::chrono::duration_cast<duration>(
             std::chrono::duration<double>(std::min(60.0, repair.tokensReadAgain * factor / rate)));
     return move;
@@ -423,7 +519,8 @@
 {
     const auto lacksRoom = [&](const chain_stage &stage) {
         const endpoint_ptr engine = m_context.endpoints.find(stage.endpoint);
-        return !engine || movesTo(stage.endpoint) >= maxMovesAtOnce(*engine)
+        return !engine || isUnavailable(stage.endpoint)
+               || movesTo(stage.endpoint) >= maxMovesAtOnce(*engine)
                || !hasCacheFor(stream, *engine);
     };
     stages.erase(std::remove_if(stages.begin(), stages.end(), lacksRoom), stages.end());
@@ -431,6 +528,7 @@
         constexpr std::uint64_t steps = 1024;
         const std::uint64_t preference = stableHash(stage.endpoint, stream.requestHash) % steps;
         stage.costPerLayer *= 1 + spreadShare * static_cast<double>(preference) / steps;
+        stage.costPerLayer *= 1 + moveCostShare * movesTo(stage.endpoint);
     }
     return stages;
 }
