Admission: wake the front when a new request changes it

A new request or a changed share can make a third request the front, which slept until it accepts a fuller cache, so that nobody looked for free cache. Also tests the load that the acceptance of fuller caches is for: all chains slightly over full, three ranks; none is refused and the most urgent begins first.

--- a/src/fescuedeck/gateway/admission_control.cpp
+++ b/src/fescuedeck/gateway/admission_control.cpp
@@ -121,6 +121,7 @@
     }
     addGauge(request.service, request.rank);
     state.waiters.try_emplace(id);
+    wakeFront(state); // a new request or share may have changed which one is the front
     const admission_outcome outcome = waitInQueue(state, id, request, yield);
     state.waiters.erase(id);
     if (outcome == admission_outcome::Admitted)
--- a/src/fescuedeck/gateway/admission_control_test.cpp
+++ b/src/fescuedeck/gateway/admission_control_test.cpp
@@ -42,7 +42,7 @@
             outcomes[name] = outcome;
             order.push_back(name);
             if (outcome == admission_outcome::Admitted)
-                fill = 1.5; // one request takes the room that was free
+                fill = fillAfterAdmission;
         });
     }
 
@@ -62,6 +62,7 @@
     random_fn random = seededRandom(1);
     admission_control control{ settings, counters, random };
     std::optional<double> fill = 1.5;
+    double fillAfterAdmission = 1.5; // one request takes the room that was free
     double free = 0;
     bool hasCallerLeft = false;
     std::map<std::string, admission_outcome> outcomes;
@@ -98,6 +99,66 @@
     CHECK(test.control.waiting().empty());
 }
 
+// Guards against refusals while chains can still serve, and against a less urgent request that is
+// the first to accept a fuller cache. Load: all chains are slightly over full for long.
+TEST_CASE("three ranks wait for chains that stay slightly over full; none is refused", "[gateway]")
+{
+    admission_fixture test;
+    const double slightlyOverFull = 1.2;
+    test.fill = slightlyOverFull;
+    test.fillAfterAdmission = slightlyOverFull;
+    test.io.run([&](boost::asio::yield_context yield) {
+        // So much work in flight takes so long that no further request is predicted to be in time.
+        for (int i = 0; i < 5; ++i) {
+            running_work answered(test.control, "model", 1);
+            sleepFor(10ms, yield);
+            answered.setAnswered();
+        }
+        const running_work inFlight(test.control, "model", 1);
+        for (int i = 0; i < 4; ++i) {
+            test.start("low", test.request(2, 1s));
+            test.start("middle", test.request(1, 1s));
+            test.start("high", test.request(0, 1s));
+        }
+        while (test.order.size() < 12 && !test.control.waiting().empty())
+            sleepFor(5ms, yield);
+        return 0;
+    });
+    std::vector<std::string> expected;
+    for (const char *name : { "high", "middle", "low" })
+        expected.insert(expected.end(), 4, name);
+    CHECK(test.order == expected);
+    CHECK(test.metricsText().find("fescuedeck_admission_refused_total") == std::string::npos);
+}
+
+// Guards against a queue in which nobody looks for room, because the front has changed without
+// being woken.
+TEST_CASE("a request that becomes the front when another one arrives is woken", "[gateway]")
+{
+    admission_fixture test;
+    test.settings.lowerRankShare = 0.5;
+    test.io.run([&](boost::asio::yield_context yield) {
+        test.start("first high", test.request(0));
+        test.start("low", test.request(1));
+        sleepFor(30ms, yield);
+        test.fill = 0.5;
+        test.waitForOutcomes(1, yield);
+        // The next one is the lower rank's by its share.
+        test.start("high", test.request(0));
+        sleepFor(30ms, yield);
+        test.settings.lowerRankShare = 0;
+        test.start("lowest", test.request(2));
+        sleepFor(30ms, yield);
+        test.fill = 0.5;
+        sleepFor(200ms, yield);
+        CHECK(test.order == std::vector<std::string>{ "first high", "high" });
+        test.hasCallerLeft = true;
+        test.control.onCallerLeft("model");
+        test.waitForOutcomes(4, yield);
+        return 0;
+    });
+}
+
 // Guards against requests that are held although they can no longer be served.
 TEST_CASE("a request whose time has passed is refused, and the next one takes its place",
           "[gateway]")
