--- a/src/fescuedeck/gateway/admission_control.h
+++ b/src/fescuedeck/gateway/admission_control.h
@@ -1,8 +1,10 @@
 // Decides when the requests of this gateway that need room at engines may begin.
 //
-// If the configuration holds different ranks, requests wait in one rank_queue for each service, and
-// only the front of a queue looks for room. The free capacity is shared with the peers by the
-// waiting work that their digests report. If all ranks are equal, each request waits for itself.
+// If the configuration holds different ranks, requests wait in one rank_queue for each service. The
+// front of a queue looks for free cache, which is shared with the peers by the waiting work that
+// their digests report. After a share of its time that grows with its rank, a request looks for
+// itself and accepts a fuller cache, regardless of the order and of the peers. If all ranks are
+// equal, each request waits for itself.
 #ifndef FESCUEDECK_GATEWAY_ADMISSION_CONTROL_H
 #define FESCUEDECK_GATEWAY_ADMISSION_CONTROL_H
 
@@ -46,7 +48,7 @@
 enum class admission_outcome {
     Admitted,      // to the destination that was chosen last
     NoDestination, // no destination is usable
-    Refused,       // no room within the time of the request
+    Refused,       // no room within the time of the request, or the queue is full
     CallerLeft,
 };
 
@@ -57,8 +59,11 @@
     // All arguments must outlive this object.
     admission_control(const gateway_settings &settings, metrics &counters, const random_fn &random);
 
-    // Suspends the coroutine until the request is admitted or refused. The caller must count the
-    // work of an admitted request as in flight before it suspends the coroutine again.
+    // Suspends the coroutine until the request is admitted or refused, at latestStart at the
+    // latest. Refuses at once what cannot begin now if the queue is full, if latestStart has
+    // passed, or if the best destination is much too full and the work ahead takes too long. The
+    // caller must count the work of an admitted request as in flight before it suspends the
+    // coroutine again.
     admission_outcome admit(const admission_request &request, boost::asio::yield_context yield);
     // The same without ranks: waits until a destination has room. At latestStart, a destination
     // that is not much too full is accepted.
