Retry lending: loans expire by the time of their request; no wait without offers

A loan that reached a paused gateway late could be used when its lender had the retries back, which exceeds the limit of the deployment. Requests and loans now carry the time of the request. A request without a retry waited 100 ms for a loan although no peer had offered any; it now ends at once.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -234,7 +234,7 @@
 
 bool forwarded_call::borrowRetry()
 {
-    if (!m_context.borrowRetries)
+    if (!m_context.borrowRetries || !m_context.borrowRetries(m_service))
         return false;
     const time_point limit = steadyNow() + std::min<duration>(maxLoanWait, remainingTime());
     bool hasRetry = false;
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -72,9 +72,9 @@
     std::function<void(const std::string &endpoint, engine_suspicion)> inspectEngine;
     // Live gateways of the own failure domain, without this one.
     int domainPeers = 0;
-    // Asks peers for retries of the service, of which this gateway has none left. Returns at once;
-    // loans arrive within a few milliseconds if peers have offered any.
-    std::function<void(const std::string &service)> borrowRetries;
+    // Asks peers for retries of the service, of which this gateway has none left. Returns at once:
+    // false if no loan may arrive, see retry_lending::borrow().
+    std::function<bool(const std::string &service)> borrowRetries;
     // Called after an engine has been marked as lost.
     std::function<void()> onEngineLost;
     // Whether this gateway is among the first live gateways of its failure domain, in the order of
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -78,7 +78,7 @@
     , m_lending(context.retryBudget, lendingHooks())
 {
     m_context.borrowRetries
-            = [this](const std::string &service) { m_lending.borrow(service, steadyNow()); };
+            = [this](const std::string &service) { return m_lending.borrow(service, steadyNow()); };
 }
 
 retry_lending_hooks gateway_peers::lendingHooks()
--- a/src/fescuedeck/gateway/gateway_retry_budget.cpp
+++ b/src/fescuedeck/gateway/gateway_retry_budget.cpp
@@ -78,9 +78,9 @@
     return true;
 }
 
-void gateway_retry_budget::addLoan(const std::string &service, int count, time_point now)
+void gateway_retry_budget::addLoan(const std::string &service, int count, time_point requestedAt)
 {
-    m_loans[service].push_back({ now + loanLifetime, count });
+    m_loans[service].push_back({ requestedAt + loanLifetime, count });
 }
 
 std::vector<std::string> gateway_retry_budget::services() const
--- a/src/fescuedeck/gateway/gateway_retry_budget.h
+++ b/src/fescuedeck/gateway/gateway_retry_budget.h
@@ -66,9 +66,9 @@
     // Counts retries as used that a peer may use instead. Returns false, and counts none, if fewer
     // are left.
     bool lend(const std::string &service, int count, time_point now);
-    // Adds retries that a peer has lent. They expire after a fraction of a second, because the
-    // lender counts them in the window in which it has lent them.
-    void addLoan(const std::string &service, int count, time_point now);
+    // Adds retries that a peer has lent. They expire a fraction of a second after they were
+    // requested, because the lender counts them in the window in which it has lent them.
+    void addLoan(const std::string &service, int count, time_point requestedAt);
     // Names of the services with requests or retries so far.
     std::vector<std::string> services() const;
 
--- a/src/fescuedeck/gateway/retry_lending.cpp
+++ b/src/fescuedeck/gateway/retry_lending.cpp
@@ -58,22 +58,26 @@
     return best;
 }
 
-void retry_lending::borrow(const std::string &service, time_point now)
+bool retry_lending::borrow(const std::string &service, time_point now)
 {
     const auto last = m_lastBorrowAt.find(service);
-    if (last != m_lastBorrowAt.end() && now - last->second < m_settings.minInterval)
-        return;
-    m_lastBorrowAt[service] = now;
-    for (int i = 0; i < m_settings.lendersAtOnce; ++i) {
+    const bool hasAsked = last != m_lastBorrowAt.end();
+    if (hasAsked && now - last->second < m_settings.minInterval)
+        return true;
+    bool isLoanExpected = hasAsked && now - last->second < m_settings.answerTime;
+    for (int i = 0; i < m_settings.requestsAtOnce; ++i) {
         std::string peer;
         offer *const best = bestOffer(service, now, peer);
         if (best == nullptr)
-            return;
+            break;
         int &left = best->retries[service];
         const int count = std::min(left, m_settings.loanSize);
         left -= count; // until the next digest of the peer
-        m_hooks.send(peer, retry_request{ service, count });
+        m_lastBorrowAt[service] = now;
+        isLoanExpected = true;
+        m_hooks.send(peer, retry_request{ service, count, now.time_since_epoch().count() });
     }
+    return isLoanExpected;
 }
 
 void retry_lending::onRequest(const std::string &peer, const retry_request &request, time_point now)
@@ -81,12 +85,14 @@
     const int count = std::min(request.count, lendable(request.service, now));
     if (count <= 0 || !m_budget.lend(request.service, count, now))
         return;
-    m_hooks.send(peer, retry_loan{ request.service, count });
+    m_hooks.send(peer, retry_loan{ request.service, count, request.requestedAt });
 }
 
 void retry_lending::onLoan(const retry_loan &loan, time_point now)
 {
-    m_budget.addLoan(loan.service, std::min(loan.count, m_settings.loanSize), now);
+    const time_point requestedAt{ duration(loan.requestedAt) };
+    m_budget.addLoan(loan.service, std::min(loan.count, m_settings.loanSize),
+                     std::min(requestedAt, now));
 }
 
 } // namespace fescuedeck
--- a/src/fescuedeck/gateway/retry_lending.h
+++ b/src/fescuedeck/gateway/retry_lending.h
@@ -3,8 +3,9 @@
 // Each gateway has its own part of the retries that the deployment may make. When an engine is
 // lost, the gateways whose streams ran through it need many retries at once, while others need
 // none. A gateway that runs short asks peers that have offered retries in their digests. A lender
-// counts what it gives as used by itself, so that the gateways together never exceed the limit,
-// however old the offers are and whichever message is lost.
+// counts what it gives as used by itself, and a loan expires by the time of its request, so that
+// the gateways together never exceed the limit, however old the offers are and whichever message is
+// lost or late.
 #ifndef FESCUEDECK_GATEWAY_RETRY_LENDING_H
 #define FESCUEDECK_GATEWAY_RETRY_LENDING_H
 
@@ -20,9 +21,11 @@
 
 struct retry_lending_settings
 {
-    int loanSize = 4;      // retries that one request to a peer asks for
-    int lendersAtOnce = 3; // peers that are asked at the same time
+    int loanSize = 4;       // retries that one request to a peer asks for
+    int requestsAtOnce = 3; // to the peers with the greatest offers
     duration minInterval = std::chrono::milliseconds(30); // between requests for one service
+    // A loan takes one round trip, which is longer at a gateway under load.
+    duration answerTime = std::chrono::milliseconds(100);
 };
 
 struct retry_lending_hooks
@@ -45,9 +48,10 @@
     // Records what a peer offers until the given time, in place of what it offered before.
     void recordOffers(const std::string &peer, const std::map<std::string, int> &offers,
                       time_point until);
-    // Asks the peers with the greatest offers for retries of the service. Does nothing if none
-    // offers any, or if it was called for the service less than minInterval ago.
-    void borrow(const std::string &service, time_point now);
+    // Asks the peers with the greatest offers for retries of the service, but not within
+    // minInterval after it has last asked. Returns whether a loan may arrive: false if no peer
+    // offers any and the last request for the service is at least answerTime old.
+    bool borrow(const std::string &service, time_point now);
 
     // Handle the messages of peers.
     void onRequest(const std::string &peer, const retry_request &request, time_point now);
--- a/src/fescuedeck/gateway/retry_lending_test.cpp
+++ b/src/fescuedeck/gateway/retry_lending_test.cpp
@@ -60,11 +60,19 @@
         return taken;
     }
 
+    void deliverDelayedLoans()
+    {
+        for (const auto &[target, loan] : m_delayedLoans)
+            m_members[target]->onLoan(loan, now);
+    }
+
+    retry_lending &member(std::size_t gateway) { return *m_members[gateway]; }
     gateway_retry_budget &budget(std::size_t gateway) { return *m_budgets[gateway]; }
 
     time_point now = start;
     int reserved = 0;
     bool losesLoans = false;
+    bool delaysLoans = false;
 
 private:
     void deliver(int from, int to, const peer_message &message)
@@ -72,12 +80,15 @@
         const auto target = static_cast<std::size_t>(to);
         if (const auto *request = std::get_if<retry_request>(&message))
             m_members[target]->onRequest(std::to_string(from), *request, now);
+        else if (delaysLoans)
+            m_delayedLoans.emplace_back(target, std::get<retry_loan>(message));
         else if (!losesLoans)
             m_members[target]->onLoan(std::get<retry_loan>(message), now);
     }
 
     std::vector<std::unique_ptr<gateway_retry_budget>> m_budgets;
     std::vector<std::unique_ptr<retry_lending>> m_members;
+    std::vector<std::pair<std::size_t, retry_loan>> m_delayedLoans; // with their receivers
 };
 
 } // namespace
@@ -128,4 +139,34 @@
     CHECK(group.budget(0).available("s", group.now + std::chrono::seconds(1)) <= 0);
 }
 
+// Guards against a retry that counts twice: a loan that arrives late, for example at a process that
+// was paused, and is used when the lender has its retries back.
+TEST_CASE("a loan expires by the time of its request, not of its arrival", "[gateway]")
+{
+    lending_group group(2);
+    group.exchangeOffers();
+    group.delaysLoans = true;
+    CHECK(group.takeAll(1) == 45);
+    group.now += std::chrono::seconds(9);
+    group.deliverDelayedLoans();
+    CHECK(group.budget(0).available("s", group.now)
+          == Approx(group.budget(0).ownAvailable("s", group.now)));
+}
+
+// Guards against requests that are held for loans that nobody offers.
+TEST_CASE("a gateway learns at once that no loan will arrive", "[gateway]")
+{
+    lending_group group(2);
+    CHECK_FALSE(group.member(0).borrow("s", group.now));
+    group.exchangeOffers();
+    group.delaysLoans = true;
+    CHECK(group.member(0).borrow("s", group.now));
+    // Requests that come meanwhile may get a part of the loans.
+    CHECK(group.member(0).borrow("s", group.now + std::chrono::milliseconds(20)));
+    CHECK_FALSE(group.member(0).borrow("other", group.now));
+    // Ends because the offers have all been asked for.
+    group.takeAll(1);
+    CHECK_FALSE(group.member(0).borrow("s", group.now));
+}
+
 } // namespace fescuedeck
--- a/src/fescuedeck/peer/peer_message.cpp
+++ b/src/fescuedeck/peer/peer_message.cpp
@@ -320,12 +320,16 @@
 {
     return { { "type", "retry_request" },
              { "service", message.service },
-             { "count", message.count } };
+             { "count", message.count },
+             { "requested_at", message.requestedAt } };
 }
 
 json encode(const retry_loan &message)
 {
-    return { { "type", "retry_loan" }, { "service", message.service }, { "count", message.count } };
+    return { { "type", "retry_loan" },
+             { "service", message.service },
+             { "count", message.count },
+             { "requested_at", message.requestedAt } };
 }
 
 json encode(const bundle_request &message)
@@ -533,6 +537,8 @@
     Message message;
     message.service = fields.identifier("service");
     message.count = static_cast<int>(fields.integer("count", 1, maxPosition));
+    constexpr std::int64_t latest = std::numeric_limits<std::int64_t>::max();
+    message.requestedAt = fields.integer("requested_at", 0, latest);
     return message;
 }
 
--- a/src/fescuedeck/peer/peer_message.h
+++ b/src/fescuedeck/peer/peer_message.h
@@ -82,13 +82,16 @@
 {
     std::string service;
     int count = 0;
+    std::int64_t requestedAt = 0; // microseconds of a clock that only the sender reads
 };
 
-// The receiver may use these retries in place of the sender, for a fraction of a second.
+// The receiver may use these retries in place of the sender, for a fraction of a second after it
+// has requested them.
 struct retry_loan
 {
     std::string service;
     int count = 0;
+    std::int64_t requestedAt = 0; // as in the request
 };
 
 // Asks whether the peer holds the answer of a non-idempotent call.
--- a/src/fescuedeck/peer/peer_message_test.cpp
+++ b/src/fescuedeck/peer/peer_message_test.cpp
@@ -161,14 +161,16 @@
 // Guards against a loan that the receiver takes for another service or another number.
 TEST_CASE("requests for retries and loans keep service and count", "[peer]")
 {
-    const auto request = parsePeerMessage(toCbor(retry_request{ "s", 3 }));
+    const auto request = parsePeerMessage(toCbor(retry_request{ "s", 3, 7 }));
     REQUIRE(request);
     CHECK(std::get<retry_request>(request.value()).service == "s");
     CHECK(std::get<retry_request>(request.value()).count == 3);
-    const auto loan = parsePeerMessage(toCbor(retry_loan{ "s", 2 }));
+    CHECK(std::get<retry_request>(request.value()).requestedAt == 7);
+    const auto loan = parsePeerMessage(toCbor(retry_loan{ "s", 2, 8 }));
     REQUIRE(loan);
     CHECK(std::get<retry_loan>(loan.value()).count == 2);
-    CHECK_FALSE(parsePeerMessage(toCbor(retry_loan{ "s", -1 })));
+    CHECK(std::get<retry_loan>(loan.value()).requestedAt == 8);
+    CHECK_FALSE(parsePeerMessage(toCbor(retry_loan{ "s", -1, 8 })));
     peer_digest digest;
     digest.retryOffers["s"] = 7;
     const auto parsed = parsePeerMessage(toCbor(digest));
