--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -88,7 +88,7 @@
 {
     m_relay.add(store_table::Peers, m_table);
     m_context.borrowRetries
-            = [this](const std::string &service) { m_lending.borrow(service, steadyNow()); };
+            = [this](const std::string &service) { return m_lending.borrow(service, steadyNow()); };
 }
 
 retry_lending_hooks gateway_peers::lendingHooks()
