--- a/src/fescuedeck/gateway/admission_control.cpp
+++ b/src/fescuedeck/gateway/admission_control.cpp
@@ -21,6 +21,9 @@
 constexpr double maxWaitShare = 0.5;
 // Suspicions expire without an event, so that waiting requests also look for room this often.
 constexpr duration fallbackInterval = std::chrono::milliseconds(20);
+// All requests that accept a fuller cache look for it, and each look searches for a chain. Hosts
+// with a small share of a core could not afford that for a long queue at the interval above.
+constexpr duration crowdedInterval = std::chrono::milliseconds(100);
 // Peers report their waiting work this often within a failure domain.
 constexpr duration allowanceInterval = std::chrono::milliseconds(300);
 // The time of an attempt is uncertain before this many were answered.
@@ -185,8 +188,11 @@
             return admission_outcome::Refused;
         }
         // The others are woken when they become the front.
-        const bool looksAgain = isFront || acceptsMore;
-        const time_point nextLook = looksAgain ? now + fallbackInterval : acceptsMoreFrom;
+        time_point nextLook = acceptsMoreFrom;
+        if (isFront)
+            nextLook = now + fallbackInterval;
+        else if (acceptsMore)
+            nextLook = now + crowdedInterval;
         sleep(self, std::min(nextLook, request.latestStart), yield);
     }
 }
