HTTP client: reject responses without a valid status

Callers saw status 101, 600 or 999 of an endpoint, and no usable answer when the endpoint sent 000 or 099.

Cause: the parser of the HTTP library accepts any three digits, and the client handed on whatever it had parsed. The connection went back to the pool.

Change: net/response_check holds the rule; http_call applies it once to each decoded head, before any hook sees it. Otherwise the call fails with InvalidMessage and a typed reason, the request may have run, and the connection is closed.

--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -11,6 +11,7 @@
 #include "fescuedeck/net/collected_bodies.h"
 #include "fescuedeck/net/connection_pool.h"
 #include "fescuedeck/net/deadline_reader.h"
+#include "fescuedeck/net/response_check.h"
 #include "fescuedeck/net/tcp_socket.h"
 
 namespace fescuedeck {
@@ -86,9 +87,7 @@
         return errc::TooLarge;
     if (error == http::error::end_of_stream || error == http::error::partial_message)
         return errc::ConnectionClosed;
-    const bool isHttpError
-            = error.category() == http::make_error_code(http::error::bad_target).category();
-    return isHttpError ? errc::InvalidMessage : errc::ConnectionClosed;
+    return faultOfParseError(error) ? errc::InvalidMessage : errc::ConnectionClosed;
 }
 
 } // namespace
@@ -159,6 +158,8 @@
     connection_pool idle;
     collected_bodies bodies;
     connection_observer observer;
+    std::function<void(const std::string &, response_fault)> onMalformedResponse
+            = [](const std::string &, response_fault) {};
     std::atomic<std::uint64_t> lastAttempt{ 0 }; // number of the last attempt to connect
 };
 
@@ -166,13 +167,6 @@
 // ever.
 constexpr int maxSkippedResponses = 16;
 
-bool isInterim(const http::response<http::string_body> &message)
-{
-    const http::status status = message.result();
-    return http::to_status_class(status) == http::status_class::informational
-           && status != http::status::switching_protocols;
-}
-
 // One call: up to two attempts under one deadline.
 class http_call
 {
@@ -214,8 +208,10 @@
     std::size_t writeRequest(error_code &error);
     result<http_response> readResponse();
     std::optional<failure> readExpectedHead();
-    bool isExpected() const;
+    bool isExpected(const http_response &head) const;
     void readHead(error_code &error);
+    failure malformed(response_fault fault);
+    failure describeReadError(const error_code &error);
     void skipResponse(error_code &error);
     void readBody(error_code &error);
     duration timeLeft(duration limit) const;
@@ -246,6 +242,9 @@
     bool m_wroteBytes = false;        // by the current attempt
     bool m_gotBytes = false;
     bool m_gotUnexpected = false; // a response that was skipped
+    // The end of the response is not where its head says.
+    bool m_mustClose = false;
+    std::optional<response_fault> m_fault;
     bool m_mayHaveBeenSent = false;
 };
 
@@ -288,7 +287,7 @@
 
 call_result http_call::resultOf(result<http_response> response) const
 {
-    return { std::move(response), m_mayHaveBeenSent, m_isReused, m_localPort };
+    return { std::move(response), m_mayHaveBeenSent, m_isReused, m_localPort, m_fault };
 }
 
 // limit is zero if only the end of the whole call counts.
@@ -366,7 +365,7 @@
     // read even if writing failed.
     auto response = readResponse();
     const bool mayReuse = response && !writeError && m_parser->keep_alive() && m_buffer.size() == 0
-                          && !m_gotUnexpected && m_socket.is_open() && !isAborted();
+                          && !m_gotUnexpected && !m_mustClose && m_socket.is_open() && !isAborted();
     if (mayReuse) {
         if (response.value().status >= firstErrorStatus && !m_options.requestId.empty())
             m_failedRequests.add(m_options.requestId, m_end);
@@ -393,7 +392,7 @@
     error_code error;
     readBody(error);
     if (error)
-        return describe(kindOfReadError(error), error.message());
+        return describeReadError(error);
     return toResponse(m_parser->release());
 }
 
@@ -403,25 +402,44 @@
     for (int skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
         error_code error;
         readHead(error);
-        if (!error && isInterim(m_parser->get()))
+        if (error)
+            return describeReadError(error);
+        const http_response head = toHead(m_parser->get());
+        if (const auto fault = findFault(static_cast<int>(m_parser->get().version()), head))
+            return malformed(*fault);
+        if (isInterimStatus(head.status))
             continue;
-        if (!error && isExpected()) {
+        m_mustClose = announcesForbiddenBody(head);
+        if (isExpected(head)) {
             limitReading({}); // ends the shorter limit after an unexpected response
             return std::nullopt;
         }
-        if (!error && m_options.waitAfterUnexpected <= duration::zero())
+        if (m_options.waitAfterUnexpected <= duration::zero())
             return describe(errc::InvalidMessage, "the response belongs to another request");
-        if (!error)
-            skipResponse(error);
+        skipResponse(error);
         if (error)
-            return describe(kindOfReadError(error), error.message());
+            return describeReadError(error);
     }
-    return describe(errc::InvalidMessage, "too many responses before the expected one");
+    return malformed(response_fault::TooManyResponses);
+}
+
+bool http_call::isExpected(const http_response &head) const
+{
+    return !m_options.isExpected || m_options.isExpected(head, m_isReused);
 }
 
-bool http_call::isExpected() const
+failure http_call::malformed(response_fault fault)
 {
-    return !m_options.isExpected || m_options.isExpected(toHead(m_parser->get()), m_isReused);
+    m_fault = fault;
+    m_core.onMalformedResponse(m_address, fault);
+    return describe(errc::InvalidMessage,
+                    "malformed response: " + std::string(nameOf(responseFaultNames, fault)));
+}
+
+failure http_call::describeReadError(const error_code &error)
+{
+    const auto fault = faultOfParseError(error);
+    return fault ? malformed(*fault) : describe(kindOfReadError(error), error.message());
 }
 
 void http_call::skipResponse(error_code &error)
@@ -548,6 +566,12 @@
     m_core->observer = std::move(observer);
 }
 
+void http_client::observeMalformedResponses(
+        std::function<void(const std::string &, response_fault)> observer)
+{
+    m_core->onMalformedResponse = std::move(observer);
+}
+
 void http_client::dropIdle(const std::string &address)
 {
     m_core->idle.drop(address);
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -18,6 +18,7 @@
 #include "fescuedeck/base/time.h"
 #include "fescuedeck/net/connection_observer.h"
 #include "fescuedeck/net/http_message.h"
+#include "fescuedeck/net/response_check.h"
 
 namespace fescuedeck {
 
@@ -91,6 +92,8 @@
     // Local port of that connection, which tells the connections to an address apart; 0 if there
     // was none.
     std::uint16_t localPort = 0;
+    // Set if the call failed with InvalidMessage because its response is malformed.
+    std::optional<response_fault> fault = std::nullopt;
 };
 
 struct http_client_limits
@@ -110,7 +113,7 @@
 // behind it; a call that fails in any way closes its connection.
 //
 // Failures: ConnectionFailed (no connection), Timeout, ConnectionClosed (by the other end or by
-// cancellation), TooLarge (response), InvalidMessage (response is not HTTP, or belongs to another
+// cancellation), TooLarge (response), InvalidMessage (response is malformed, or belongs to another
 // request), InvalidRequest and InvalidSettings (the request or address cannot be sent).
 class http_client
 {
@@ -130,6 +133,10 @@
     // Sets who is told about each attempt to open a connection. Not thread-safe: call it before the
     // first request.
     void observeConnections(connection_observer observer);
+    // Sets who is told, on the strand of the call, about each malformed response of an address. Not
+    // thread-safe: call it before the first request.
+    void observeMalformedResponses(
+            std::function<void(const std::string &address, response_fault fault)> observer);
     // Closes the idle connections to an address, for example when its host is leaving.
     void dropIdle(const std::string &address);
     int idleConnections() const;
