Gateway: count malformed responses by endpoint and reason

Operators could not see which endpoint sends responses that no caller can use: sending_failed names the attempt, not the reason.

Change: fescuedeck_malformed_responses_total{endpoint,reason} counts each one, of endpoints, peers and the store. The line malformed_response is written when an address sends one after 10 s without any for the same reason.

The 10 s of the log line have no test.

--- a/src/fescuedeck/gateway/gateway_context.cpp
+++ b/src/fescuedeck/gateway/gateway_context.cpp
@@ -16,6 +16,9 @@
 {
     hasVouchingPeer
             = [this] { return !peerSecret.empty() && relays.hasVouchingPeer(inputHandledUntil()); };
+    client.observeMalformedResponses([this](const std::string &address, response_fault fault) {
+        malformedResponses.record(address, fault, steadyNow());
+    });
     crashes.isDown = [this](const std::string &incarnation) {
         return endpoints.isDown(incarnation, steadyNow());
     };
--- a/src/fescuedeck/gateway/gateway_context.h
+++ b/src/fescuedeck/gateway/gateway_context.h
@@ -21,6 +21,7 @@
 #include "fescuedeck/gateway/gateway_config.h"
 #include "fescuedeck/gateway/gateway_retry_budget.h"
 #include "fescuedeck/gateway/gateway_settings.h"
+#include "fescuedeck/gateway/malformed_responses.h"
 #include "fescuedeck/gateway/open_attempts.h"
 #include "fescuedeck/gateway/platform_adapter.h"
 #include "fescuedeck/gateway/relay_directory.h"
@@ -49,6 +50,7 @@
     http_client &client;
     random_fn random;
     metrics counters;
+    malformed_responses malformedResponses{ counters };
     std::shared_ptr<const config_index> config; // null until the first one has arrived
     endpoint_registry endpoints;
     gateway_retry_budget retryBudget;
