Rerouting: streams stay at engines that complete their work

An engine that leaves or gives up layers completes the streams that it has, but all of them were moved at once, some three times or more, and other engines read their prompts again: 255 of 479 moves in 5 s of a rolling replacement. Such streams move only once they are silent.

--- a/src/fescuedeck/rerouting/path_mover.cpp
+++ b/src/fescuedeck/rerouting/path_mover.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <tuple>
 
 #include <boost/asio/post.hpp>
@@ -69,6 +70,15 @@
     return progress;
 }
 
+// Whether the engine completes the stream in spite of the cause, as one does that leaves or gives
+// up layers. Moving all its streams only makes other engines read many prompts again.
+bool completesItsWork(path_change_cause cause, bool isStreamSilent)
+{
+    const bool isPlanned
+            = cause == path_change_cause::Leaving || cause == path_change_cause::LayersGivenUp;
+    return isPlanned && !isStreamSilent;
+}
+
 duration acceptedGap(const running_stream &stream)
 {
     return stream.gapObjective > duration::zero() ? stream.gapObjective : defaultStallLimit;
@@ -214,6 +224,7 @@
     candidate.timeLeft = acceptedGap(stream) - (now - status.activeAt);
     const bool isStreamSilent = isSilent(progressOf(stream, status), now);
     const bool isSuspicious = !isReading && isStreamSilent;
+    std::set<std::string> completing;
     for (std::size_t i = 0; i < stream.path.chain.size(); ++i) {
         const chain_part &part = stream.path.chain[i];
         std::optional<path_change_cause> cause
@@ -232,12 +243,17 @@
             cause = path_change_cause::Stalled;
         if (!cause)
             continue;
+        if (completesItsWork(*cause, isStreamSilent)) {
+            completing.insert(part.endpoint);
+            continue;
+        }
         if (candidate.avoided.empty() || *cause == path_change_cause::Lost)
             candidate.cause = *cause;
         candidate.avoided.insert(part.endpoint);
     }
     if (candidate.avoided.empty())
         return std::nullopt;
+    candidate.avoided.insert(completing.begin(), completing.end());
     return candidate;
 }
 
