Review: a stream id beyond ASCII ends the gateway when its path changes

A gateway process aborts when a running stream whose Request-Id has bytes beyond ASCII is to be moved away from an engine that has crashed; requests that sound replicas of another service run for it are lost.

--- /dev/null
+++ b/review/standin-2/scenarios.h
@@ -0,0 +1,429 @@
+// The cases that main.cpp plays.
+#ifndef REVIEW_STANDIN_2_SCENARIOS_H
+#define REVIEW_STANDIN_2_SCENARIOS_H
+
+#include <iostream>
+#include <set>
+#include <sstream>
+
+#include "clients.h"
+#include "deployment.h"
+
+namespace standin {
+
+using scenario = std::function<int(deployment &, bool isTroubled)>;
+
+constexpr int held = 0;
+constexpr int broken = 1;
+constexpr int cannotRun = 2;
+
+inline void report(deployment &platform, const std::string &text)
+{
+    platform.record().add(text);
+    std::cout << text << std::endl;
+}
+
+// Gateways and replicas that all scenarios begin with.
+struct fleet
+{
+    std::vector<gateway_place> gateways;
+    std::vector<pid_t> gatewayPids;
+    std::vector<replica_settings> replicas;
+    std::vector<pid_t> replicaPids;
+
+    void addGateways(deployment &platform, int count)
+    {
+        for (int i = 0; i < count; ++i)
+            gateways.push_back(platform.addGateway("front-merzouga-" + std::to_string(i + 1),
+                                                   "merzouga"));
+    }
+    void addDesk(int count, double workMs, double writeMs = 60)
+    {
+        for (int i = 0; i < count; ++i) {
+            replica_settings settings;
+            settings.id = "i-desk" + std::to_string(i + 1);
+            settings.service = "waiver-desk";
+            settings.zone = "merzouga";
+            settings.workMs = workMs;
+            settings.writeMs = writeMs;
+            replicas.push_back(settings);
+        }
+    }
+    // Engines that hold the 80 layers in five parts, each part on so many engines.
+    void addEngines(int copies, double workMs, int events)
+    {
+        for (int i = 0; i < 5 * copies; ++i) {
+            replica_settings settings;
+            settings.id = "i-engine" + std::to_string(i + 1);
+            settings.service = "drafting-llm";
+            settings.zone = "merzouga";
+            settings.slots = 192;
+            settings.queue = 96;
+            settings.workMs = workMs;
+            settings.events = events;
+            settings.from = 16 * (i % 5);
+            settings.to = settings.from + 16;
+            replicas.push_back(settings);
+        }
+    }
+    bool start(deployment &platform)
+    {
+        platform.platformStore().put("keyed.op", "config", configJson(7));
+        for (replica_settings &each : replicas)
+            replicaPids.push_back(platform.startReplica(each));
+        sleepMs(500);
+        for (const gateway_place &each : gateways)
+            gatewayPids.push_back(platform.startGateway(each));
+        bool isReady = true;
+        for (const gateway_place &each : gateways)
+            isReady = isReady && platform.waitUntilReady(each);
+        sleepMs(3000); // the list of replicas counts as complete
+        return isReady;
+    }
+};
+
+// What became of one request on a kept connection.
+struct outcome
+{
+    std::string id;
+    double sentAt = 0;       // seconds
+    double answeredAfter = 0; // seconds; 0 without an answer
+    int status = 0;          // 0 without an answer
+    bool isServed = false;
+    bool isFirstOnConnection = false;
+};
+
+// Clients until the end. Each begins a request once in a period, or when the one before has ended.
+class client_group
+{
+public:
+    using make_call = std::function<call()>;
+
+    client_group(deployment &platform, const std::vector<gateway_place> &gateways, int count,
+                 double periodMs, make_call make)
+    {
+        for (int i = 0; i < count; ++i) {
+            const gateway_place place = gateways[static_cast<std::size_t>(i) % gateways.size()];
+            m_threads.emplace_back([this, &platform, place, periodMs, make] {
+                run(platform, place, periodMs, make);
+            });
+        }
+    }
+    ~client_group() { end(); }
+    client_group(const client_group &) = delete;
+    client_group &operator=(const client_group &) = delete;
+
+    void end()
+    {
+        m_isOver = true;
+        for (std::thread &each : m_threads)
+            each.join();
+        m_threads.clear();
+    }
+    std::vector<outcome> outcomes() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_outcomes;
+    }
+    int sent() const { return static_cast<int>(outcomes().size()); }
+    int served() const
+    {
+        const auto all = outcomes();
+        return static_cast<int>(std::count_if(all.begin(), all.end(),
+                                              [](const outcome &each) { return each.isServed; }));
+    }
+    double share() const { return sent() == 0 ? 1 : double(served()) / sent(); }
+    std::string text() const { return std::to_string(served()) + " of " + std::to_string(sent()); }
+
+private:
+    void run(deployment &platform, const gateway_place &place, double periodMs,
+             const make_call &make)
+    {
+        connection to;
+        bool isFirst = true;
+        while (!m_isOver) {
+            const call request = make();
+            if (!to.isOpen()) {
+                isFirst = true;
+                if (!to.connect(place.front)) {
+                    to.close();
+                    sleepMs(100);
+                    continue;
+                }
+            }
+            platform.record().add("client sends " + request.id + " " + request.method + " "
+                                  + request.target + " to " + place.name);
+            outcome result;
+            result.id = request.id;
+            result.sentAt = platform.now();
+            result.isFirstOnConnection = isFirst;
+            isFirst = false;
+            const call_result answer = sendOn(to, request);
+            result.status = answer.isWhole ? answer.status : 0;
+            result.isServed = answer.isServed();
+            result.answeredAfter = answer.isWhole ? platform.now() - result.sentAt : 0;
+            platform.record().add("client gets " + std::to_string(answer.status)
+                                  + (answer.isWhole ? "" : ", not whole,") + " for " + request.id);
+            {
+                const std::lock_guard lock(m_mutex);
+                m_outcomes.push_back(result);
+            }
+            // Clients honour Retry-After up to a third of their time.
+            const double wait = std::min(std::atof(answer.retryAfter.c_str()) * 1000,
+                                         request.limitMs / 3.0);
+            const double passed = (platform.now() - result.sentAt) * 1000;
+            sleepMs(std::max({ 5.0, periodMs - passed, wait }));
+        }
+    }
+
+    std::atomic<bool> m_isOver{ false };
+    mutable std::mutex m_mutex;
+    std::vector<outcome> m_outcomes;
+    std::vector<std::thread> m_threads;
+};
+
+// Ids of the requests that replicas began to run.
+inline std::set<std::string> begunRequests(deployment &platform)
+{
+    std::set<std::string> begun;
+    std::ifstream file(platform.recordPath());
+    for (std::string time, who, name, verb, id, line; std::getline(file, line);) {
+        std::istringstream words(line);
+        if (words >> time >> who >> name >> verb >> id && who == "replica" && verb == "begins")
+            begun.insert(id);
+    }
+    return begun;
+}
+
+// The port of the engine that runs the third part of the newest stream's path; 0 if there is none.
+inline int portOfThirdPart(deployment &platform)
+{
+    int port = 0;
+    std::ifstream file(platform.recordPath());
+    for (std::string time, who, name, verb, path, line; std::getline(file, line);) {
+        std::istringstream words(line);
+        if (!(words >> time >> who >> name >> verb >> path) || who != "replica" || verb != "path")
+            continue;
+        std::istringstream parts(path);
+        std::string part;
+        for (int i = 0; i < 3; ++i)
+            std::getline(parts, part, ',');
+        port = std::atoi(part.substr(part.find(':') + 1).c_str());
+    }
+    return port;
+}
+
+inline call lookupOf(const std::string &waiver)
+{
+    return { "GET", "/lookup/" + waiver + "/", newId(), "" };
+}
+
+inline call draftOf(const std::string &id, const std::string &prompt, const std::string &parts)
+{
+    call request{ "POST", "/draft/", id, prompt };
+    request.limitMs = 20000;
+    request.more = { { "Model", "m0" },
+                     { "Token-Counts", "760,154" },
+                     { "Prompt-Prefix", parts } };
+    return request;
+}
+
+// The rule Starved: a kind of request is served less than a quarter as often as all requests.
+inline bool isStarved(const client_group &kind, const client_group &other)
+{
+    const double all = double(kind.served() + other.served())
+                       / std::max(1, kind.sent() + other.sent());
+    return kind.share() < all / 4;
+}
+
+// One replica of a plain service crashes while it runs several requests that are equal.
+inline int equalLookups(deployment &platform, bool isTroubled)
+{
+    fleet all;
+    all.addGateways(platform, 2);
+    all.addDesk(3, 200, 60);
+    if (!all.start(platform))
+        return cannotRun;
+    const std::vector<gateway_place> first{ all.gateways[0] };
+    const std::vector<gateway_place> second{ all.gateways[1] };
+    const auto lookUp = [] { return lookupOf("waiver-17"); };
+    client_group lookups(platform, first, 32, 500, lookUp);
+    client_group lookupsElsewhere(platform, second, 4, 500, lookUp);
+    client_group signatures(platform, all.gateways, 24, 500, [] {
+        return call{ "POST", "/sign/", newId(), "rider " + newId() };
+    });
+    sleepMs(3000);
+    if (isTroubled)
+        platform.crash(all.replicaPids[0], all.replicas[0].id);
+    sleepMs(3000);
+    if (isTroubled) {
+        all.replicas[0].id = "i-desk1b"; // a new incarnation at the same address
+        platform.startReplica(all.replicas[0]);
+    }
+    sleepMs(70000);
+    lookups.end();
+    lookupsElsewhere.end();
+    signatures.end();
+    report(platform, "lookups served: " + lookups.text() + ", at the other gateway: "
+                             + lookupsElsewhere.text() + ", signatures served: "
+                             + signatures.text());
+    return isStarved(lookups, signatures) ? broken : held;
+}
+
+// An engine loses some answers for a few seconds, while many streams with the same prompt run.
+inline int equalDrafts(deployment &platform, bool isTroubled)
+{
+    fleet all;
+    all.addGateways(platform, 2);
+    all.addEngines(2, 10, 20);
+    // Requests begin at the two engines of the first part. One of them loses answers.
+    all.replicas[0].lostShare = 0.4;
+    if (!all.start(platform))
+        return cannotRun;
+    std::atomic<int> number{ 0 };
+    client_group equal(platform, all.gateways, 10, 1000, [] {
+        return draftOf(newId(), "the waiver of the day, in Darija", "5c1e07a2:40,e4402b7d:720");
+    });
+    client_group others(platform, all.gateways, 10, 1000, [&number] {
+        const std::string own = std::to_string(1000 + ++number);
+        return draftOf(newId(), "waiver " + own, "91bd3f06:40,a7" + own + ":720");
+    });
+    sleepMs(3000);
+    if (isTroubled)
+        ::kill(all.replicaPids[0], SIGUSR1);
+    sleepMs(4000);
+    ::kill(all.replicaPids[0], SIGUSR2);
+    sleepMs(75000);
+    equal.end();
+    others.end();
+    report(platform, "drafts with the same prompt served: " + equal.text()
+                             + ", other drafts served: " + others.text());
+    return isStarved(equal, others) ? broken : held;
+}
+
+// Starts gateways again that have ended by themselves, as the platform does, and counts the ends.
+class restarter
+{
+public:
+    restarter(deployment &platform, fleet &all)
+        : m_thread([this, &platform, &all] {
+            while (!m_isOver) {
+                sleepMs(50);
+                for (std::size_t i = 0; i < all.gatewayPids.size(); ++i) {
+                    if (platform.isRunning(all.gatewayPids[i]))
+                        continue;
+                    ++m_ends;
+                    report(platform, "gateway " + all.gateways[i].name + " has ended by itself: "
+                                             + platform.lastEnd());
+                    sleepMs(500);
+                    all.gatewayPids[i] = platform.startGateway(all.gateways[i]);
+                }
+            }
+        })
+    {
+    }
+    int end()
+    {
+        m_isOver = true;
+        m_thread.join();
+        return m_ends;
+    }
+
+private:
+    std::atomic<bool> m_isOver{ false };
+    std::atomic<int> m_ends{ 0 };
+    std::thread m_thread;
+};
+
+// An engine crashes while streams run through it whose request ids have bytes beyond ASCII.
+inline int oddRequestIds(deployment &platform, bool isTroubled)
+{
+    fleet all;
+    all.addGateways(platform, 2);
+    all.addDesk(3, 300);
+    all.addEngines(2, 50, 60);
+    if (!all.start(platform))
+        return cannotRun;
+    restarter restarts(platform, all);
+    client_group lookups(platform, all.gateways, 16, 320,
+                         [] { return lookupOf("waiver-" + newId()); });
+    std::atomic<int> number{ 0 };
+    client_group drafts(platform, all.gateways, 12, 3500, [&number] {
+        const std::string own = std::to_string(1000 + ++number);
+        return draftOf(newId() + "-caf\xe9", "waiver " + own, "91bd3f06:40,a7" + own + ":720");
+    });
+    sleepMs(5000);
+    const int port = portOfThirdPart(platform);
+    for (std::size_t i = 0; isTroubled && i < all.replicas.size(); ++i) {
+        if (all.replicas[i].port == port)
+            platform.crash(all.replicaPids[i], all.replicas[i].id);
+    }
+    sleepMs(16000);
+    lookups.end();
+    drafts.end();
+    const int ends = restarts.end();
+    const std::set<std::string> begun = begunRequests(platform);
+    int lost = 0;
+    for (const outcome &each : lookups.outcomes()) {
+        const bool isLost = each.status == 0 && !each.isFirstOnConnection
+                            && begun.count(each.id) > 0;
+        lost += isLost ? 1 : 0;
+    }
+    report(platform, "lookups served: " + lookups.text() + ", drafts served: " + drafts.text()
+                             + ", lookups passed on from a kept connection that was then closed"
+                               " without an answer: "
+                             + std::to_string(lost) + ", ends of gateways: "
+                             + std::to_string(ends));
+    return lost > 3 ? broken : held;
+}
+
+// Clients whose requests are within the limits, with a Connection header of many options.
+inline int longConnectionHeaders(deployment &platform, bool isTroubled)
+{
+    fleet all;
+    all.addGateways(platform, 2);
+    all.addDesk(3, 60);
+    if (!all.start(platform))
+        return cannotRun;
+    std::string options = "a";
+    for (int i = 0; i < 3900; ++i)
+        options += ",a";
+    client_group ordinary(platform, all.gateways, 16, 200,
+                          [] { return lookupOf("waiver-" + newId()); });
+    sleepMs(2000);
+    {
+        client_group uncontrolled(platform, all.gateways, isTroubled ? 8 : 0, 0, [&options] {
+            call request = lookupOf("waiver-" + newId());
+            request.more.assign(1700, { "b", "" });
+            request.more.emplace_back("Connection", options);
+            return request;
+        });
+        sleepMs(30000);
+        ordinary.end();
+    }
+    constexpr double timeout = 2; // of the route
+    int unanswered = 0;
+    int stillUnanswered = 0;
+    for (const outcome &each : ordinary.outcomes()) {
+        const bool hasAnswer = each.status != 0;
+        unanswered += !hasAnswer || each.answeredAfter > timeout ? 1 : 0;
+        stillUnanswered += !hasAnswer || each.answeredAfter > timeout + 0.5 ? 1 : 0;
+    }
+    report(platform, "ordinary lookups served: " + ordinary.text()
+                             + ", without an answer at the timeout of the route: "
+                             + std::to_string(unanswered) + ", half a second later: "
+                             + std::to_string(stillUnanswered));
+    return 2 * stillUnanswered > unanswered ? broken : held;
+}
+
+inline std::map<std::string, scenario> allScenarios()
+{
+    return { { "equal_lookups", equalLookups },
+             { "equal_drafts", equalDrafts },
+             { "odd_request_ids", oddRequestIds },
+             { "long_connection_headers", longConnectionHeaders } };
+}
+
+} // namespace standin
+
+#endif
