Review: open bodies of uncontrolled clients keep ordinary callers out

Claim: RECOVER is broken. Connections with bodies that stop short of their end use up the connections of a gateway, which stays ready; a connection inside a body is never closed in favour of a new one.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-g++ -std=c++17 -O1 -Wall -Wextra -pthread -o target/review-2/standin review/standin-2/main.cpp
+g++ -std=c++17 -O1 -Wall -Wextra -pthread -o target/review-2/standin review/standin-2/main.cc
--- a/review/standin-2/clients.h
+++ b/review/standin-2/clients.h
@@ -80,12 +80,12 @@
 
 inline std::string configJson(int version)
 {
-    const std::string key = std::string("{\"name\":\"hule930\",\"apiKeys\":[\"") + apiKey
-                            + "\"],\"priority\":1}";
+    const std::string key
+            = std::string("{\"name\":\"hule930\",\"apiKeys\":[\"") + apiKey + "\"],\"priority\":1}";
     const auto route = [](const char *name, const char *path, const char *kind, const char *rest) {
-        return std::string("{\"name\":\"") + name + "\",\"host\":\"" + host
-               + "\",\"pathPrefix\":\"" + path + "\",\"kind\":\"" + kind
-               + "\",\"public\":false,\"priority\":1," + rest + "}";
+        return std::string("{\"name\":\"") + name + "\",\"host\":\"" + host + "\",\"pathPrefix\":\""
+               + path + "\",\"kind\":\"" + kind + "\",\"public\":false,\"priority\":1," + rest
+               + "}";
     };
     return "{\"version\":" + std::to_string(version) + ",\"routes\":["
            + route("r-lookup", "/lookup/", "safe",
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -114,9 +114,12 @@
     {
         if (settings.port == 0)
             settings.port = freePorts(1);
-        std::vector<std::string> arguments{ m_program,        "replica",
-                                            settings.id,      settings.service,
-                                            settings.zone,    m_recordPath,
+        std::vector<std::string> arguments{ m_program,
+                                            "replica",
+                                            settings.id,
+                                            settings.service,
+                                            settings.zone,
+                                            m_recordPath,
                                             std::to_string(settings.port),
                                             std::to_string(m_store.port()),
                                             std::to_string(settings.slots),
@@ -127,8 +130,8 @@
                                             std::to_string(settings.events),
                                             std::to_string(settings.lostShare),
                                             std::to_string(settings.writeMs) };
-        const pid_t pid = start(arguments, { "STANDIN_FOLDER=" + m_folder },
-                                m_folder + "/replicas.log");
+        const pid_t pid
+                = start(arguments, { "STANDIN_FOLDER=" + m_folder }, m_folder + "/replicas.log");
         m_record.add("replica " + settings.id + " of " + settings.service + " starts");
         return pid;
     }
@@ -173,14 +176,16 @@
                + "\"\nregion: \"sud-est\"\nzones:\n  merzouga: \"sud-est\"\n  erfoud: \"sud-est\"\n"
                  "listenAddresses:\n  front: \""
                + address(place.front) + "\"\n  ready: \"" + address(place.ready)
-               + "\"\n  control: \"" + address(place.control)
-               + "\"\ninternalPortRange:\n  - " + std::to_string(place.firstInternal) + "\n  - "
+               + "\"\n  control: \"" + address(place.control) + "\"\ninternalPortRange:\n  - "
+               + std::to_string(place.firstInternal) + "\n  - "
                + std::to_string(place.firstInternal + 15)
                + "\nseedAddresses: []\nbootstrap: true\ncountsTowardTolerance: false\nlimits:\n"
                  "  cpuShare: 0.25\n  cores: 1\n  memoryMb: 260\n  fileDescriptors: 4200\n"
                  "  linkMbps: 1000.0\n  diskMb: 0\ndataDirectory: null\ndiscovery: \"platform\"\n"
-                 "entry: \"virtual_ip\"\nheartbeatIntervalMs: 1200\ncontracts: [\"base\", \"drain\","
-                 " \"config\", \"cost\", \"retry\", \"recover\", \"engine\", \"stream\", \"tenants\","
+                 "entry: \"virtual_ip\"\nheartbeatIntervalMs: 1200\ncontracts: [\"base\", "
+                 "\"drain\","
+                 " \"config\", \"cost\", \"retry\", \"recover\", \"engine\", \"stream\", "
+                 "\"tenants\","
                  " \"platform\", \"layers\"]\nfaultTolerance:\n  machines: 2\n  zones: 0\n"
                  "  regions: 0\nbounds:\n  seedLagS: 3\n  addressReuseS: 2\n  contactMs: 3000\n"
                  "  acknowledgeMs: 4000\n  catchUpS: 4\n  drainMs: 2000\n  gracePeriodS: 8\n"
--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -129,8 +129,8 @@
     {
         std::size_t sent = 0;
         while (sent < text.size()) {
-            const ssize_t count = ::send(m_descriptor, text.data() + sent, text.size() - sent,
-                                         MSG_NOSIGNAL);
+            const ssize_t count
+                    = ::send(m_descriptor, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
             if (count <= 0)
                 return false;
             sent += static_cast<std::size_t>(count);
@@ -160,7 +160,8 @@
         return readBody(request, false, {});
     }
     // onPart gets the parts of the body as they arrive. Returns false if there was no head.
-    bool readResponse(message &response, const std::function<void(const std::string &)> &onPart = {})
+    bool readResponse(message &response,
+                      const std::function<void(const std::string &)> &onPart = {})
     {
         response = {};
         std::string line;
@@ -216,7 +217,8 @@
         }
         return field.empty();
     }
-    bool take(std::size_t size, message &into, const std::function<void(const std::string &)> &onPart)
+    bool take(std::size_t size, message &into,
+              const std::function<void(const std::string &)> &onPart)
     {
         while (size > 0) {
             if (m_buffer.empty() && !fill())
@@ -260,7 +262,8 @@
     steady::time_point m_readUntil{};
 };
 
-inline std::string headOf(int status, const std::vector<std::pair<std::string, std::string>> &headers)
+inline std::string headOf(int status,
+                          const std::vector<std::pair<std::string, std::string>> &headers)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
     for (const auto &[name, value] : headers)
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cc
@@ -52,13 +52,14 @@
     const std::map<std::string, standin::scenario> scenarios = standin::allScenarios();
     const auto found = argc < 2 ? scenarios.end() : scenarios.find(argv[1]);
     if (found == scenarios.end() || gateway.empty()) {
-        std::cerr << "usage: standin SCENARIO --gateway FILE --folder DIR --record FILE --trouble 0|1\n";
+        std::cerr << "usage: standin SCENARIO --gateway FILE --folder DIR --record FILE --trouble "
+                     "0|1\n";
         return 2;
     }
     char self[4096];
     const ssize_t size = ::readlink("/proc/self/exe", self, sizeof(self));
     standin::deployment platform(folder, record, gateway,
-                                  std::string(self, static_cast<std::size_t>(size)));
+                                 std::string(self, static_cast<std::size_t>(size)));
     const int status = found->second(platform, trouble != "0");
     platform.endAll();
     std::cout << "exit status " << status << std::endl;
--- a/review/standin-2/replica.h
+++ b/review/standin-2/replica.h
@@ -25,9 +25,9 @@
     }
     void add(const std::string &text) const
     {
-        const double now = std::chrono::duration<double>(
-                                   std::chrono::system_clock::now().time_since_epoch())
-                                   .count();
+        const double now
+                = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch())
+                          .count();
         char time[32];
         std::snprintf(time, sizeof(time), "%.3f ", now);
         const std::string line = time + text + "\n";
@@ -44,8 +44,8 @@
     std::string id, service, zone, record;
     int port = 0, storePort = 0;
     int slots = 6, queue = 24;
-    double workMs = 60;  // of a plain request, or between two events of a stream
-    double writeMs = 60; // of a plain request that is no GET
+    double workMs = 60;   // of a plain request, or between two events of a stream
+    double writeMs = 60;  // of a plain request that is no GET
     int from = 0, to = 0; // layers; none for a plain service
     int events = 60;
     double lostShare = 0; // of the answers that it loses after the run began
@@ -88,8 +88,8 @@
 
     std::string layersJson() const
     {
-        return "{\"from\":" + std::to_string(m_settings.from) + ",\"to\":"
-               + std::to_string(m_settings.to) + ",\"version\":1}";
+        return "{\"from\":" + std::to_string(m_settings.from)
+               + ",\"to\":" + std::to_string(m_settings.to) + ",\"version\":1}";
     }
     std::string engineJson() const
     {
@@ -101,9 +101,9 @@
     {
         std::string entry = "{\"service\":\"" + m_settings.service + "\",\"address\":\""
                             + ownAddress() + "\",\"zone\":\"" + m_settings.zone
-                            + "\",\"version\":\"v1\",\"slots\":"
-                            + std::to_string(m_settings.slots)
-                            + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":" + std::to_string(++m_announced) + ",";
+                            + "\",\"version\":\"v1\",\"slots\":" + std::to_string(m_settings.slots)
+                            + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":"
+                            + std::to_string(++m_announced) + ",";
         entry += isEngine() ? engineJson() : "\"born\":" + std::to_string(m_born);
         entry += "}";
         connection to;
@@ -123,7 +123,8 @@
         if (path == "/health")
             return to.write(responseText(200, { { "Instance-Id", m_settings.id } }, ""));
         if (path == "/api/report")
-            return to.write(responseText(200, { { "Content-Type", "application/json" } }, report()));
+            return to.write(
+                    responseText(200, { { "Content-Type", "application/json" } }, report()));
         if (path == "/api/order")
             return to.write(order(request));
         const std::string id = request.header("Request-Id");
@@ -133,7 +134,8 @@
                     421, { { "Request-Id", id }, { "Instance-Id", m_settings.id } }, ""));
         if (++m_open > m_settings.slots + m_settings.queue) {
             --m_open;
-            return to.write(responseText(503, { { "Request-Id", id }, { "Not-Executed", "1" } }, ""));
+            return to.write(
+                    responseText(503, { { "Request-Id", id }, { "Not-Executed", "1" } }, ""));
         }
         while (true) { // waits for a slot
             int running = m_running;
@@ -274,7 +276,8 @@
             stalled += (stalled.empty() ? "" : ",") + std::string("{\"id\":\"id\",\"address\":\"")
                        + address + "\"}";
         return "{" + (isEngine() ? engineJson() : "\"born\":" + std::to_string(m_born))
-               + ",\"busy\":" + (m_isBusy ? "true" : "false") + ",\"sequence\":" + std::to_string(m_orders)
+               + ",\"busy\":" + (m_isBusy ? "true" : "false")
+               + ",\"sequence\":" + std::to_string(m_orders)
                + ",\"queuedRequests\":0,\"runningRequests\":" + std::to_string(m_running)
                + ",\"kvCacheUsed\":0,\"kvCacheTotal\":1000000,\"handles\":0,\"pace\":1.0,"
                  "\"stalled\":["
@@ -294,8 +297,8 @@
         const int to = numberField(body, "to");
         if (from == m_settings.from && to == m_settings.to)
             return responseText(200, {}, "{}");
-        if (m_isBusy || (numberField(body, "expected") >= 0
-                         && numberField(body, "expected") != m_orders))
+        if (m_isBusy
+            || (numberField(body, "expected") >= 0 && numberField(body, "expected") != m_orders))
             return responseText(409, {}, "{}");
         ++m_orders;
         m_isBusy = true;
--- a/review/standin-2/scenarios.h
+++ b/review/standin-2/scenarios.h
@@ -1,4 +1,4 @@
-// The cases that main.cpp plays.
+// The cases that main.cc plays.
 #ifndef REVIEW_STANDIN_2_SCENARIOS_H
 #define REVIEW_STANDIN_2_SCENARIOS_H
 
@@ -34,8 +34,8 @@
     void addGateways(deployment &platform, int count)
     {
         for (int i = 0; i < count; ++i)
-            gateways.push_back(platform.addGateway("front-merzouga-" + std::to_string(i + 1),
-                                                   "merzouga"));
+            gateways.push_back(
+                    platform.addGateway("front-merzouga-" + std::to_string(i + 1), "merzouga"));
     }
     void addDesk(int count, double workMs, double writeMs = 60)
     {
@@ -86,9 +86,9 @@
 struct outcome
 {
     std::string id;
-    double sentAt = 0;       // seconds
+    double sentAt = 0;        // seconds
     double answeredAfter = 0; // seconds; 0 without an answer
-    int status = 0;          // 0 without an answer
+    int status = 0;           // 0 without an answer
     bool isServed = false;
     bool isFirstOnConnection = false;
 };
@@ -169,8 +169,8 @@
                 m_outcomes.push_back(result);
             }
             // Clients honour Retry-After up to a third of their time.
-            const double wait = std::min(std::atof(answer.retryAfter.c_str()) * 1000,
-                                         request.limitMs / 3.0);
+            const double wait
+                    = std::min(std::atof(answer.retryAfter.c_str()) * 1000, request.limitMs / 3.0);
             const double passed = (platform.now() - result.sentAt) * 1000;
             sleepMs(std::max({ 5.0, periodMs - passed, wait }));
         }
@@ -222,17 +222,15 @@
 {
     call request{ "POST", "/draft/", id, prompt };
     request.limitMs = 20000;
-    request.more = { { "Model", "m0" },
-                     { "Token-Counts", "760,154" },
-                     { "Prompt-Prefix", parts } };
+    request.more = { { "Model", "m0" }, { "Token-Counts", "760,154" }, { "Prompt-Prefix", parts } };
     return request;
 }
 
 // The rule Starved: a kind of request is served less than a quarter as often as all requests.
 inline bool isStarved(const client_group &kind, const client_group &other)
 {
-    const double all = double(kind.served() + other.served())
-                       / std::max(1, kind.sent() + other.sent());
+    const double all
+            = double(kind.served() + other.served()) / std::max(1, kind.sent() + other.sent());
     return kind.share() < all / 4;
 }
 
@@ -264,9 +262,9 @@
     lookups.end();
     lookupsElsewhere.end();
     signatures.end();
-    report(platform, "lookups served: " + lookups.text() + ", at the other gateway: "
-                             + lookupsElsewhere.text() + ", signatures served: "
-                             + signatures.text());
+    report(platform, "lookups served: " + lookups.text()
+                             + ", at the other gateway: " + lookupsElsewhere.text()
+                             + ", signatures served: " + signatures.text());
     return isStarved(lookups, signatures) ? broken : held;
 }
 
@@ -313,8 +311,8 @@
                     if (platform.isRunning(all.gatewayPids[i]))
                         continue;
                     ++m_ends;
-                    report(platform, "gateway " + all.gateways[i].name + " has ended by itself: "
-                                             + platform.lastEnd());
+                    report(platform, "gateway " + all.gateways[i].name
+                                             + " has ended by itself: " + platform.lastEnd());
                     sleepMs(500);
                     all.gatewayPids[i] = platform.startGateway(all.gateways[i]);
                 }
@@ -365,15 +363,15 @@
     const std::set<std::string> begun = begunRequests(platform);
     int lost = 0;
     for (const outcome &each : lookups.outcomes()) {
-        const bool isLost = each.status == 0 && !each.isFirstOnConnection
-                            && begun.count(each.id) > 0;
+        const bool isLost
+                = each.status == 0 && !each.isFirstOnConnection && begun.count(each.id) > 0;
         lost += isLost ? 1 : 0;
     }
     report(platform, "lookups served: " + lookups.text() + ", drafts served: " + drafts.text()
                              + ", lookups passed on from a kept connection that was then closed"
                                " without an answer: "
-                             + std::to_string(lost) + ", ends of gateways: "
-                             + std::to_string(ends));
+                             + std::to_string(lost)
+                             + ", ends of gateways: " + std::to_string(ends));
     return lost > 3 ? broken : held;
 }
 
@@ -411,17 +409,126 @@
     }
     report(platform, "ordinary lookups served: " + ordinary.text()
                              + ", without an answer at the timeout of the route: "
-                             + std::to_string(unanswered) + ", half a second later: "
-                             + std::to_string(stillUnanswered));
+                             + std::to_string(unanswered)
+                             + ", half a second later: " + std::to_string(stillUnanswered));
     return 2 * stillUnanswered > unanswered ? broken : held;
 }
 
+// Many connections of uncontrolled clients whose chunked bodies stop short of their end.
+class open_bodies
+{
+public:
+    open_bodies(int port, int count)
+        : m_thread([this, port, count] {
+            std::vector<std::unique_ptr<connection>> all(static_cast<std::size_t>(count));
+            while (!m_isOver) {
+                for (std::size_t i = 0; i < all.size() && !m_isOver; ++i) {
+                    if (!all[i] || !all[i]->isOpen() || all[i]->isClosed())
+                        all[i] = begin(port, "127.0.0." + std::to_string(2 + i % 4));
+                }
+                sleepMs(50);
+            }
+        })
+    {
+    }
+    ~open_bodies()
+    {
+        m_isOver = true;
+        m_thread.join();
+    }
+
+private:
+    static std::unique_ptr<connection> begin(int port, const std::string &from)
+    {
+        auto to = std::make_unique<connection>();
+        if (to->connect(port, from))
+            to->write("POST /sign/ HTTP/1.1\r\nHost: " + std::string(host)
+                      + "\r\nRequest-Id: " + newId() + "\r\nAuthorization: Token " + apiKey
+                      + "\r\nDeadline-Milliseconds: 4000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      + chunkOf(std::string(600, 'x')));
+        return to;
+    }
+
+    std::atomic<bool> m_isOver{ false };
+    std::thread m_thread;
+};
+
+// Uncontrolled clients hold more connections than a gateway admits, with bodies that do not end.
+inline int openBodies(deployment &platform, bool isTroubled)
+{
+    fleet all;
+    all.addGateways(platform, 2);
+    all.addDesk(3, 60);
+    if (!all.start(platform))
+        return cannotRun;
+    constexpr int clients = 8;
+    constexpr double contactSeconds = 3;
+    std::unique_ptr<open_bodies> held;
+    if (isTroubled)
+        held = std::make_unique<open_bodies>(all.gateways[0].front, 2600);
+    sleepMs(2000);
+    // Each request has a connection of its own.
+    std::atomic<bool> isOver{ false };
+    std::mutex mutex;
+    std::vector<double> servedAt, triedAt;
+    std::map<int, int> statuses;
+    std::vector<std::thread> threads;
+    const double begin = platform.now();
+    for (int i = 0; i < clients; ++i) {
+        threads.emplace_back([&] {
+            while (!isOver) {
+                const call request = lookupOf("waiver-" + newId());
+                const double sentAt = platform.now();
+                const call_result result = sendOnce(all.gateways[0].front, request);
+                platform.record().add("client gets " + std::to_string(result.status) + " for "
+                                      + request.id);
+                {
+                    const std::lock_guard lock(mutex);
+                    triedAt.push_back(sentAt);
+                    ++statuses[result.status];
+                    if (result.isServed())
+                        servedAt.push_back(platform.now());
+                }
+                const double wait = std::atof(result.retryAfter.c_str()) * 1000;
+                sleepMs(std::max(200.0, std::min(wait, request.limitMs / 3.0)));
+            }
+        });
+    }
+    int asked = 0;
+    int ready = 0;
+    for (; asked < 60; ++asked) { // the platform asks once a second
+        ready += platform.waitUntilReady(all.gateways[0], 0.9) ? 1 : 0;
+        sleepMs(1000);
+    }
+    isOver = true;
+    for (std::thread &each : threads)
+        each.join();
+    held.reset();
+    servedAt.push_back(platform.now());
+    std::sort(servedAt.begin(), servedAt.end());
+    double longest = 0;
+    double before = begin;
+    for (const double at : servedAt) {
+        longest = std::max(longest, at - before);
+        before = at;
+    }
+    std::ostringstream text;
+    text << "lookups served: " << servedAt.size() - 1 << " of " << triedAt.size()
+         << ", longest time without one: " << longest << " s, ready: " << ready << " of " << asked
+         << ", answers by status:";
+    for (const auto &[status, count] : statuses)
+        text << " " << status << ": " << count;
+    report(platform, text.str());
+    return longest > contactSeconds ? broken : standin::held;
+}
+
 inline std::map<std::string, scenario> allScenarios()
 {
     return { { "equal_lookups", equalLookups },
              { "equal_drafts", equalDrafts },
              { "odd_request_ids", oddRequestIds },
-             { "long_connection_headers", longConnectionHeaders } };
+             { "long_connection_headers", longConnectionHeaders },
+             { "open_bodies", openBodies } };
 }
 
 } // namespace standin
