--- a/review/standin-2/scenarios.h
+++ b/review/standin-2/scenarios.h
@@ -405,7 +405,7 @@
     client_group lookups(platform, all.gateways, 16, 320,
                          [] { return lookupOf("waiver-" + newId()); });
     std::atomic<int> number{ 0 };
-    client_group drafts(platform, all.gateways, 12, 3500, [&number] {
+    client_group drafts(platform, all.gateways, 40, 3500, [&number] {
         const std::string own = std::to_string(1000 + ++number);
         return draftOf(newId() + "-caf\xe9", "waiver " + own, "91bd3f06:40,a7" + own + ":720");
     });
