Gateway: log how an answer without a length ended

Logs did not tell them from others, nor whether the request could be written whole before the answer was read. answer_ended_with_connection now names each such answer that was taken as complete; sending_failed tells both as well.

--- a/src/fescuedeck/gateway/forwarded_call.h
+++ b/src/fescuedeck/gateway/forwarded_call.h
@@ -178,6 +178,8 @@
     attempt_outcome handleFailure(const destination &to, const attempt &current,
                                   const call_result &result);
     attempt_outcome handleStreamEnd(const destination &to, const attempt &current);
+    // Records an answer without a length, whose end is that of its connection.
+    void logConnectionEnd(const attempt &current, const call_result &result) const;
     attempt_outcome answerCaller(const destination &to, const http_response &response);
     // Evaluates the end of an attempt at a peer. Says nothing about endpoints, because the peer
     // draws those conclusions itself.
--- a/src/fescuedeck/gateway/forwarded_call_results.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_results.cpp
@@ -28,6 +28,8 @@
     if (!result.response)
         return handleFailure(to, current, result);
     const http_response &response = result.response.value();
+    if (result.endsWithConnection)
+        logConnectionEnd(current, result);
     // The head of a stream was read when it arrived.
     const response_info answer = m_route.kind == call_kind::Stream
                                          ? m_context.adapter.readResponse(response)
@@ -101,6 +103,17 @@
     return answerCaller(to, m_route.kind == call_kind::Stream ? current.head : response);
 }
 
+void forwarded_call::logConnectionEnd(const attempt &current, const call_result &result) const
+{
+    event_line("answer_ended_with_connection")
+            .field("request", m_info.id)
+            .field("endpoint", current.to.first->entry.id)
+            .field("sending", current.number)
+            .field("connection", static_cast<int>(result.localPort))
+            .field("request_cut", result.isRequestCut)
+            .field("last_event", m_lastEventId.value_or(0));
+}
+
 attempt_outcome forwarded_call::handleFailure(const destination &to, const attempt &current,
                                               const call_result &result)
 {
@@ -113,6 +126,8 @@
             .field("may_have_run", result.mayHaveBeenSent)
             .field("begun", m_hasStreamStarted)
             .field("connection", static_cast<int>(result.localPort))
+            .field("request_cut", result.isRequestCut)
+            .field("ends_with_connection", result.endsWithConnection)
             .field("cause", errorName(static_cast<errc>(error.code.value())));
     if (!result.mayHaveBeenSent) {
         if (!m_context.blamesLinks())
--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -248,6 +248,7 @@
     std::uint16_t m_localPort = 0;
     failed_requests m_failedRequests; // on the connection of the current attempt
     bool m_wroteBytes = false;        // by the current attempt
+    bool m_isRequestCut = false;      // the current attempt could not write the whole request
     bool m_gotBytes = false;
     bool m_gotUnexpected = false; // a response that was skipped
     // The end of the response is not where its head says.
@@ -295,7 +296,10 @@
 
 call_result http_call::resultOf(result<http_response> response) const
 {
-    return { std::move(response), m_mayHaveBeenSent, m_isReused, m_localPort, m_fault };
+    call_result ended{ std::move(response), m_mayHaveBeenSent, m_isReused, m_localPort, m_fault };
+    ended.isRequestCut = m_isRequestCut;
+    ended.endsWithConnection = m_parser && m_parser->is_header_done() && m_parser->need_eof();
+    return ended;
 }
 
 // limit is zero if only the end of the whole call counts.
@@ -366,6 +370,7 @@
         m_options.onSending();
     error_code writeError;
     m_wroteBytes = writeRequest(writeError) > 0;
+    m_isRequestCut = writeError.failed();
     m_mayHaveBeenSent = m_mayHaveBeenSent || m_wroteBytes;
     if (writeError && (!m_wroteBytes || isAborted()))
         return describe(errc::ConnectionClosed, writeError.message());
--- a/src/fescuedeck/net/http_client.h
+++ b/src/fescuedeck/net/http_client.h
@@ -98,6 +98,11 @@
     std::uint16_t localPort = 0;
     // Set if the call failed with InvalidMessage because its response is malformed.
     std::optional<response_fault> fault = std::nullopt;
+    // Whether writing the request failed before its end.
+    bool isRequestCut = false;
+    // Whether the response announced neither a length nor chunks, so that only the end of the
+    // connection tells where its body ends.
+    bool endsWithConnection = false;
 };
 
 struct http_client_limits
