Net: a probe of a socket leaves a reset to the next read

An engine answered without a length or chunks, so that the end of its connection was the end of the answer, and reset the connection between two events.

Cause: the kernel reports a reset to one operation only; later reads return 0, as after an orderly end. probeSocket(), a recv() with MSG_PEEK, was that operation when a stall limit expired in the same round of the event loop in which the reset arrived. Since the limit looks for waiting input before it asks whether a stream is silent. The read then saw an orderly end. The class: an operation takes the error of a connection, and another one decides by its absence.

Change: probeSocket() asks poll() and FIONREAD, neither of which takes an error. All its callers get the same answers.

--- a/src/fescuedeck/net/http_client_deadline_test.cpp
+++ b/src/fescuedeck/net/http_client_deadline_test.cpp
@@ -46,6 +46,12 @@
 
     void respond(const std::string &bytes) { asio::write(m_server, asio::buffer(bytes)); }
     bool isOpen() { return detail::probeSocket(m_server) != detail::socket_state::Closed; }
+    // Ends the connection with a reset.
+    void reset()
+    {
+        m_server.set_option(asio::socket_base::linger(true, 0));
+        m_server.close();
+    }
     asio::io_context &context() { return m_ioContext; }
 
     void addOthers()
@@ -129,6 +135,33 @@
     CHECK(closed > 0);
 }
 
+// Guards against a stream that passes as complete because a check for waiting input has met the
+// reset of its connection before the read.
+TEST_CASE("a reset during the expiry of a stall limit is no end of a response", "[net]")
+{
+    int asked = 0;
+    call_options options;
+    options.timeout = testWaitLimit;
+    options.collectsBody = false;
+    options.onBodyPart = [](std::string_view) {};
+    // Like a stream that cannot be replaced, which is checked again and again.
+    options.timeUntilStall = [&] {
+        ++asked;
+        return duration(briefTimeout);
+    };
+    stepped_call call(options);
+    call.awaitRequest();
+    call.respond("HTTP/1.1 200 OK\r\n\r\nid: 1\n\n");
+    call.context().poll();
+    const int askedBefore = asked;
+    pass(briefTimeout);
+    const ready_sockets sockets(call.context()); // reported before the reset
+    call.reset();
+    while (asked == askedBefore)
+        call.context().poll_one(); // until the limit has expired
+    CHECK_FALSE(call.succeeds());
+}
+
 // Guards against a busy event loop by which all attempts to connect fail together.
 TEST_CASE("a connection that is made within the limit is used", "[net]")
 {
--- a/src/fescuedeck/net/tcp_socket.cpp
+++ b/src/fescuedeck/net/tcp_socket.cpp
@@ -1,6 +1,5 @@
 #include "fescuedeck/net/tcp_socket.h"
 
-#include <cerrno>
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -9,6 +8,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace fescuedeck {
@@ -65,13 +65,14 @@
 
 socket_state probeSocket(tcp::socket &socket)
 {
-    char byte = 0;
-    const ssize_t count
-            = ::recv(socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    if (count > 0)
-        return socket_state::Readable;
-    const bool wouldBlock = count < 0 && (errno == EAGAIN || errno == EINTR);
-    return wouldBlock ? socket_state::Quiet : socket_state::Closed;
+    if (!socket.is_open())
+        return socket_state::Closed;
+    // A recv() with MSG_PEEK would take the error of a reset from the socket. The next read would
+    // then report an orderly end.
+    pollfd query{ socket.native_handle(), POLLIN, 0 };
+    if (::poll(&query, 1, 0) <= 0)
+        return socket_state::Quiet;
+    return unreadBytes(socket) > 0 ? socket_state::Readable : socket_state::Closed;
 }
 
 void holdBackWrites(tcp::socket &socket)
--- a/src/fescuedeck/net/tcp_socket.h
+++ b/src/fescuedeck/net/tcp_socket.h
@@ -29,7 +29,7 @@
     Closed, // closed by the peer, or failed
 };
 
-// Looks at the socket without waiting and without consuming bytes.
+// Looks at the socket without waiting. Takes neither bytes nor an error, such as a reset, from it.
 socket_state probeSocket(boost::asio::ip::tcp::socket &socket);
 
 // Keeps what is written from now on in the kernel until the sending side is shut down, so that the
