Replacements: the exchange ends a superseded replacement itself

Callers of a gateway lost all of their connections when its process ended by SIGSEGV; others had their streams broken off.

A silent replacement that has delivered is replaced in turn. makeOwner() then cancels its call and wakes the coroutine of the exchange, which is inside deliver() for it. The cancelled call ended first, and its news made onReplacementNews() end and free the attempt. deliver() went on with the freed attempt and ended it again. Its look-up in the list of open attempts found nothing, so the erase took the last attempt, the new owner.

News of a superseded replacement now only wakes the exchange.

--- a/src/fescuedeck/gateway/forwarded_call_replacement.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_replacement.cpp
@@ -218,8 +218,10 @@
 
 void forwarded_call::onReplacementNews(attempt &replacement)
 {
-    // Without an owner, the coroutine of the exchange waits for the news itself.
-    if (m_owner != nullptr && m_owner != &replacement && !m_isWriting) {
+    // Without an owner, the coroutine of the exchange waits for the news itself. It may still
+    // deliver a superseded replacement, so that it also ends that one.
+    const bool isLeftToExchange = m_owner == nullptr || replacement.isSuperseded;
+    if (!isLeftToExchange && m_owner != &replacement && !m_isWriting) {
         const auto &result = replacement.call->result();
         if (!result || isWholeAnswer(replacement, *result))
             makeOwner(replacement);
