Net: a probe sees input behind urgent data

What callers would see: a caller whose next input follows a byte of urgent data counts as gone, and its request is cancelled. No caller has reported it.

Cause: FIONREAD counts the bytes before the urgent byte only. probeSocket() took readiness without such bytes for an end; the recv() that it replaced in passed the urgent byte.

Evidence: "a probe sees input behind urgent data" fails before.

Change: poll() tells whether the connection has ended, FIONREAD only whether unread bytes come before that end.

Result: the test passes, as do the other tests of the probe.

--- a/src/fescuedeck/net/tcp_socket.cpp
+++ b/src/fescuedeck/net/tcp_socket.cpp
@@ -22,6 +22,8 @@
 constexpr duration lateReadLimit = std::chrono::milliseconds(250);
 // How long a read of waiting input may take before the expiry hook is asked.
 constexpr duration pendingReadTime = std::chrono::milliseconds(5);
+// What poll() reports of a socket that its peer has closed, or that has failed.
+constexpr int endEvents = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
 
 std::optional<std::uint16_t> parsePort(std::string_view text)
 {
@@ -69,10 +71,12 @@
         return socket_state::Closed;
     // A recv() with MSG_PEEK would take the error of a reset from the socket. The next read would
     // then report an orderly end.
-    pollfd query{ socket.native_handle(), POLLIN, 0 };
+    pollfd query{ socket.native_handle(), POLLIN | POLLRDHUP, 0 };
     if (::poll(&query, 1, 0) <= 0)
         return socket_state::Quiet;
-    return unreadBytes(socket) > 0 ? socket_state::Readable : socket_state::Closed;
+    // Input behind urgent data is not counted as unread before the urgent data has been passed.
+    const bool hasEnded = (query.revents & endEvents) != 0;
+    return unreadBytes(socket) > 0 || !hasEnded ? socket_state::Readable : socket_state::Closed;
 }
 
 void holdBackWrites(tcp::socket &socket)
--- a/src/fescuedeck/net/tcp_socket_test.cpp
+++ b/src/fescuedeck/net/tcp_socket_test.cpp
@@ -63,6 +63,19 @@
     CHECK(probeSocket(sockets.near) == socket_state::Closed);
 }
 
+// Guards against a caller that counts as gone, or input that counts as late, because a byte of
+// urgent data comes before it.
+TEST_CASE("a probe sees input behind urgent data", "[net]")
+{
+    connected_sockets sockets;
+    sockets.far.send(asio::buffer("!", 1), tcp::socket::message_out_of_band);
+    asio::write(sockets.far, asio::buffer("x", 1));
+    CHECK(sockets.becomes(socket_state::Readable));
+    sockets.far.close();
+    CHECK(sockets.readAll() == asio::error::eof);
+    CHECK(sockets.becomes(socket_state::Closed));
+}
+
 // Guards against answers and streams that pass as complete after a reset, because a probe has taken
 // its error from the socket.
 TEST_CASE("a probe leaves the error of a reset to the next read", "[net]")
