Server: a broken stream to a caller of version 1.0 ends with a reset

Seen: a stream that was given up ended like a complete one for callers of HTTP/1.0. Cause: the connection was closed in the ordinary way, whether the stream was complete or not. Evidence: the two new tests failed in 4 checks before the change: end of file instead of a reset, for a handler that returns or throws inside the stream, and for a server that is destroyed. Change: such a stream sets its socket to end with a reset, until it is complete.

--- a/src/fescuedeck/net/http_connection.cpp
+++ b/src/fescuedeck/net/http_connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/coroutine/exceptions.hpp>
+#include <sys/socket.h>
 
 namespace fescuedeck {
 namespace {
@@ -107,6 +108,15 @@
     return status >= 200 && status != 204 && status != 304;
 }
 
+// Whether the kernel ends the connection with a reset, also if the process ends or the socket is
+// destroyed. The socket's own option does not serve, because its destructor would clear it.
+void setEndsWithReset(tcp::socket &socket, bool isEnabled)
+{
+    linger option{};
+    option.l_onoff = isEnabled ? 1 : 0;
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 } // namespace
 
 namespace detail {
@@ -525,6 +535,9 @@
     message.chunked(isChunked);
     http::response_serializer<http::empty_body> serializer(message);
     m_isStreaming = true;
+    // Without chunks, the caller takes the end of the connection for that of the stream.
+    if (!isChunked)
+        setEndsWithReset(m_socket, true);
     return write([&](const asio::yield_context &yield) {
         http::async_write_header(m_socket, serializer, yield);
     });
@@ -556,6 +569,8 @@
         asio::async_write(m_socket, http::make_chunk_last(), yield);
     });
     m_isStreaming = !isWritten;
+    if (m_version == 10 && !m_callerLeft)
+        setEndsWithReset(m_socket, false);
     if (endsConnection && isWritten)
         endSending();
 }
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -1,5 +1,9 @@
 #include "fescuedeck/net/http_server.h"
 
+#include <optional>
+#include <stdexcept>
+#include <thread>
+
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -142,6 +146,76 @@
     CHECK(abandoned.receiveAll().find("\r\n0\r\n") == std::string::npos);
 }
 
+namespace {
+
+// How a connection ends after the request: end of file, or the error of a reset.
+boost::system::error_code endAfter(std::uint16_t port, const std::string &request)
+{
+    boost::asio::io_context ioContext;
+    boost::asio::ip::tcp::socket socket(ioContext);
+    socket.connect(parseAddress(loopback(port)).value());
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::string received;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+    CHECK(received.find("data: 1") != std::string::npos);
+    return error;
+}
+
+const boost::system::error_code resetError = make_error_code(boost::asio::error::connection_reset);
+
+} // namespace
+
+// Guards against a part of a stream that a caller of version 1.0 takes for the whole, because it
+// gets no chunks and its stream ends with the connection.
+TEST_CASE("an abandoned stream to a caller of version 1.0 ends with a reset", "[net]")
+{
+    test_io io;
+    http_server server(io.context(), {}, [](http_exchange &exchange) {
+        const std::string target = exchange.request().target;
+        exchange.startStream({ 200, { { "Content-Type", "text/event-stream" } }, "" });
+        exchange.writeChunk("data: 1\n\n");
+        if (target == "/whole")
+            exchange.finishStream();
+        if (target == "/throws")
+            throw std::runtime_error("broken");
+    });
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    const std::string version = " HTTP/1.0\r\n\r\n";
+    const std::string keepAlive = " HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+    const auto end = make_error_code(boost::asio::error::eof);
+    CHECK(endAfter(server.port(), "GET /whole" + version) == end);
+    CHECK(endAfter(server.port(), "GET /whole" + keepAlive) == end);
+    CHECK(endAfter(server.port(), "GET /abandoned" + version) == resetError);
+    CHECK(endAfter(server.port(), "GET /abandoned" + keepAlive) == resetError);
+    CHECK(endAfter(server.port(), "GET /throws" + version) == resetError);
+}
+
+// Guards against the same where the server is destroyed during the stream.
+TEST_CASE("the end of a server resets the streams of callers of version 1.0", "[net]")
+{
+    std::optional<test_io> io(std::in_place);
+    awaited_value<bool> started;
+    std::optional<http_server> server;
+    server.emplace(io->context(), http_server_limits(), [&](http_exchange &exchange) {
+        exchange.startStream({});
+        exchange.writeChunk("data: 1\n\n");
+        started.set(true);
+        boost::asio::steady_timer timer(io->context(), testWaitLimit);
+        timer.async_wait(exchange.yield());
+    });
+    REQUIRE_FALSE(server->listen("127.0.0.1:0"));
+    std::thread ending([&] {
+        started.wait();
+        io->stop();
+        server.reset();
+        io.reset();
+    });
+    const auto error = endAfter(server->port(), "GET / HTTP/1.0\r\n\r\n");
+    ending.join();
+    CHECK(error == resetError);
+}
+
 TEST_CASE("a caller that does not read its stream is cut off", "[net]")
 {
     // Guards against a slow caller holding its stream for ever.
