Net: an answer that is reset during the upload is no answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the write of the request took the error of the reset from the socket. Reading then returned the part and an orderly end, which completes a body without a length. A connection that fails while it is written to says nothing about where an answer ends that nothing else ends.

"a response without a length that is reset during the upload is no answer" fails before, collected and in parts.

Change: a call whose request could not be written whole fails with ConnectionClosed if only the end of the connection would end its answer. Answers with a length or chunks are read as before, because a server may reject an upload early.

--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -404,6 +404,10 @@
         m_options.onHead(toHead(m_parser->get()));
     error_code error;
     readBody(error);
+    // The write has taken the error of a reset from the socket, so that reading reports an orderly
+    // end.
+    if (!error && m_isRequestCut && m_parser->need_eof())
+        error = asio::error::connection_reset;
     if (error)
         return describeReadError(error);
     return toResponse(m_parser->release());
--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -33,6 +33,8 @@
     });
 }
 
+// More than the buffers of both ends of a connection hold.
+constexpr std::size_t longUploadBytes = 32 * 1024 * 1024;
 const std::string okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 } // namespace
@@ -119,6 +121,29 @@
     CHECK(outcome.mayHaveBeenSent);
 }
 
+// Guards against a part of an answer that passes as the whole because the write of a long request
+// has met the reset of its connection before the read.
+TEST_CASE("a response without a length that is reset during the upload is no answer", "[net]")
+{
+    const bool isStreamed = GENERATE(false, true);
+    scripted_server server([](tcp::acceptor &acceptor) {
+        raw_connection connection(acceptor);
+        connection.receiveUntil("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\n\r\nid: 1\n\n");
+        connection.close(); // resets it, because the rest of the upload is not read
+    });
+    test_io io;
+    http_client client(io.context());
+    call_options callOptions = options();
+    if (isStreamed)
+        callOptions.onBodyPart = [](std::string_view) {};
+    const http_request upload{ "POST", "/", {}, std::string(longUploadBytes, 'a') };
+    const auto outcome = call(io, client, server.port(), callOptions, upload);
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.response.error().code == errc::ConnectionClosed);
+    CHECK(outcome.mayHaveBeenSent);
+}
+
 TEST_CASE("only an idempotent call is repeated after a reused connection fails", "[net]")
 {
     const bool isIdempotent = GENERATE(false, true);
