Net: test a reset in each state of a response

Callers saw parts of answers that passed as complete after a reset of the endpoint's connection. "a response is complete only if it is reset behind its announced end" resets the connection before the head, in it, behind an interim response, in a body without a length, with one and in chunks, in a trailer and behind the end, also of responses to HEAD and of such without a body, collected and in parts: 38 cases, all pass without a change of the client.

--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -144,6 +144,57 @@
     CHECK(outcome.mayHaveBeenSent);
 }
 
+// Guards against a part of an answer that passes as the whole because its connection was reset.
+TEST_CASE("a response is complete only if it is reset behind its announced end", "[net]")
+{
+    struct reset_case
+    {
+        std::string name;
+        std::string text; // sent before the reset
+        bool isWhole = false;
+        std::string method = "GET";
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string length = head + "Content-Length: 4\r\n\r\n";
+    const std::string chunks = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto current = GENERATE_COPY(values<reset_case>(
+            { { "before the head", "" },
+              { "in the head", head + "Date: x" },
+              { "behind an interim response", "HTTP/1.1 100 Continue\r\n\r\n" },
+              { "behind a head without a length", head + "\r\n" },
+              { "in a body without a length", head + "\r\nid: 1\n\n" },
+              { "in a body of version 1.0", "HTTP/1.0 200 OK\r\n\r\nid: 1\n\n" },
+              { "behind a head with a length", length },
+              { "in a body with a length", length + "abc" },
+              { "behind a body with a length", length + "abcd", true },
+              { "behind a head that announces chunks", chunks },
+              { "in the size of a chunk", chunks + "4" },
+              { "in a chunk", chunks + "4\r\nab" },
+              { "at the end of a chunk", chunks + "4\r\nabcd" },
+              { "between chunks", chunks + "4\r\nabcd\r\n" },
+              { "in the last chunk", chunks + "4\r\nabcd\r\n0\r\n" },
+              { "in a trailer", chunks + "4\r\nabcd\r\n0\r\nDigest: x\r\n" },
+              { "behind the last chunk", chunks + "4\r\nabcd\r\n0\r\n\r\n", true },
+              { "behind the head of a response to HEAD", head + "\r\n", true, "HEAD" },
+              { "behind a status without a body", "HTTP/1.1 204 None\r\n\r\n", true } }));
+    const bool isStreamed = GENERATE(false, true);
+    scripted_server server([&](tcp::acceptor &acceptor) {
+        raw_connection connection(acceptor);
+        connection.receiveUntil("\r\n\r\n");
+        connection.send(current.text);
+        connection.reset();
+    });
+    test_io io;
+    http_client client(io.context());
+    call_options callOptions = options();
+    if (isStreamed)
+        callOptions.onBodyPart = [](std::string_view) {};
+    CAPTURE(current.name, isStreamed);
+    const auto outcome
+            = call(io, client, server.port(), callOptions, { current.method, "/", {}, "" });
+    CHECK(static_cast<bool>(outcome.response) == current.isWhole);
+}
+
 TEST_CASE("only an idempotent call is repeated after a reused connection fails", "[net]")
 {
     const bool isIdempotent = GENERATE(false, true);
--- a/src/fescuedeck/net/test_io.h
+++ b/src/fescuedeck/net/test_io.h
@@ -149,17 +149,28 @@
             char bytes[4096];
             m_received.append(bytes, m_socket.read_some(boost::asio::buffer(bytes), error));
         }
+        m_wasReset = m_wasReset || error == boost::asio::error::connection_reset;
         return std::exchange(m_received, std::string());
     }
     std::string receiveAll() { return receiveUntil("\x01 never sent \x01"); }
     // Whether the other end has closed the connection and all its bytes were received.
     bool hasEnded() { return detail::probeSocket(m_socket) == detail::socket_state::Closed; }
+    // Whether receiving has ended with a reset in place of an orderly end.
+    bool wasReset() const { return m_wasReset; }
+    // Ends the sending only, in order.
+    void endSending() { m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
     void close() { m_socket.close(); }
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
 
 private:
     boost::asio::io_context m_ioContext;
     boost::asio::ip::tcp::socket m_socket;
     std::string m_received;
+    bool m_wasReset = false;
 };
 
 // Sockets with input that is not read. The reactor takes a limited number of events at a time, so
