Net: an answer that ends before the reset of its upload is whole

What callers would see: 502 in place of a whole answer. An endpoint that answers a long upload early, without a length, ends its sending and closes the connection resets it as well, because the rest of the upload is not read.

The result depended on whether the reset came before the end of the write, although a read reports the orderly end in both cases.

Evidence: "a response without a length that ends before the reset of an upload is read" fails before. A trial with plain sockets on Linux: the first failed write reports a broken pipe if an orderly end came before the reset, else the reset.

Change: a write that fails with a broken pipe leaves the decision to the read.

Result: the test passes, as does "a response without a length that is reset during the upload is no answer".

--- a/src/fescuedeck/net/http_client.cpp
+++ b/src/fescuedeck/net/http_client.cpp
@@ -249,6 +249,7 @@
     failed_requests m_failedRequests; // on the connection of the current attempt
     bool m_wroteBytes = false;        // by the current attempt
     bool m_isRequestCut = false;      // the current attempt could not write the whole request
+    bool m_wasCutByReset = false;     // and the other end had not ended its sending before
     bool m_gotBytes = false;
     bool m_gotUnexpected = false; // a response that was skipped
     // The end of the response is not where its head says.
@@ -371,6 +372,8 @@
     error_code writeError;
     m_wroteBytes = writeRequest(writeError) > 0;
     m_isRequestCut = writeError.failed();
+    // The kernel reports a broken pipe if an orderly end has come before the reset.
+    m_wasCutByReset = m_isRequestCut && writeError != asio::error::broken_pipe;
     m_mayHaveBeenSent = m_mayHaveBeenSent || m_wroteBytes;
     if (writeError && (!m_wroteBytes || isAborted()))
         return describe(errc::ConnectionClosed, writeError.message());
@@ -406,7 +409,7 @@
     readBody(error);
     // The write has taken the error of a reset from the socket, so that reading reports an orderly
     // end.
-    if (!error && m_isRequestCut && m_parser->need_eof())
+    if (!error && m_wasCutByReset && m_parser->need_eof())
         error = asio::error::connection_reset;
     if (error)
         return describeReadError(error);
--- a/src/fescuedeck/net/http_client_test.cpp
+++ b/src/fescuedeck/net/http_client_test.cpp
@@ -144,6 +144,25 @@
     CHECK(outcome.mayHaveBeenSent);
 }
 
+// Guards against a whole answer that is refused because its sender closes the connection afterwards
+// without having read the rest of the upload.
+TEST_CASE("a response without a length that ends before the reset of an upload is read", "[net]")
+{
+    scripted_server server([](tcp::acceptor &acceptor) {
+        raw_connection connection(acceptor);
+        connection.receiveUntil("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\n\r\nwhole");
+        connection.endSending();
+        connection.close(); // resets it, because the rest of the upload is not read
+    });
+    test_io io;
+    http_client client(io.context());
+    const http_request upload{ "POST", "/", {}, std::string(longUploadBytes, 'a') };
+    const auto outcome = call(io, client, server.port(), options(), upload);
+    REQUIRE(outcome.response);
+    CHECK(outcome.response.value().body == "whole");
+}
+
 // Guards against a part of an answer that passes as the whole because its connection was reset.
 TEST_CASE("a response is complete only if it is reset behind its announced end", "[net]")
 {
