Gateway: log the end of an answer without a length only if the caller gets the answer

answer_ended_with_connection also named answers that were then found refused, unusable or partial, and OPERATIONS.md says that they were taken as complete.

--- a/src/fescuedeck/gateway/forwarded_call.cpp
+++ b/src/fescuedeck/gateway/forwarded_call.cpp
@@ -403,7 +403,10 @@
         ++m_possibleRuns;
         return outcomeAfterRun();
     }
-    return handleResult(to, current, result);
+    const attempt_outcome outcome = handleResult(to, current, result);
+    if (outcome == attempt_outcome::Answered && result.endsWithConnection)
+        logConnectionEnd(current, result);
+    return outcome;
 }
 
 attempt_outcome forwarded_call::outcomeAfterRun() const
--- a/src/fescuedeck/gateway/forwarded_call_results.cpp
+++ b/src/fescuedeck/gateway/forwarded_call_results.cpp
@@ -28,8 +28,6 @@
     if (!result.response)
         return handleFailure(to, current, result);
     const http_response &response = result.response.value();
-    if (result.endsWithConnection)
-        logConnectionEnd(current, result);
     // The head of a stream was read when it arrived.
     const response_info answer = m_route.kind == call_kind::Stream
                                          ? m_context.adapter.readResponse(response)
--- a/src/fescuedeck/net/tcp_socket_test.cpp
+++ b/src/fescuedeck/net/tcp_socket_test.cpp
@@ -49,6 +49,7 @@
 
 } // namespace
 
+// Guards against callers and endpoints that count as silent or gone although they are not.
 TEST_CASE("a probe tells input from an end and from silence", "[net]")
 {
     connected_sockets sockets;
