Test: parts that the owner of a background call takes late

The wait for the owner had no end, the time overflowed in the timer, and the call read on at once, so that its next part replaced the one that the owner had not taken yet.

No test named the loss.

--- a/src/fescuedeck/gateway/background_call_test.cpp
+++ b/src/fescuedeck/gateway/background_call_test.cpp
@@ -129,6 +129,30 @@
     });
 }
 
+// Guards against a stream that lacks events, because a part replaces the one before it that its
+// owner has not taken yet.
+TEST_CASE("a background call loses no part that its owner takes late", "[gateway]")
+{
+    std::atomic<bool> isSent{ false };
+    call_fixture fixture([&](http_exchange &exchange) {
+        exchange.startStream({ 200, {}, "" });
+        for (const char *part : { "a", "b", "c" }) {
+            exchange.writeChunk(part);
+            sleepFor(std::chrono::milliseconds(10), exchange.yield());
+        }
+        exchange.finishStream();
+        isSent = true;
+    });
+    fixture.start([] {});
+    REQUIRE(eventually([&] { return isSent.load(); }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50)); // in which it could read on
+    std::string body = fixture.takeNext();
+    REQUIRE(body[0] == 'a');
+    while (body.size() < 3)
+        body += fixture.takeNext();
+    CHECK(body == "abc");
+}
+
 // Guards against hooks that use an owner which has gone.
 TEST_CASE("a background call whose owner has gone is cancelled and calls no hook", "[gateway]")
 {
