Server: connections that wait give up their places, by fair share of the callers' hosts

What callers saw: while clients held connections with heads or bodies that stop short of their end or trickle, and came again when closed, ordinary callers got 503 or a closed connection for 18 s at a time, and longer.

Cause: a connection was closed for a new one only if it was idle between requests. One that had sent a part of a request kept its place until a time limit. There was no fair share of the connections, as there is of the memory, so that idle connections of ordinary callers were closed in favour of a crowd.

Change: connection_places chooses who gives up its place: of the host with the most connections, an idle connection, else one that was answered and lingers, else the one whose request has made no progress for longest. The limit of connections is the same, so no client inside the limits meets it before.

--- a/src/fescuedeck/gateway/server_limits.cpp
+++ b/src/fescuedeck/gateway/server_limits.cpp
@@ -77,7 +77,7 @@
 {
     http_server_limits server;
     server.maxConnections = callerConnectionsOf(host);
-    server.closesIdleForNew = true;
+    server.closesWaitingForNew = true;
     server.maxHeaderBytes = limits.maxHeaderBytes;
     server.maxBodyBytes = limits.maxBodyBytes;
     server.headerTimeout = limits.headerTimeout;
--- a/src/fescuedeck/net/connection_end.h
+++ b/src/fescuedeck/net/connection_end.h
@@ -25,11 +25,12 @@
     Shutdown,
     TooManyConnections,
     IdleClosedForOthers, // the connections were used up
+    PlaceTaken,          // the same, while a part of a request had arrived or after a response
     BodyRefused,         // no memory for it; the caller was told so
     MemoryReclaimed,     // the caller had stopped to send or to read
 };
 
-constexpr name_table<connection_end_reason, 16> connectionEndReasonNames = { {
+constexpr name_table<connection_end_reason, 17> connectionEndReasonNames = { {
         { connection_end_reason::IdleTimeout, "idle_timeout" },
         { connection_end_reason::HeadTimeout, "head_timeout" },
         { connection_end_reason::BodyTimeout, "body_timeout" },
@@ -44,6 +45,7 @@
         { connection_end_reason::Shutdown, "shutdown" },
         { connection_end_reason::TooManyConnections, "too_many_connections" },
         { connection_end_reason::IdleClosedForOthers, "idle_closed_for_others" },
+        { connection_end_reason::PlaceTaken, "place_taken" },
         { connection_end_reason::BodyRefused, "body_refused" },
         { connection_end_reason::MemoryReclaimed, "memory_reclaimed" },
 } };
@@ -67,9 +69,10 @@
         const bool isCallersWish = reason == connection_end_reason::CallerLeft
                                    || reason == connection_end_reason::WriteFailed;
         // Their number may be large, and none of these requests has run.
-        const bool isForMemory = reason == connection_end_reason::BodyRefused
-                                 || reason == connection_end_reason::MemoryReclaimed;
-        if (isForMemory)
+        const bool isForOthers = reason == connection_end_reason::BodyRefused
+                                 || reason == connection_end_reason::MemoryReclaimed
+                                 || reason == connection_end_reason::PlaceTaken;
+        if (isForOthers)
             return false;
         return unreadBytes > 0 || bufferedBytes > 0 || hasPartialRequest
                || (hasUnansweredRequest && !isCallersWish);
--- a/src/fescuedeck/net/http_connection.cpp
+++ b/src/fescuedeck/net/http_connection.cpp
@@ -121,9 +121,11 @@
 
 namespace detail {
 
-http_connection::http_connection(std::shared_ptr<http_server_core> core, tcp::socket socket,
+http_connection::http_connection(std::shared_ptr<http_server_core> core,
+                                 http_server_core::connection_number number, tcp::socket socket,
                                  const asio::any_io_executor &strand)
     : m_core(std::move(core))
+    , m_number(number)
     , m_strand(strand)
     , m_socket(std::move(socket))
     , m_deadline(strand, m_socket)
@@ -136,7 +138,7 @@
 
 http_connection::~http_connection()
 {
-    m_core->remove(this);
+    m_core->remove(m_number);
 }
 
 void http_connection::run(asio::yield_context yield)
@@ -155,7 +157,10 @@
 {
     ++m_core->openExchanges;
     m_keepAlive = false;
-    if (readRequest())
+    enter(connection_phase::Reading);
+    const bool isRead = readRequest();
+    enter(connection_phase::Handling);
+    if (isRead)
         handleRequest();
     endExchange();
     --m_core->openExchanges;
@@ -184,6 +189,33 @@
         m_deadline.startReading(m_core->limits()->drainGrace);
 }
 
+void http_connection::enter(connection_phase phase)
+{
+    m_phase = phase;
+    m_core->setPhase(m_number, phase);
+}
+
+void http_connection::noteProgress(std::size_t bytes)
+{
+    m_progress += bytes;
+    if (m_progress < memory_account::minProgress)
+        return;
+    m_progress = 0;
+    m_core->noteProgress(m_number);
+}
+
+void http_connection::giveUpPlace()
+{
+    if (m_phase == connection_phase::Idle)
+        return closeIfIdle();
+    if (m_phase == connection_phase::Handling)
+        return;
+    setEndReason(connection_end_reason::PlaceTaken);
+    noteInput();
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
 void http_connection::closeIfIdle()
 {
     if (!m_isIdle)
@@ -228,11 +260,10 @@
     m_deadline.onExpiry(timeLeft);
     error_code error;
     m_buffer.shrink_to_fit();
-    const auto position = m_core->addIdle(*this);
+    enter(connection_phase::Idle);
     const auto space = m_buffer.prepare(idleBufferBytes);
     const std::size_t count = m_reader.async_read_some(space, (*m_yield)[error]);
     m_buffer.commit(count);
-    m_core->removeIdle(position);
     m_deadline.onExpiry({});
     m_isIdle = false;
     if (error)
@@ -323,6 +354,7 @@
     while (!error && !m_parser->is_done()) {
         const std::size_t count
                 = http::async_read_some(m_reader, m_buffer, *m_parser, (*m_yield)[error]);
+        noteProgress(count);
         if (!m_bodyMemory || error || !m_socket.is_open())
             continue;
         m_bodyMemory->noteProgress(count, steadyNow());
@@ -464,6 +496,7 @@
 void http_connection::lingerAndClose()
 {
     noteInput();
+    enter(connection_phase::Closing);
     error_code error;
     m_socket.shutdown(tcp::socket::shutdown_send, error);
     m_deadline.start(lingerTimeout);
--- a/src/fescuedeck/net/http_connection.h
+++ b/src/fescuedeck/net/http_connection.h
@@ -25,7 +25,8 @@
 class http_connection : public std::enable_shared_from_this<http_connection>
 {
 public:
-    http_connection(std::shared_ptr<http_server_core> core, boost::asio::ip::tcp::socket socket,
+    http_connection(std::shared_ptr<http_server_core> core,
+                    http_server_core::connection_number number, boost::asio::ip::tcp::socket socket,
                     const boost::asio::any_io_executor &strand);
     ~http_connection();
     http_connection(const http_connection &) = delete;
@@ -34,8 +35,9 @@
     void run(boost::asio::yield_context yield);
     void refuse(boost::asio::yield_context yield);
     void beginDrain();
-    // Does nothing once a byte of the next request has arrived.
-    void closeIfIdle();
+    // Closes the connection for a new one. Does nothing once a whole request has arrived, or a byte
+    // of one since the connection was idle.
+    void giveUpPlace();
     void close();
 
     const http_request &request() const { return m_request; }
@@ -51,6 +53,9 @@
 
 private:
     void serveRequest();
+    void enter(connection_phase phase);
+    void noteProgress(std::size_t bytes);
+    void closeIfIdle();
     bool mustEndWithResponse();
     void endSending();
     bool waitForRequest();
@@ -82,6 +87,7 @@
     bool write(Operation operation);
 
     const std::shared_ptr<http_server_core> m_core;
+    const http_server_core::connection_number m_number;
     const boost::asio::any_io_executor m_strand;
     boost::asio::ip::tcp::socket m_socket;
     socket_deadline m_deadline;
@@ -95,6 +101,8 @@
 
     http_request m_request;
     unsigned m_version = 11;
+    connection_phase m_phase = connection_phase::Handling;
+    std::size_t m_progress = 0; // bytes of the body since the last note of progress
     bool m_isIdle = false;
     bool m_isIdleTimeOver = false; // others need the connection
     time_point m_idleSince{};
--- a/src/fescuedeck/net/http_server.cpp
+++ b/src/fescuedeck/net/http_server.cpp
@@ -26,6 +26,14 @@
 // Pause after a failed accept, for example when file descriptors have run out.
 constexpr duration acceptPause = std::chrono::milliseconds(100);
 
+// Of the other end, without the port. Empty if it has left.
+std::string hostOf(const tcp::socket &socket)
+{
+    error_code error;
+    const tcp::endpoint endpoint = socket.remote_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string();
+}
+
 } // namespace
 
 namespace detail {
@@ -78,23 +86,26 @@
 
 void http_server_core::startConnection(tcp::socket socket)
 {
-    const int count = ++openConnections;
-    const int maxConnections = limits()->maxConnections;
-    if (count > maxConnections + std::min(maxRefusals, maxConnections / refusalsDivisor + 1)) {
-        --openConnections;
+    const auto limits = this->limits();
+    const int count = openConnections + 1;
+    const std::string host = hostOf(socket);
+    const bool isRefused
+            = count > limits->maxConnections && !(limits->closesWaitingForNew && makeRoomFor(host));
+    const int refusals = std::min(maxRefusals, limits->maxConnections / refusalsDivisor + 1);
+    if (isRefused && count > limits->maxConnections + refusals)
         return;
-    }
+    ++openConnections;
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     const asio::strand<asio::io_context::executor_type> strand = asio::make_strand(m_ioContext);
-    auto connection
-            = std::make_shared<http_connection>(shared_from_this(), std::move(socket), strand);
+    const connection_number number = ++m_lastNumber;
+    auto connection = std::make_shared<http_connection>(shared_from_this(), number,
+                                                        std::move(socket), strand);
     {
         const std::lock_guard lock(m_mutex);
-        m_connections.emplace(connection.get(), connection);
+        m_connections.emplace(number, connection);
+        m_places.add(number, host);
     }
-    const bool isRefused
-            = count > maxConnections && !(limits()->closesIdleForNew && closeLongestIdle());
     asio::spawn(
             strand,
             [connection = std::move(connection), isRefused](const asio::yield_context &yield) {
@@ -106,42 +117,41 @@
             boost::coroutines::attributes(coroutineStackBytes));
 }
 
-http_server_core::idle_position http_server_core::addIdle(http_connection &connection)
+// Returns false if no connection gives up its place.
+bool http_server_core::makeRoomFor(const std::string &host)
 {
-    const std::lock_guard lock(m_mutex);
-    return m_idle.insert(m_idle.end(), connection.weak_from_this());
+    std::shared_ptr<http_connection> connection;
+    {
+        const std::lock_guard lock(m_mutex);
+        while (!connection) {
+            const auto number = m_places.takeFor(host, steadyNow());
+            if (!number)
+                return false;
+            connection = m_connections.at(*number).lock(); // null if it is being removed
+        }
+    }
+    asio::post(connection->strand(), [connection] { connection->giveUpPlace(); });
+    return true;
 }
 
-void http_server_core::removeIdle(idle_position position)
+void http_server_core::setPhase(connection_number number, connection_phase phase)
 {
     const std::lock_guard lock(m_mutex);
-    m_idle.erase(position);
+    m_places.setPhase(number, phase, steadyNow());
 }
 
-// Returns false if no connection is idle.
-bool http_server_core::closeLongestIdle()
+void http_server_core::noteProgress(connection_number number)
 {
-    std::shared_ptr<http_connection> connection;
-    {
-        const std::lock_guard lock(m_mutex);
-        for (std::weak_ptr<http_connection> &idle : m_idle) {
-            connection = idle.lock();
-            idle.reset(); // is closed once
-            if (connection)
-                break;
-        }
-    }
-    if (!connection)
-        return false;
-    asio::post(connection->strand(), [connection] { connection->closeIfIdle(); });
-    return true;
+    const std::lock_guard lock(m_mutex);
+    m_places.noteProgress(number, steadyNow());
 }
 
-void http_server_core::remove(http_connection *connection)
+void http_server_core::remove(connection_number number)
 {
     --openConnections;
     const std::lock_guard lock(m_mutex);
-    m_connections.erase(connection);
+    m_places.remove(number);
+    m_connections.erase(number);
 }
 
 template <class Function>
--- a/src/fescuedeck/net/http_server.h
+++ b/src/fescuedeck/net/http_server.h
@@ -33,9 +33,10 @@
     std::size_t maxHeaderBytes = 16 * 1024; // 64 KiB at most, whatever is set
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     int maxConnections = 4096;
-    // Beyond maxConnections, the longest idle connection is closed for a new one, which is refused
-    // only if none is idle.
-    bool closesIdleForNew = false;
+    // Beyond maxConnections, one that is idle or whose request stands still is closed for a new
+    // connection, preferably one of the caller's host that has the most. The new one is refused
+    // only if there is none.
+    bool closesWaitingForNew = false;
     duration headerTimeout = std::chrono::seconds(10); // from the first byte of a request
     duration bodyTimeout = std::chrono::seconds(30);
     duration idleTimeout = std::chrono::seconds(75);  // between requests
--- a/src/fescuedeck/net/http_server_core.h
+++ b/src/fescuedeck/net/http_server_core.h
@@ -6,7 +6,6 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -17,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "fescuedeck/net/connection_places.h"
 #include "fescuedeck/net/http_server.h"
 
 namespace fescuedeck::detail {
@@ -25,6 +25,8 @@
 class http_server_core : public std::enable_shared_from_this<http_server_core>
 {
 public:
+    using connection_number = connection_places::connection_number;
+
     http_server_core(boost::asio::io_context &ioContext, http_server_limits serverLimits,
                      http_handler requestHandler)
         : handler(std::move(requestHandler))
@@ -41,11 +43,10 @@
     void drainConnections();
     void stopAccepting();
     void closeAll();
-    void remove(http_connection *connection);
-
-    using idle_position = std::list<std::weak_ptr<http_connection>>::iterator;
-    idle_position addIdle(http_connection &connection);
-    void removeIdle(idle_position position);
+    void remove(connection_number number);
+    // The next two tell what decides about the connection's place.
+    void setPhase(connection_number number, connection_phase phase);
+    void noteProgress(connection_number number);
 
     std::shared_ptr<const http_server_limits> limits() const { return std::atomic_load(&m_limits); }
     void setLimits(const http_server_limits &limits)
@@ -68,7 +69,7 @@
     void onAccept(const boost::system::error_code &error, boost::asio::ip::tcp::socket socket);
     void startConnection(boost::asio::ip::tcp::socket socket);
     void closeAcceptor();
-    bool closeLongestIdle();
+    bool makeRoomFor(const std::string &host);
     template <class Function>
     void forEachConnection(Function function);
 
@@ -81,9 +82,9 @@
     std::uint16_t m_port = 0;
     // Leaf lock: nothing else is locked or called while it is held.
     std::mutex m_mutex;
-    std::unordered_map<http_connection *, std::weak_ptr<http_connection>> m_connections;
-    // The longest idle one first. Entries of connections that are being closed are empty.
-    std::list<std::weak_ptr<http_connection>> m_idle;
+    std::unordered_map<connection_number, std::weak_ptr<http_connection>> m_connections;
+    connection_places m_places;
+    connection_number m_lastNumber = 0;
 };
 
 } // namespace fescuedeck::detail
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -351,7 +351,7 @@
 {
     http_server_limits limits;
     limits.maxConnections = 2;
-    limits.closesIdleForNew = true;
+    limits.closesWaitingForNew = true;
     test_io io(1);
     awaited_value<bool> hasBegun;
     std::atomic<bool> mayAnswer{ false };
