Event splitter: an empty line ends an event whatever its line end is

Seen: by a unit test only. Two events of an endpoint that mixes line ends counted as one with the first id. The caller got both, the next event was taken for a gap, and the resumed run repeated the second one (rule ORDER). An empty line too many at the end of a whole stream counted as a part of an event, so the stream was broken off. Cause: the end of an event was searched as "\n\n" or "\r\n\r\n", so that "\n\r\n" and "\r\n\n" ended none. Evidence: the new test failed before the change in all four pairs of line ends: with mixed ones the first event was not taken, and with any the additional empty line was left. Change: an event ends with the first line that is empty, whether it ends with "\n" or "\r\n". A further empty line is dropped like a comment.

--- a/src/fescuedeck/gateway/event_splitter.cpp
+++ b/src/fescuedeck/gateway/event_splitter.cpp
@@ -9,16 +9,19 @@
 constexpr std::string_view idField = "id:";
 
 // Length of the first event with the empty line that ends it; 0 if the event is not complete yet.
+// Lines may end with "\n" or "\r\n", also within one event.
 std::size_t firstEventSize(std::string_view text)
 {
-    const std::size_t lineFeeds = text.find("\n\n");
-    const std::size_t carriageReturns = text.find("\r\n\r\n");
-    const std::size_t lineFeedsEnd
-            = lineFeeds == std::string_view::npos ? lineFeeds : lineFeeds + 2;
-    const std::size_t carriageReturnsEnd
-            = carriageReturns == std::string_view::npos ? carriageReturns : carriageReturns + 4;
-    const std::size_t end = std::min(lineFeedsEnd, carriageReturnsEnd);
-    return end == std::string_view::npos ? 0 : end;
+    std::size_t lineStart = 0;
+    std::size_t lineEnd = text.find('\n');
+    while (lineEnd != std::string_view::npos) {
+        const std::string_view line = text.substr(lineStart, lineEnd - lineStart);
+        if (line.empty() || line == "\r")
+            return lineEnd + 1;
+        lineStart = lineEnd + 1;
+        lineEnd = text.find('\n', lineStart);
+    }
+    return 0;
 }
 
 std::optional<std::int64_t> idOf(std::string_view event)
--- a/src/fescuedeck/gateway/event_splitter_test.cpp
+++ b/src/fescuedeck/gateway/event_splitter_test.cpp
@@ -50,6 +50,29 @@
     }
 }
 
+// Guards against two events that count as one, so that a resumed stream repeats the second one, and
+// against a whole stream that counts as broken off.
+TEST_CASE("an empty line ends an event whatever line end it has", "[gateway]")
+{
+    for (const char *emptyLine : { "\n", "\r\n" }) {
+        for (const char *lineEnd : { "\n", "\r\n" }) {
+            const std::string first = std::string("id: 1") + lineEnd + emptyLine;
+            const std::string second = std::string("id: 2") + lineEnd + "data: x" + lineEnd;
+            event_splitter splitter;
+            splitter.feed(first + second);
+            CHECK(splitter.take() == first);
+            CHECK(splitter.lastId() == 1);
+            splitter.feed(emptyLine);
+            CHECK(splitter.take() == second + emptyLine);
+            CHECK(splitter.lastId() == 2);
+            splitter.feed(emptyLine); // one more than needed
+            CHECK(splitter.take().empty());
+            CHECK_FALSE(splitter.hasPartialEvent());
+            CHECK_FALSE(splitter.isInvalid());
+        }
+    }
+}
+
 // Guards against cutting a sound stream whose endpoint sends comments to keep the connection open.
 TEST_CASE("comments are dropped and are no progress", "[gateway]")
 {
