Gateway: bound the connections to the addresses for readiness and operators

What callers would see: a crowd that connects to the readiness address uses up the descriptors of the process, so that it accepts neither callers nor the load balancer.

Cause: both servers had the default limits of 4,096 connections and bodies of 4 MiB.

Change: 16 connections to each address, of which one that waits gives up its place for a new one, and bodies up to 4 KiB. The load balancer and operators ask about once a second, without a body.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -175,11 +175,11 @@
     , m_forwarder(m_context)
     , m_callerServer(m_io, callerServerLimits({}, m_host),
                      [this](http_exchange &exchange) { m_forwarder.handle(exchange); })
-    , m_readinessServer(m_io, {},
+    , m_readinessServer(m_io, statusServerLimits(),
                         [this](http_exchange &exchange) {
                             exchange.respond(statusResponse(exchange.request()));
                         })
-    , m_operatorServer(m_io, {},
+    , m_operatorServer(m_io, statusServerLimits(),
                        [this](http_exchange &exchange) {
                            exchange.respond(statusResponse(exchange.request()));
                        })
--- a/src/fescuedeck/gateway/server_limits.cpp
+++ b/src/fescuedeck/gateway/server_limits.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t callerDescriptorsDivisor = 2;
 constexpr std::size_t relayDescriptorsDivisor = 8;
 constexpr std::size_t maxServerConnections = 4096;
+constexpr int maxStatusConnections = 16;
+constexpr std::size_t maxStatusBodyBytes = 4 * 1024;
 // Of the memory for bodies, for answers whose length is not known before.
 constexpr std::size_t unknownLengthDivisor = 4;
 
@@ -86,6 +88,15 @@
     return server;
 }
 
+http_server_limits statusServerLimits()
+{
+    http_server_limits server;
+    server.maxConnections = maxStatusConnections;
+    server.closesWaitingForNew = true;
+    server.maxBodyBytes = maxStatusBodyBytes;
+    return server;
+}
+
 http_client_limits gatewayClientLimits(const host_limits &host)
 {
     http_client_limits client;
--- a/src/fescuedeck/gateway/server_limits.h
+++ b/src/fescuedeck/gateway/server_limits.h
@@ -1,5 +1,5 @@
-// The limits of the servers for callers and for relayed requests, and of the client that uses the
-// relay servers of peers.
+// The limits of the servers for callers, for relayed requests and for questions about the status,
+// and of the client that uses the relay servers of peers.
 #ifndef FESCUEDECK_GATEWAY_SERVER_LIMITS_H
 #define FESCUEDECK_GATEWAY_SERVER_LIMITS_H
 
@@ -30,6 +30,10 @@
 // Idle connections stay open for a little longer than callers may keep them.
 http_server_limits callerServerLimits(const caller_limits &limits, const host_limits &host);
 
+// The limits of the servers for the load balancer and for operators. Their requests are few and
+// small.
+http_server_limits statusServerLimits();
+
 http_client_limits gatewayClientLimits(const host_limits &host);
 
 // The limits of the relay server before the first configuration. Idle connections stay open for
