Server: slow bodies of callers above their share give way to others

What callers saw: while 40 clients of four addresses sent bodies of 4 MiB at 160 KiB/s, or only announced them, and came again when closed, a caller of another address with a body of 1 MiB got 503 in each of 20 tries.

Cause: two bodies of 4 MiB held nearly all the memory for bodies of that host (64 MB). A holder that moves 16 KiB a second was never reclaimed, however much it held; and memory that an idle one lost went to the next client of the crowd. The fair share of the addresses limited what was granted, but took nothing back.

"a slow holder of a caller above its share gives way to another" and "bodies beyond the share of their caller reclaim no slow holder" fail if slow holders are left out of those that are reclaimed.

Change: if idle holders do not suffice, a body within the share of its address reclaims slow ones: from the address that holds the most, and more than its share, the slowest for its size. Slow is less than 800 KiB/s, 250 ms aside; the slowest promised link moves 1,709 KiB/s. A body beyond the share reclaims none, so that large bodies do not replace each other before one of them is read. Nothing changes while memory suffices, so a single request is served as before. A reclaimed request has not run; its connection closes, as that of an idle one does.

The test "only holders without progress are reclaimed" let a body of 3 MiB, of an address above its share, keep its memory at 64 KiB/s, which is the fault. It now moves at 14 Mbit/s there. "slow holders of a caller within its share are kept" checks 64 KiB/s where it still suffices.

--- a/src/fescuedeck/net/memory_account.cpp
+++ b/src/fescuedeck/net/memory_account.cpp
@@ -2,13 +2,17 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace fescuedeck {
 namespace {
 
 constexpr std::size_t smallHoldersDivisor = 8;
 
+double seconds(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
 } // namespace
 
 std::size_t memory_account::usedBy(memory_owner owner) const
@@ -48,36 +52,61 @@
     const auto isOther = [&](const auto &entry) { return entry.first != holder.m_caller; };
     if (!std::any_of(m_waitingUntil.begin(), m_waitingUntil.end(), isOther))
         return true;
+    const std::size_t used = usedByCaller(holder.m_caller);
+    // What a caller holds alone is its share even if it is more, so that one request is served.
+    return used == holder.m_size || used - holder.m_size + size <= shareOf(holder.m_caller);
+}
+
+// By the callers that hold something or wait, and this one.
+std::size_t memory_account::shareOf(const std::string &caller) const
+{
+    const auto isOther = [&](const auto &entry) { return entry.first != caller; };
     std::size_t callers = 1;
     callers += std::count_if(m_usedByCaller.begin(), m_usedByCaller.end(), isOther);
     callers += std::count_if(m_waitingUntil.begin(), m_waitingUntil.end(), [&](const auto &entry) {
         return isOther(entry) && m_usedByCaller.count(entry.first) == 0;
     });
-    const auto own = m_usedByCaller.find(holder.m_caller);
-    const std::size_t used = own == m_usedByCaller.end() ? 0 : own->second;
-    // What a caller holds alone is its share even if it is more, so that one request is served.
-    return used == holder.m_size || used - holder.m_size + size <= m_limit / callers;
+    return m_limit / callers;
+}
+
+std::size_t memory_account::usedByCaller(const std::string &caller) const
+{
+    const auto entry = m_usedByCaller.find(caller);
+    return entry == m_usedByCaller.end() ? 0 : entry->second;
 }
 
-// Returns whether the size fits, if need be without what idle holders had.
+// Returns whether the size fits, if need be without what idle and slow holders had.
 bool memory_account::reclaimFor(const memory_holder &holder, std::size_t size, time_point now)
 {
     if (fits(holder, size))
         return true;
-    std::size_t idle = 0;
-    for (const memory_holder *each : m_holders)
-        idle += each != &holder && each->isIdle(now) ? each->m_size : 0;
+    std::vector<memory_holder *> losers = idleHolders(holder, now);
     // Nobody loses anything if that would not suffice.
-    m_used -= idle;
+    if (!fitsWithout(losers, holder, size)) {
+        const std::vector<memory_holder *> slow = slowHolders(holder, size, now);
+        losers.insert(losers.end(), slow.begin(), slow.end());
+        if (!fitsWithout(losers, holder, size))
+            return false;
+    }
+    reclaim(losers, holder, size);
+    return true;
+}
+
+bool memory_account::fitsWithout(const std::vector<memory_holder *> &losers,
+                                 const memory_holder &holder, std::size_t size)
+{
+    std::size_t reclaimable = 0;
+    for (const memory_holder *each : losers)
+        reclaimable += each->m_size;
+    m_used -= reclaimable;
     const bool suffices = fits(holder, size);
-    m_used += idle;
-    if (suffices)
-        reclaimIdle(holder, size, now);
+    m_used += reclaimable;
     return suffices;
 }
 
-// Reclaims from the largest idle holders until the size fits or none is left.
-void memory_account::reclaimIdle(const memory_holder &holder, std::size_t size, time_point now)
+// All but the given one, the largest first.
+std::vector<memory_holder *> memory_account::idleHolders(const memory_holder &holder,
+                                                         time_point now) const
 {
     std::vector<memory_holder *> idle;
     for (memory_holder *each : m_holders) {
@@ -86,7 +115,64 @@
     }
     std::sort(idle.begin(), idle.end(),
               [](const auto *a, const auto *b) { return a->m_size > b->m_size; });
-    for (memory_holder *each : idle) {
+    return idle;
+}
+
+// Those that may be reclaimed after the idle ones: again and again, from the caller that holds the
+// most and more than its share, the slowest one for its size. None if the size is beyond the share
+// of its caller, so that callers with large bodies do not replace each other.
+std::vector<memory_holder *> memory_account::slowHolders(const memory_holder &holder,
+                                                         std::size_t size, time_point now) const
+{
+    const std::string &caller = holder.m_caller;
+    const std::size_t share = shareOf(caller);
+    if (caller.empty() || usedByCaller(caller) - holder.m_size + size > share)
+        return {};
+    std::map<std::string, slow_caller> callers = slowCallers(now);
+    callers.erase(caller);
+    std::vector<memory_holder *> slow;
+    const auto usesLess
+            = [](const auto &a, const auto &b) { return a.second.used < b.second.used; };
+    while (!callers.empty()) {
+        const auto most = std::max_element(callers.begin(), callers.end(), usesLess);
+        if (most->second.used <= share)
+            break;
+        slow.push_back(most->second.holders.back());
+        most->second.holders.pop_back();
+        most->second.used -= slow.back()->m_size;
+        if (most->second.holders.empty())
+            callers.erase(most);
+    }
+    return slow;
+}
+
+// The callers that have slow holders.
+std::map<std::string, memory_account::slow_caller> memory_account::slowCallers(time_point now) const
+{
+    std::map<std::string, slow_caller> callers;
+    for (memory_holder *each : m_holders) {
+        if (!each->m_caller.empty() && !each->isIdle(now) && each->isSlow(now))
+            callers[each->m_caller].holders.push_back(each);
+    }
+    for (auto &[caller, slow] : callers) {
+        slow.used = usedByCaller(caller);
+        std::sort(slow.holders.begin(), slow.holders.end(), [&](const auto *a, const auto *b) {
+            return a->relativePace(now) > b->relativePace(now);
+        });
+    }
+    for (const memory_holder *each : m_holders) {
+        const auto entry = callers.find(each->m_caller);
+        if (entry != callers.end() && each->isIdle(now))
+            entry->second.used -= each->m_size;
+    }
+    return callers;
+}
+
+// Reclaims from the losers in order until the size fits or none is left.
+void memory_account::reclaim(const std::vector<memory_holder *> &losers,
+                             const memory_holder &holder, std::size_t size)
+{
+    for (memory_holder *each : losers) {
         if (fits(holder, size))
             return;
         resize(*each, 0);
@@ -114,6 +200,7 @@
     : m_account(account)
     , m_owner(owner)
     , m_caller(std::move(caller))
+    , m_startedAt(now)
     , m_progressAt(now)
 {
     m_account.m_holders.insert(this);
@@ -133,12 +220,13 @@
 void memory_holder::charge(std::size_t size, time_point now)
 {
     if (!m_account.fits(*this, size))
-        m_account.reclaimIdle(*this, size, now);
+        m_account.reclaim(m_account.idleHolders(*this, now), *this, size);
     m_account.resize(*this, size);
 }
 
 void memory_holder::noteProgress(std::size_t bytes, time_point now)
 {
+    m_moved += bytes;
     m_progress += bytes;
     if (m_progress < memory_account::minProgress)
         return;
@@ -151,4 +239,16 @@
     return m_reclaim && m_size > 0 && now - m_progressAt >= memory_account::idleTime;
 }
 
+bool memory_holder::isSlow(time_point now) const
+{
+    const double time = seconds(now - m_startedAt - memory_account::slowGrace);
+    const double wanted = time * static_cast<double>(memory_account::slowBytesPerSecond);
+    return m_reclaim && m_size > 0 && static_cast<double>(m_moved) < wanted;
+}
+
+double memory_holder::relativePace(time_point now) const
+{
+    return static_cast<double>(m_moved) / seconds(now - m_startedAt) / static_cast<double>(m_size);
+}
+
 } // namespace fescuedeck
