Server: pay for large heads before they are read further

What callers saw: 560 clients that sent 15 KiB of the shortest header fields and stopped short took a gateway to 184 MiB where the settings allow 64.

Cause: only bodies were paid for in the memory account. The parser keeps some 80 bytes for a field of 4 bytes, and the copy of the request 64 more, and both were free. By reading, a connection also kept its last request, with the body, until the next one, and the parser limits what comes first of a head and the rest one by one.

Before the change, "a head without memory ...", "a head is paid for ..." and "the refusal of a HEAD request ..." fail, and "a head that stands still ..." does not end within 25 s. "a head that comes in pieces ..." and "heads with many fields are served ..." pass before as well.

Change: a head is parsed in steps, and charged to the account by its lines and bytes after each. Heads that cost up to 16 KiB by that estimate are free, so that an ordinary request needs no holder. One that gets no memory is answered with 503 before it is handled; one that stands still may lose its connection, as a body does. The charge lasts until the request has been handled, and what it paid for is freed with it. maxHeaderBytes counts the whole head. The refusal of a HEAD request has no body.

--- a/src/fescuedeck/net/http_connection.cpp
+++ b/src/fescuedeck/net/http_connection.cpp
@@ -1,11 +1,13 @@
 #include "fescuedeck/net/http_connection.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/coroutine/exceptions.hpp>
 #include <sys/socket.h>
 
@@ -33,6 +35,12 @@
 // A body without an announced length is paid for in steps, from this size on, each twice the last.
 // The cost of a chunk is that of its bytes, because the parser keeps nothing else of it.
 constexpr std::size_t firstAllowanceBytes = 8 * 1024;
+// What a head costs: for each line, the field of the parser, its copy in the request and the one
+// that is forwarded; and the bytes themselves, as often. The connections' own memory covers heads
+// up to freeHeadCost, which is several times that of an ordinary head.
+constexpr std::size_t headLineCost = 256;
+constexpr std::size_t headCopies = 3;
+constexpr std::size_t freeHeadCost = 16 * 1024;
 // A response and the answer of the endpoint that it was made from.
 constexpr std::size_t answerCopies = 2;
 
@@ -87,6 +95,8 @@
 http_request toRequest(http::request<http::string_body> &&message)
 {
     http_request request;
+    request.headers.reserve(
+            static_cast<std::size_t>(std::distance(message.begin(), message.end())));
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto &field : message) {
@@ -291,12 +301,11 @@
     m_parser->body_limit(limits.maxBodyBytes);
 
     error_code error;
-    m_deadline.startReading(limits.headerTimeout);
-    http::async_read_header(m_reader, m_buffer, *m_parser, (*m_yield)[error]);
+    readHead(limits, error);
     if (!error && !m_parser->is_done()) {
         const auto length = m_parser->content_length();
         if (!reserveBody(length ? *length : firstAllowanceBytes)) {
-            refuseBody();
+            refuseForMemory();
             return false;
         }
         if (sendContinue())
@@ -304,7 +313,7 @@
     }
     m_deadline.stop();
     if (error == asio::error::no_memory) {
-        refuseBody();
+        refuseForMemory();
         return false;
     }
     if (error) {
@@ -328,20 +337,98 @@
     return true;
 }
 
+// error is no_memory if the request must be refused.
+void http_connection::readHead(const http_server_limits &limits, error_code &error)
+{
+    m_headBytes = 0;
+    m_headLines = 0;
+    m_deadline.startReading(limits.headerTimeout);
+    parseHead(limits, error);
+    while (error == http::error::need_more) {
+        receiveHead(error);
+        if (error)
+            return;
+        parseHead(limits, error);
+    }
+    if (!m_memory)
+        return;
+    m_memory->allowReclaim(nullptr);
+    m_memory->noteProgress(memory_account::minProgress, steadyNow()); // the body counts anew
+}
+
+// Parses what has been received. error is need_more if that is not the whole head.
+void http_connection::parseHead(const http_server_limits &limits, error_code &error)
+{
+    const auto input = m_buffer.data();
+    const auto *const begin = static_cast<const char *>(input.data());
+    const std::size_t count = m_parser->put(input, error);
+    m_headBytes += count;
+    m_headLines += static_cast<std::size_t>(std::count(begin, begin + count, '\n'));
+    m_buffer.consume(count);
+    if (error && error != http::error::need_more)
+        return;
+    // The parser limits only what it gets at once.
+    if (m_headBytes > limits.maxHeaderBytes)
+        error = http::error::header_limit;
+    else if (!reserveHead())
+        error = asio::error::no_memory;
+}
+
+void http_connection::receiveHead(error_code &error)
+{
+    error.clear();
+    const std::size_t size = beast::read_size(m_buffer, idleBufferBytes);
+    if (size == 0) {
+        error = http::error::buffer_overflow;
+        return;
+    }
+    const std::size_t count = m_reader.async_read_some(m_buffer.prepare(size), (*m_yield)[error]);
+    m_buffer.commit(count);
+    if (error == asio::error::eof && m_parser->got_some())
+        error = http::error::partial_message;
+    else if (error == asio::error::eof)
+        error = http::error::end_of_stream;
+    else if (!error && !m_socket.is_open())
+        error = asio::error::operation_aborted;
+}
+
+bool http_connection::reserveHead()
+{
+    if (extraHeadCost() == 0)
+        return true;
+    if (!reserve(bodyOverheadBytes + extraHeadCost()))
+        return false;
+    if (m_memory)
+        m_memory->allowReclaim([this] { loseMemory(); });
+    return true;
+}
+
+// Beyond that of ordinary heads.
+std::size_t http_connection::extraHeadCost() const
+{
+    const std::size_t cost = headLineCost * m_headLines + headCopies * m_headBytes;
+    return cost > freeHeadCost ? cost - freeHeadCost : 0;
+}
+
 // size is that of the body. Returns false if the body must be refused.
 bool http_connection::reserveBody(std::size_t size)
+{
+    m_bodyAllowance = size;
+    return reserve(bodyOverheadBytes + extraHeadCost() + bodyCopies * size);
+}
+
+bool http_connection::reserve(std::size_t size)
 {
     if (m_core->memory == nullptr)
         return true;
     const time_point now = steadyNow();
-    if (!m_bodyMemory) {
+    if (!m_memory) {
         // Peers are not limited to a share, because each sends requests of many callers.
         const bool isCallers = m_core->bodyOwner == memory_owner::CallerBodies;
-        m_bodyMemory.emplace(*m_core->memory, m_core->bodyOwner,
-                             isCallers ? hostOf(m_end.caller) : std::string(), now);
+        m_memory.emplace(*m_core->memory, m_core->bodyOwner,
+                         isCallers ? hostOf(m_end.caller) : std::string(), now);
     }
-    m_bodyAllowance = size;
-    return m_bodyMemory->reserve(bodyOverheadBytes + bodyCopies * size, now);
+    return m_memory->reserve(size, now);
 }
 
 // error is no_memory if the body must be refused.
@@ -349,20 +436,20 @@
 {
     m_deadline.startReading(limits.bodyTimeout);
     m_parser->eager(true);
-    if (m_bodyMemory)
-        m_bodyMemory->allowReclaim([this] { loseMemory(); });
+    if (m_memory)
+        m_memory->allowReclaim([this] { loseMemory(); });
     while (!error && !m_parser->is_done()) {
         const std::size_t count
                 = http::async_read_some(m_reader, m_buffer, *m_parser, (*m_yield)[error]);
         noteProgress(count);
-        if (!m_bodyMemory || error || !m_socket.is_open())
+        if (!m_memory || error || !m_socket.is_open())
             continue;
-        m_bodyMemory->noteProgress(count, steadyNow());
+        m_memory->noteProgress(count, steadyNow());
         if (!reserveGrowth())
             error = asio::error::no_memory;
     }
-    if (m_bodyMemory)
-        m_bodyMemory->allowReclaim(nullptr);
+    if (m_memory)
+        m_memory->allowReclaim(nullptr);
 }
 
 bool http_connection::reserveGrowth()
@@ -374,15 +461,16 @@
     return reserveBody(std::max(size, std::min(step, m_core->limits()->maxBodyBytes)));
 }
 
-// The body is not read any further, because others need the memory.
-void http_connection::refuseBody()
+// The request is not read any further, because others need the memory.
+void http_connection::refuseForMemory()
 {
     m_deadline.stop();
-    m_parser->get().body() = std::string();
-    m_bodyMemory.reset();
+    m_isHead = m_parser->get().method() == http::verb::head;
+    m_parser.emplace(); // frees what was read
+    m_memory.reset();
     setEndReason(connection_end_reason::BodyRefused);
     http_response response = errorResponse(
-            503, makeFailure(errc::Overloaded, "no memory for the body"), "not-run");
+            503, makeFailure(errc::Overloaded, "no memory for the request"), "not-run");
     response.headers.push_back({ "Retry-After", "1" });
     respond(response);
 }
@@ -485,7 +573,8 @@
     ++m_exchange;
     m_leftHook = nullptr;
     m_parser.reset();
-    m_bodyMemory.reset();
+    forgetContent();
+    m_memory.reset();
     if (!m_isWatching)
         return;
     m_isWatching = false;
@@ -493,6 +582,14 @@
     m_socket.cancel(ignored);
 }
 
+// Keeps of the last request only what costs next to nothing.
+void http_connection::forgetContent()
+{
+    m_request.body = std::string();
+    if (extraHeadCost() > 0)
+        m_request.headers = {};
+}
+
 void http_connection::lingerAndClose()
 {
     noteInput();
--- a/src/fescuedeck/net/http_connection.h
+++ b/src/fescuedeck/net/http_connection.h
@@ -61,11 +61,18 @@
     bool waitForRequest();
     duration idleTimeLeft() const;
     bool readRequest();
+    void readHead(const http_server_limits &limits, boost::system::error_code &error);
+    void parseHead(const http_server_limits &limits, boost::system::error_code &error);
+    void receiveHead(boost::system::error_code &error);
+    bool reserveHead();
+    std::size_t extraHeadCost() const;
     bool sendContinue();
     bool reserveBody(std::size_t size);
+    bool reserve(std::size_t size);
     void readBody(const http_server_limits &limits, boost::system::error_code &error);
     bool reserveGrowth();
-    void refuseBody();
+    void refuseForMemory();
+    void forgetContent();
     void loseMemory();
     void reject(const boost::system::error_code &error);
     void rejectFraming();
@@ -96,8 +103,10 @@
     boost::asio::yield_context *m_yield = nullptr;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
 
-    std::optional<memory_holder> m_bodyMemory; // of the current request
-    std::size_t m_bodyAllowance = 0;           // bytes of the body that are paid for
+    std::optional<memory_holder> m_memory; // of the current request
+    std::size_t m_bodyAllowance = 0;       // bytes of the body that are paid for
+    std::size_t m_headBytes = 0;           // of the current request, as far as it is parsed
+    std::size_t m_headLines = 0;
 
     http_request m_request;
     unsigned m_version = 11;
--- a/src/fescuedeck/net/http_server_test.cpp
+++ b/src/fescuedeck/net/http_server_test.cpp
@@ -19,6 +19,15 @@
     return nlohmann::json::parse(response.substr(response.find("\r\n\r\n")))["outcome"];
 }
 
+// Begins a request with a head of 15 KiB, most of which are the shortest fields.
+std::string beginWithManyFields(const std::string &target)
+{
+    std::string head = "POST " + target + " HTTP/1.1\r\n";
+    for (int i = 0; i < 15 * 1024 / 4; ++i)
+        head += "a:\r\n";
+    return head;
+}
+
 } // namespace
 
 TEST_CASE("a connection carries several requests, also sent ahead", "[net]")
@@ -412,4 +421,141 @@
     CHECK(ordinary.receiveUntil("echo /small").find("200 OK") != std::string::npos);
 }
 
+// Guards against heads of many fields that use up the memory before a body is paid for.
+TEST_CASE("a head without memory is refused before its end", "[net][memory]")
+{
+    memory_account account(4 * 1024 * 1024);
+    memory_holder other(account, memory_owner::CollectedAnswers, "", steadyNow());
+    test_io io(1);
+    std::atomic<int> handled{ 0 };
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        ++handled;
+        echo(exchange);
+    });
+    server.useMemory(account, memory_owner::CallerBodies);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    other.charge(4 * 1024 * 1024 - 1024, steadyNow());
+    raw_connection caller(server.port());
+    caller.send(beginWithManyFields("/"));
+    caller.endSending();
+    const std::string refusal = caller.receiveAll();
+    REQUIRE(refusal.find("HTTP/1.1 503") == 0);
+    CHECK(refusal.find("Retry-After: ") != std::string::npos);
+    CHECK(outcomeOf(refusal) == "not-run");
+    CHECK(handled == 0);
+    // One with the head of an ordinary request is served.
+    raw_connection ordinary(server.port());
+    ordinary.send(get("/small"));
+    CHECK(ordinary.receiveUntil("echo /small").find("200 OK") != std::string::npos);
+}
+
+// Guards against a refusal whose body the caller takes for another answer.
+TEST_CASE("the refusal of a HEAD request without memory has no body", "[net][memory]")
+{
+    memory_account account(1024);
+    memory_holder other(account, memory_owner::CollectedAnswers, "", steadyNow());
+    test_io io(1);
+    http_server server(io.context(), {}, echo);
+    server.useMemory(account, memory_owner::CallerBodies);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    other.charge(1024, steadyNow());
+    raw_connection caller(server.port());
+    caller.send("HEAD / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n");
+    const std::string refusal = caller.receiveAll();
+    CHECK(refusal.find("HTTP/1.1 503") == 0);
+    CHECK(refusal.find("\r\n\r\n") == refusal.size() - 4);
+}
+
+// Guards against charges that refuse a single head inside the limits, or that outlive a request.
+TEST_CASE("heads with many fields are served one after the other", "[net][memory]")
+{
+    memory_account account(1);
+    test_io io(1);
+    http_server server(io.context(), {}, echo);
+    server.useMemory(account, memory_owner::CallerBodies);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    const std::string end = GENERATE(as<std::string>{}, "\r\n", "Content-Length: 3\r\n\r\nabc");
+    raw_connection kept(server.port());
+    for (int i = 0; i < 3; ++i) {
+        kept.send(beginWithManyFields("/kept") + end);
+        CHECK(kept.receiveUntil("echo /kept").find("200 OK") != std::string::npos);
+    }
+    CHECK(eventually([&] {
+        raw_connection other(server.port());
+        other.send(beginWithManyFields("/other") + end);
+        return other.receiveUntil("echo /other").find("200 OK") != std::string::npos;
+    }));
+}
+
+// Guards against heads that stop short and hold the memory which others need.
+TEST_CASE("a head that stands still loses its memory to another", "[net][memory]")
+{
+    memory_account account(1);
+    std::atomic<int> reclaimed{ 0 };
+    account.onReclaimed([&](memory_owner) { ++reclaimed; });
+    test_io io(1);
+    http_server server(io.context(), {}, echo);
+    server.useMemory(account, memory_owner::CallerBodies);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection stopped(server.port());
+    stopped.send(beginWithManyFields("/stopped"));
+    CHECK(eventually([&] {
+        raw_connection caller(server.port());
+        caller.send(beginWithManyFields("/next") + "Connection: close\r\n\r\n");
+        caller.receiveAll();
+        return reclaimed > 0;
+    }));
+    CHECK(reclaimed == 1);
+    CHECK(stopped.receiveAll().empty());
+}
+
+// Guards against heads that are paid for only until their end, and against requests that lose their
+// connection while they are handled.
+TEST_CASE("a head is paid for while its request is handled", "[net][memory]")
+{
+    memory_account account(1);
+    test_io io(1);
+    awaited_value<bool> hasBegun;
+    std::atomic<bool> mayAnswer{ false };
+    http_server server(io.context(), {}, [&](http_exchange &exchange) {
+        hasBegun.set(true);
+        boost::asio::steady_timer timer(io.context());
+        while (!mayAnswer) {
+            timer.expires_after(std::chrono::milliseconds(1));
+            timer.async_wait(exchange.yield());
+        }
+        echo(exchange);
+    });
+    server.useMemory(account, memory_owner::CallerBodies);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection busy(server.port());
+    busy.send(beginWithManyFields("/busy") + "\r\n");
+    hasBegun.wait();
+    std::this_thread::sleep_for(memory_account::idleTime);
+    raw_connection other(server.port());
+    other.send(beginWithManyFields("/other"));
+    other.endSending();
+    CHECK(other.receiveAll().find("HTTP/1.1 503") == 0);
+    mayAnswer = true;
+    CHECK(busy.receiveUntil("echo /busy").find("200 OK") != std::string::npos);
+}
+
+// Guards against heads that pass the limit of their size because they come in pieces.
+TEST_CASE("a head that comes in pieces is limited as a whole", "[net][memory]")
+{
+    http_server_limits limits;
+    limits.maxHeaderBytes = 1000;
+    test_io io;
+    http_server server(io.context(), limits, echo);
+    REQUIRE_FALSE(server.listen("127.0.0.1:0"));
+    raw_connection caller(server.port());
+    caller.send("GET / HTTP/1.1\r\n");
+    for (int i = 0; i < 12; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        caller.send("X-Padding: " + std::string(100, 'x') + "\r\n");
+    }
+    caller.send("Connection: close\r\n\r\n");
+    CHECK(caller.receiveAll().find("HTTP/1.1 431") == 0);
+}
+
 } // namespace fescuedeck
