--- a/src/fescuedeck/gateway/gateway_retry_budget.cpp
+++ b/src/fescuedeck/gateway/gateway_retry_budget.cpp
@@ -114,7 +114,7 @@
         }
     }
     const bool isFirstWindow = now - m_startedAt < m_limits.window;
-    const double sharedRetries = m_limits.sharedRetries * m_fraction.value_or(0)
+    const double sharedRetries = m_limits.sharedRetries * fraction()
                                  * (isFirstWindow ? firstWindowFraction : 1);
     return (m_limits.share * requests + sharedRetries) * usableFraction - retries;
 }
--- a/src/fescuedeck/gateway/gateway_retry_budget.h
+++ b/src/fescuedeck/gateway/gateway_retry_budget.h
@@ -53,6 +53,9 @@
     // because other gateways may have used their parts within it. Before the first call the
     // fraction is 0, because the number of gateways is not known; the first call sets it at once.
     void adjustFraction(double fraction, duration sinceLast);
+    // Fraction of the fixed retries that this gateway may use now. 0 before the first call of
+    // adjustFraction().
+    double fraction() const { return m_fraction.value_or(0); }
     void setLimits(retry_budget_limits limits) { m_limits = limits; }
     void recordRequest(const std::string &service, time_point now);
     // Takes one retry from the budget. Returns false if none is left; the request then ends with
