Test: gateways that start together take more than the fixed retries (fails)

Evidence: in its logs, six of 30 gateways had 65 to 77 retries left when they took their first one, the others 10 to 35. All tables of peers were empty when the gateways read them.

The test starts six gateways on an empty table and adds up their parts whenever they change.

--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -28,9 +28,11 @@
             return readFrom(from);
         };
         store.write = [this](const store_write &wanted, duration,
-                             boost::asio::yield_context) -> std::optional<failure> {
+                             boost::asio::yield_context yield) -> std::optional<failure> {
             if (wanted.onlyIfEmpty && !m_records.empty())
                 return makeFailure(errc::LogUnavailable, "the table is not empty");
+            if (m_writeTime > duration::zero())
+                waitForTurn(yield);
             add(wanted.key, wanted.value);
             return std::nullopt;
         };
@@ -38,6 +40,8 @@
     }
 
     std::size_t size() const { return m_records.size(); }
+    // Writes then take this long, one after the other.
+    void setWriteTime(duration writeTime) { m_writeTime = writeTime; }
     void add(const std::string &key, const std::string &value)
     {
         const auto offset = static_cast<std::int64_t>(m_records.size());
@@ -63,8 +67,16 @@
         return page;
     }
 
+    void waitForTurn(boost::asio::yield_context yield)
+    {
+        m_writtenAt = std::max(m_writtenAt, steadyNow()) + m_writeTime;
+        sleepFor(m_writtenAt - steadyNow(), yield);
+    }
+
     std::int64_t m_epoch = 1;
     std::vector<store_record> m_records;
+    duration m_writeTime{};
+    time_point m_writtenAt{}; // when the last write ends
 };
 
 std::string freeAddress()
@@ -95,9 +107,13 @@
 {
     test_gateway(test_io &io, fake_table &table, const std::string &id,
                  const std::string &domain = "")
+        : test_gateway(io, table, settingsOf(id, domain))
+    {
+    }
+    test_gateway(test_io &io, fake_table &table, const gateway_settings &settings)
         : client(io.context())
-        , context(settingsOf(id, domain), adapterWith(table), io.context(), client,
-                  seededRandom(id.size()))
+        , context(settings, adapterWith(table), io.context(), client,
+                  seededRandom(settings.id.size()))
         , peers(context, "1",
                 { [this](const std::string &value) { configs.push_back(value); },
                   [this] { return endpointOffset; },
@@ -468,6 +484,45 @@
     io.stop();
 }
 
+// Guards against more retries than the deployment may have: gateways that start together, each
+// before the others are in the table, and of which the first ones take far more than their parts.
+TEST_CASE("gateways that start together on an empty table share the fixed retries", "[gateway]")
+{
+    test_io io{ 1 };
+    fake_table table;
+    table.setWriteTime(std::chrono::milliseconds(100));
+    std::vector<std::unique_ptr<test_gateway>> gateways;
+    constexpr int count = 6;
+    for (int i = 0; i < count; ++i) {
+        gateway_settings settings
+                = settingsOf("host" + std::to_string(i), i % 2 == 0 ? "a" : "b");
+        settings.retryWindow = std::chrono::seconds(1);
+        gateways.push_back(std::make_unique<test_gateway>(io, table, settings));
+    }
+    const auto onThread = [&](auto function) {
+        return io.run([&](boost::asio::yield_context) { return function(); });
+    };
+    onThread([&] {
+        for (const auto &gateway : gateways)
+            gateway->peers.start();
+        return true;
+    });
+    double greatestSum = 0;
+    const auto hasWholeSum = [&] {
+        double sum = 0;
+        bool knowsAll = true;
+        for (const auto &gateway : gateways) {
+            sum += gateway->context.retryBudget.fraction();
+            knowsAll = knowsAll && gateway->peers.knownGateways() == count;
+        }
+        greatestSum = std::max(greatestSum, sum);
+        return knowsAll && sum > 0.99;
+    };
+    CHECK(eventually([&] { return onThread(hasWholeSum); }));
+    CHECK(greatestSum < 1.01);
+    io.stop();
+}
+
 // Guards against a gateway that is cut off from a few engines and shuts them out at its peers.
 TEST_CASE("a loss that a peer reports is ignored while the endpoint sends to this gateway",
           "[gateway]")
