Gateway: parts of the fixed retries that add up to the limit

Endpoints that were short of room got half as many retries again as the deployment may make.

Cause: a gateway took its part of the fixed retries from what it knew at the moment of the first call, which was applied at once, and later changes took a window. Since a gateway reads the table of peers before it is in it, so the first call counted few gateways. Parts were also divided by loads that gateways see at different times. The class: a limit of the deployment that is divided by views which differ between its members.

The change: each gateway in the table has an equal part, one outside of it has none, and need is met by loans, which are counted once. A smaller part applies at once; a larger one only after it was due for a window, the margin of the window and the time in which all gateways read a record. Then the uses in any window are bounded by the parts that were due at one moment before it. A new process has no part for that time, so that it cannot use again what its predecessor used; the small part for the first window is gone for the same reason.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -272,7 +272,7 @@
     counters.setGauge("fescuedeck_known_gateways", {},
                       [this] { return static_cast<double>(m_peers.knownGateways()); });
     counters.setGauge("fescuedeck_fixed_retries_fraction", {},
-                      [this] { return m_context.retryBudget.fraction(); });
+                      [this] { return m_context.retryBudget.fraction(steadyNow()); });
     counters.setGauge("fescuedeck_frequent_reader", {},
                       [this] { return m_peers.readsTables() ? 1.0 : 0.0; });
     counters.setGauge("fescuedeck_placement_duty", {},
--- a/src/fescuedeck/gateway/gateway_context.cpp
+++ b/src/fescuedeck/gateway/gateway_context.cpp
@@ -21,8 +21,7 @@
     , io(ioContext)
     , client(httpClient)
     , random(std::move(randomFn))
-    , retryBudget({ settings.retryShare, settings.minRetriesPerWindow, settings.retryWindow },
-                  steadyNow())
+    , retryBudget({ settings.retryShare, settings.minRetriesPerWindow, settings.retryWindow })
     , admission(settings, counters, random)
     , requestLimits(random)
 {
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -149,7 +149,7 @@
 void gateway_peers::start()
 {
     if (m_context.settings.peersAddress.empty()) {
-        m_context.retryBudget.adjustFraction(unsharedRetryFraction, {});
+        m_context.retryBudget.setDueFraction(unsharedRetryFraction, steadyNow());
         return;
     }
     m_table.start();
@@ -373,7 +373,7 @@
     m_context.admission.setPeersWaiting(view.waiting);
     m_context.admission.onRoomChanged();
     m_context.requestLimits.setPeerDemand(view.limitedDemand);
-    updateRetryBudgetShare(m_ownDomain.merged(now), now);
+    updateDueRetries();
     applyPeerSuspicions(view.suspects, now);
     requestNewerConfig(now);
     checkEndpointOffset(now);
@@ -432,20 +432,11 @@
     m_hooks.onEndpointTableBehind();
 }
 
-// The fixed retries are shared within each domain, because a gateway does not know the loads of the
-// gateways of other domains. The parts of the domains add up to no more than all fixed retries.
-void gateway_peers::updateRetryBudgetShare(const peer_view &ownDomain, time_point now)
+void gateway_peers::updateDueRetries()
 {
-    if (m_locations.empty())
-        return;
-    retry_sharing_state sharing;
-    for (const endpoint_ptr &endpoint : m_context.endpoints.all())
-        sharing.ownLoad += endpoint->tokensInFlight;
-    for (const auto &[endpoint, tokens] : ownDomain.inFlight)
-        sharing.peerLoad += tokens;
-    sharing.livePeers = static_cast<int>(m_ownDomain.livePeers(now).size());
-    sharing.knownGateways = knownGateways();
-    m_context.retryBudget.adjustFraction(sharedBudgetFraction(sharing), refreshInterval);
+    const bool isInTable = m_locations.count(m_context.settings.id) > 0;
+    m_context.retryBudget.setDueFraction(fixedRetriesFraction(isInTable, knownGateways()),
+                                         steadyNow());
 }
 
 bool gateway_peers::isAmongFirst(int count, time_point now) const
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -81,7 +81,7 @@
     void openNetwork();
     void runRefreshLoop(boost::asio::yield_context yield);
     void applyPeerView(time_point now);
-    void updateRetryBudgetShare(const peer_view &ownDomain, time_point now);
+    void updateDueRetries();
     void applyPeerSuspicions(const std::set<std::string> &suspects, time_point now);
     void updateSuspectedSince(const std::set<std::string> &suspects, time_point now);
     void requestNewerConfig(time_point now);
--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -494,8 +494,7 @@
     std::vector<std::unique_ptr<test_gateway>> gateways;
     constexpr int count = 6;
     for (int i = 0; i < count; ++i) {
-        gateway_settings settings
-                = settingsOf("host" + std::to_string(i), i % 2 == 0 ? "a" : "b");
+        gateway_settings settings = settingsOf("host" + std::to_string(i), i % 2 == 0 ? "a" : "b");
         settings.retryWindow = std::chrono::seconds(1);
         gateways.push_back(std::make_unique<test_gateway>(io, table, settings));
     }
@@ -512,7 +511,7 @@
         double sum = 0;
         bool knowsAll = true;
         for (const auto &gateway : gateways) {
-            sum += gateway->context.retryBudget.fraction();
+            sum += gateway->context.retryBudget.fraction(steadyNow());
             knowsAll = knowsAll && gateway->peers.knownGateways() == count;
         }
         greatestSum = std::max(greatestSum, sum);
--- a/src/fescuedeck/gateway/gateway_retry_budget.cpp
+++ b/src/fescuedeck/gateway/gateway_retry_budget.cpp
@@ -10,36 +10,44 @@
 constexpr double usableFraction = 0.9;
 constexpr duration windowMargin = std::chrono::seconds(1);
 constexpr duration sliceLength = std::chrono::milliseconds(250);
-// Fraction of the fixed retries that is available in the first window of a process.
-constexpr double firstWindowFraction = 0.25;
+// Longest time from when one gateway reads a record of the table of gateways until all others have.
+constexpr duration tableLag = std::chrono::seconds(2);
 // A loan must be used well within windowMargin, in which the lender still counts it.
 constexpr duration loanLifetime = std::chrono::milliseconds(400);
 
+// How long a retry that any gateway has taken may count against the same part.
+duration fractionPeriod(const retry_budget_limits &limits)
+{
+    return limits.window + windowMargin + tableLag;
+}
+
 } // namespace
 
-double sharedBudgetFraction(const retry_sharing_state &sharing)
+double fixedRetriesFraction(bool isInTable, int gatewaysInTable)
 {
-    const double reachable = sharing.livePeers + 1;
-    const double reachableFraction = reachable / std::max<double>(reachable, sharing.knownGateways);
-    const double load = sharing.ownLoad + sharing.peerLoad;
-    return reachableFraction * (load > 0 ? sharing.ownLoad / load : 1 / reachable);
+    return isInTable ? 1.0 / std::max(1, gatewaysInTable) : 0;
 }
 
-gateway_retry_budget::gateway_retry_budget(retry_budget_limits limits, time_point startedAt)
+gateway_retry_budget::gateway_retry_budget(retry_budget_limits limits)
     : m_limits(limits)
-    , m_startedAt(startedAt)
+    , m_fraction(0, fractionPeriod(limits))
 {
 }
 
-void gateway_retry_budget::adjustFraction(double fraction, duration sinceLast)
+void gateway_retry_budget::setDueFraction(double fraction, time_point now)
 {
-    if (!m_fraction) {
-        m_fraction = fraction;
-        return;
-    }
-    const auto window = static_cast<double>(m_limits.window.count());
-    const double step = static_cast<double>(sinceLast.count()) / window;
-    *m_fraction += (fraction - *m_fraction) * std::min(1.0, step);
+    m_fraction.set(fraction, now);
+}
+
+double gateway_retry_budget::fraction(time_point now) const
+{
+    return m_fraction.at(now);
+}
+
+void gateway_retry_budget::setLimits(retry_budget_limits limits)
+{
+    m_limits = limits;
+    m_fraction.setPeriod(fractionPeriod(limits));
 }
 
 gateway_retry_budget::slice &gateway_retry_budget::currentSlice(const std::string &service,
@@ -113,9 +121,7 @@
             retries += age <= m_limits.window + windowMargin ? each.retries : 0;
         }
     }
-    const bool isFirstWindow = now - m_startedAt < m_limits.window;
-    const double sharedRetries = m_limits.sharedRetries * fraction()
-                                 * (isFirstWindow ? firstWindowFraction : 1);
+    const double sharedRetries = m_limits.sharedRetries * fraction(now);
     return (m_limits.share * requests + sharedRetries) * usableFraction - retries;
 }
 
--- a/src/fescuedeck/gateway/gateway_retry_budget.h
+++ b/src/fescuedeck/gateway/gateway_retry_budget.h
@@ -9,12 +9,12 @@
 #define FESCUEDECK_GATEWAY_GATEWAY_RETRY_BUDGET_H
 
 #include <deque>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "fescuedeck/base/time.h"
+#include "fescuedeck/gateway/windowed_minimum.h"
 
 namespace fescuedeck {
 
@@ -25,38 +25,31 @@
     duration window = std::chrono::seconds(10);
 };
 
-// What one gateway knows about itself and the gateways that share the fixed retries with it.
-struct retry_sharing_state
-{
-    double ownLoad = 0;  // in any unit, the same for all gateways
-    double peerLoad = 0; // of all live peers together
-    int livePeers = 0;
-    int knownGateways = 1; // including this one and those that are unreachable
-};
-
-// Fraction of the fixed retries, from 0 to 1, that one gateway may use. Each known gateway has an
-// equal part. Gateways that reach each other pool their parts and divide them by load, because each
-// may have to move all of its streams at once. The parts of unreachable gateways stay unused,
-// because those gateways may still run and use them.
-double sharedBudgetFraction(const retry_sharing_state &sharing);
+// Fraction of the fixed retries, from 0 to 1, that one gateway may use. Each gateway in the table
+// of gateways has an equal part, whether or not it runs. A gateway that is not in the table has
+// none, because the others do not count it yet. Gateways that need more borrow from others
+// (retry_lending.h).
+double fixedRetriesFraction(bool isInTable, int gatewaysInTable);
 
 // Not thread-safe.
 class gateway_retry_budget
 {
 public:
-    // startedAt is the start of the process. The retries that an earlier process of this gateway
-    // used are unknown, so only a small part of the fixed retries is available in the first window.
-    gateway_retry_budget(retry_budget_limits limits, time_point startedAt);
+    explicit gateway_retry_budget(retry_budget_limits limits);
 
-    // Moves this gateway's fraction of the fixed retries towards the given one, which is from 0
-    // to 1. sinceLast is the time since the last call. A change takes effect over about one window,
-    // because other gateways may have used their parts within it. Before the first call the
-    // fraction is 0, because the number of gateways is not known; the first call sets it at once.
-    void adjustFraction(double fraction, duration sinceLast);
-    // Fraction of the fixed retries that this gateway may use now. 0 before the first call of
-    // adjustFraction().
-    double fraction() const { return m_fraction.value_or(0); }
-    void setLimits(retry_budget_limits limits) { m_limits = limits; }
+    // Sets the fraction of the fixed retries, from 0 to 1, that is due to this gateway by what it
+    // knows now; 0 before the first call. now must not decrease.
+    //
+    // The gateway uses the smallest fraction that was due to it within the last window and some
+    // time more: a smaller one at once, a larger one only when no window contains retries that
+    // other gateways, or an earlier process of this one, have used of the same part. If the
+    // fractions that are due to all gateways add up to at most 1 whenever all have read the table
+    // of gateways equally far, the retries that they use add up to at most the fixed retries in
+    // every window, as long as no gateway reads a record more than tableLag after another one does.
+    void setDueFraction(double fraction, time_point now);
+    // Fraction of the fixed retries that this gateway may use now.
+    double fraction(time_point now) const;
+    void setLimits(retry_budget_limits limits);
     void recordRequest(const std::string &service, time_point now);
     // Takes one retry from the budget. Returns false if none is left; the request then ends with
     // its last failure.
@@ -95,8 +88,7 @@
     slice &currentSlice(const std::string &service, time_point now);
 
     retry_budget_limits m_limits;
-    const time_point m_startedAt;
-    std::optional<double> m_fraction;
+    windowed_minimum m_fraction;
     std::unordered_map<std::string, slices> m_services;
     std::unordered_map<std::string, std::deque<loan>> m_loans; // by service, oldest first
 };
--- a/src/fescuedeck/gateway/retry_lending_test.cpp
+++ b/src/fescuedeck/gateway/retry_lending_test.cpp
@@ -20,8 +20,8 @@
     {
         const retry_budget_limits limits{ 0, 100, std::chrono::seconds(10) };
         for (int i = 0; i < gateways; ++i) {
-            m_budgets.push_back(std::make_unique<gateway_retry_budget>(limits, time_point{}));
-            m_budgets.back()->adjustFraction(1.0 / gateways, limits.window);
+            m_budgets.push_back(std::make_unique<gateway_retry_budget>(limits));
+            m_budgets.back()->setDueFraction(1.0 / gateways, time_point::min());
             m_budgets.back()->recordRequest("s", start);
             retry_lending_hooks hooks;
             hooks.send = [this, i](const std::string &peer, const peer_message &message) {
