Tests: late departures and repeated configurations between gateways (two fail)

In the seconds 26 to 28 the gateways of domain c read about 106 MB, some 60 MB more than around them, where one copy for each of 51 is 19 MB. The host that all of them ask sends 22 MB in one second on a link of 25 MB/s; a reader with a link of 1.75 MB/s is full from second 27 to 30. Pages of the endpoint table and digests of these hosts wait behind the copies. A gateway that has not had the page ignores the departures in digests, as long as its readers are served by the store.

The tests: a departure in the digest of a peer that has read further, the same from a peer that has not, and the number of copies of a configuration.

--- a/src/fescuedeck/gateway/gateway_peers_test.cpp
+++ b/src/fescuedeck/gateway/gateway_peers_test.cpp
@@ -2,6 +2,7 @@
 #include "fescuedeck/gateway/gateway_peers.h"
 
 #include <map>
+#include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -274,6 +275,69 @@
             [&] { return gateways.second.context.endpoints.find("y")->isUsable(steadyNow()); }));
 }
 
+// Guards against requests at endpoints that have left: a gateway whose page of the endpoint table
+// is late, behind other messages or for lack of a reader that the store answers, learned of
+// departures only from the page.
+TEST_CASE("a departure applies if the peer that reports it has read the endpoint table further",
+          "[gateway]")
+{
+    peers_fixture gateways;
+    gateways.onThread([&] {
+        for (test_gateway *gateway : { &gateways.first, &gateways.second })
+            gateway->addEndpoint("x");
+        gateways.first.context.endpoints.markLeaving("x");
+        gateways.first.endpointOffset = 5;
+        gateways.second.endpointOffset = 4;
+    });
+    const auto isUsable
+            = [&] { return gateways.second.context.endpoints.find("x")->isUsable(steadyNow()); };
+    CHECK(eventually([&] {
+        return gateways.onThread([&] { return !isUsable() || gateways.second.timesBehind > 0; });
+    }));
+    CHECK_FALSE(gateways.onThread(isUsable));
+}
+
+// Guards against an endpoint that was announced again and counts as leaving by an older digest.
+TEST_CASE("a departure is ignored by a gateway that has read the endpoint table as far",
+          "[gateway]")
+{
+    peers_fixture gateways;
+    gateways.onThread([&] {
+        for (test_gateway *gateway : { &gateways.first, &gateways.second }) {
+            gateway->addEndpoint("x");
+            gateway->endpointOffset = 5;
+        }
+        gateways.first.context.endpoints.markLeaving("x");
+        gateways.first.context.crashes.apply("bad", std::chrono::seconds(60), steadyNow());
+    });
+    // Quarantines arrive with the same digest.
+    CHECK(eventually([&] {
+        return gateways.onThread([&] {
+            return gateways.second.context.crashes.isQuarantined({ "bad", {} }, steadyNow());
+        });
+    }));
+    CHECK(gateways.onThread(
+            [&] { return gateways.second.context.endpoints.find("x")->isUsable(steadyNow()); }));
+}
+
+// Guards against links that are filled with copies of one configuration, behind which digests and
+// pages of the endpoint table wait.
+TEST_CASE("a configuration that is on its way is not requested again", "[gateway]")
+{
+    peers_fixture gateways;
+    gateways.onThread([&] {
+        gateway_config config;
+        config.version = 7;
+        gateways.first.context.config = std::make_shared<const config_index>(config);
+        gateways.first.peers.setConfigText("text of version 7");
+    });
+    const auto copies
+            = [&] { return gateways.onThread([&] { return gateways.second.configs.size(); }); };
+    CHECK(eventually([&] { return copies() > 0; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    CHECK(copies() == 1);
+}
+
 // Guards against a gateway that is cut off from all engines and reports them as lost. If its peers
 // believed it, the holder of the placement lease would move layers away from engines that work.
 TEST_CASE("losses that a peer reports apply if they are few and are ignored if they are many",
