Gateway: departures in digests of peers that have read further apply at once

Cause: a gateway that does not read the store learned of a departure from one page of the endpoint table alone. If the page was late, it noticed after a second that it was behind, and then read the store. Digests of peers name the incarnations that are leaving each 0.3 s (1 s between domains), but counted only while the store could not be read at all. The class: news that has arrived is not used because another way is meant to bring it.

The change: departures apply if the peer that reports them has read the endpoint table further than this gateway. One that has read as far or less may report a departure that a later announcement has undone; it is ignored as before. A gateway that reads a departure from the store tells the other domains at once instead of after up to a second. The event endpoint_leaving and the counter fescuedeck_departures_total tell from where a gateway has learned it.

--- a/src/fescuedeck/gateway/gateway.cpp
+++ b/src/fescuedeck/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "fescuedeck/gateway/config_intake.h"
 #include "fescuedeck/gateway/connection_ends.h"
 #include "fescuedeck/gateway/crash_check.h"
+#include "fescuedeck/gateway/departure_log.h"
 #include "fescuedeck/gateway/endpoint_prober.h"
 #include "fescuedeck/gateway/engine_inspector.h"
 #include "fescuedeck/gateway/event_loop_watch.h"
@@ -119,6 +120,7 @@
     void withdrawFindingsSinceCut();
     void runExpiryLoop(boost::asio::yield_context yield);
     void onEndpointRecord(const store_record &record);
+    void onDeparture(const std::string &endpoint);
     void awaitAnnouncements();
     void reloadSettings(const char *trigger);
     void runSettingsReloadLoop(boost::asio::yield_context yield);
@@ -492,6 +494,14 @@
     m_peers.announceChange();
 }
 
+// Gateways that read the store tell the other domains at once; their own gets the same page.
+void gateway::onDeparture(const std::string &endpoint)
+{
+    logDeparture(m_context.counters, endpoint, departure_source::Table);
+    if (m_peers.readsTables())
+        m_peers.announceChange();
+}
+
 void gateway::onEndpointRecord(const store_record &record)
 {
     if (record.isRemoval) {
@@ -508,8 +518,12 @@
         m_context.endpoints.remove(record.key, steadyNow());
         return;
     }
+    const endpoint_ptr known = m_context.endpoints.find(entry.value().id);
+    const bool wasReady = known && known->entry.phase == endpoint_phase_announced::Ready;
     m_context.endpoints.announce(entry.value(), record.offset, steadyNow());
     m_context.admission.onRoomChanged();
+    if (wasReady && entry.value().phase == endpoint_phase_announced::Draining)
+        onDeparture(entry.value().id);
 }
 
 bool gateway::isReady() const
--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "fescuedeck/base/ids.h"
+#include "fescuedeck/gateway/departure_log.h"
 #include "fescuedeck/router/wait_event.h"
 #include "fescuedeck/telemetry/event_line.h"
 
@@ -365,14 +366,12 @@
             figuresAt = now - *age;
         recordFigures(endpoint->peerFigures, endpoint->peerTokensInFlight, tokens, figuresAt);
         endpoint->peerTokensInFlight = tokens;
-        const bool isLeaving = view.leaving.count(incarnationName(endpoint->entry)) > 0;
-        if (isLeaving && m_context.isEndpointTableUnavailable)
-            m_context.endpoints.markLeaving(endpoint->entry.id);
     }
     m_context.domainPeers = static_cast<int>(m_ownDomain.livePeers(now).size());
     m_context.admission.setPeersWaiting(view.waiting);
     m_context.admission.onRoomChanged();
     m_context.requestLimits.setPeerDemand(view.limitedDemand);
+    applyPeerDepartures(view.leaving, now);
     updateDueRetries();
     applyPeerSuspicions(view.suspects, now);
     requestNewerConfig(now);
@@ -381,6 +380,31 @@
         announceChange();
 }
 
+// Marks endpoints as leaving that leave according to peers which know the endpoint table better:
+// any peer while the store cannot be read, else those that have read further. Others may still
+// report a departure that a later announcement has undone.
+void gateway_peers::applyPeerDepartures(const std::set<std::string> &reported, time_point now)
+{
+    std::set<std::string> leaving;
+    if (m_context.isEndpointTableUnavailable) {
+        leaving = reported;
+    } else if (m_hooks.endpointOffset) {
+        const std::int64_t offset = m_hooks.endpointOffset();
+        m_ownDomain.addLeavingBeyond(offset, now, leaving);
+        for (const auto &[cell, directory] : m_otherDomains)
+            directory.addLeavingBeyond(offset, now, leaving);
+    }
+    if (leaving.empty())
+        return;
+    for (const endpoint_ptr &endpoint : m_context.endpoints.all()) {
+        const bool isReady = endpoint->entry.phase == endpoint_phase_announced::Ready;
+        if (!isReady || leaving.count(incarnationName(endpoint->entry)) == 0)
+            continue;
+        m_context.endpoints.markLeaving(endpoint->entry.id);
+        logDeparture(m_context.counters, endpoint->entry.id, departure_source::Digest);
+    }
+}
+
 void gateway_peers::requestNewerConfig(time_point now)
 {
     const std::int64_t version = m_context.config ? m_context.config->config().version : 0;
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -88,6 +88,7 @@
     void checkConfigLag(bool isBehind, time_point now);
     void checkEndpointOffset(time_point now);
     peer_view mergedView(time_point now) const;
+    void applyPeerDepartures(const std::set<std::string> &reported, time_point now);
     peer_digest currentDigest(const std::string &cell) const;
     peer_digest ownDigest() const;
     void onMessage(const peer_hello &peer, const peer_message &message);
--- a/src/fescuedeck/peer/peer_directory.cpp
+++ b/src/fescuedeck/peer/peer_directory.cpp
@@ -127,6 +127,15 @@
     return newest;
 }
 
+void peer_directory::addLeavingBeyond(std::int64_t offset, time_point now,
+                                      std::set<std::string> &leaving) const
+{
+    for (const auto &[router, entry] : m_entries) {
+        if (entry.expires > now && entry.digest.offset > offset)
+            leaving.insert(entry.digest.leaving.begin(), entry.digest.leaving.end());
+    }
+}
+
 std::int64_t peer_directory::greatestOffset(time_point now) const
 {
     std::int64_t greatest = 0;
--- a/src/fescuedeck/peer/peer_directory.h
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -71,6 +71,9 @@
     // The peer with the greatest version above this one; among equals the one that has read the
     // control stream furthest, then the first by id.
     std::optional<newer_bundle> newerBundle(std::int64_t version, time_point now) const;
+    // Adds the incarnations that are leaving according to peers that have read beyond the offset.
+    void addLeavingBeyond(std::int64_t offset, time_point now,
+                          std::set<std::string> &leaving) const;
     // Greatest offset that a peer has read up to; 0 if no digest is in force.
     std::int64_t greatestOffset(time_point now) const;
     // Peers whose digest is in force, in order of their ids.
