Gateway: ask one peer for a configuration, and send copies within half of the link

Requests reached endpoints that had left, shortly after a configuration with 1,680 routes more.

Cause: each gateway asked the same peer, the first of those that had read furthest, and asked again each 300 ms while the text was on its way. The peer queued another copy each time. Digests and pages of the endpoint table wait behind the copies.

A text that has not arrived after 1.5 s is read from the store, as before.

peer_directory::newerBundle and its test are gone, because only this used them; the choice of the newest version is tested with config_requests.

--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -40,7 +40,6 @@
 // An endpoint that has sent something so recently may do so again. Until then the suspicion of a
 // peer does not apply.
 constexpr duration activeTime = std::chrono::milliseconds(200);
-constexpr duration configRequestInterval = std::chrono::milliseconds(300);
 // A text usually arrives within 0.2 s. After this time the gateway reads the store, within the
 // limit for the application of a configuration (3 s).
 constexpr duration maxConfigLag = std::chrono::milliseconds(1500);
@@ -86,6 +85,11 @@
                       m_network->send(routers, message);
               })
     , m_lending(context.retryBudget, lendingHooks())
+    , m_configRequests(context.random)
+    , m_configSender(context.settings.linkRate,
+                     [this](const std::string &peer, const std::string &text) {
+                         m_network->send(peer, bundle_state{ text });
+                     })
 {
     m_relay.add(store_table::Peers, m_table);
     m_context.borrowRetries
@@ -312,8 +316,8 @@
         }
     } else if (const auto *request = std::get_if<bundle_request>(&message)) {
         const std::int64_t version = m_context.config ? m_context.config->config().version : 0;
-        if (version >= request->version && !m_configText.empty())
-            m_network->send(peer.router, bundle_state{ m_configText });
+        if (version >= request->version && m_configSender.hasText())
+            m_configSender.request(peer.router, steadyNow());
     } else if (const auto *state = std::get_if<bundle_state>(&message)) {
         m_hooks.onConfig(state->checkpoint);
     } else if (const auto *wanted = std::get_if<retry_request>(&message)) {
@@ -375,6 +379,7 @@
     updateDueRetries();
     applyPeerSuspicions(view.suspects, now);
     requestNewerConfig(now);
+    m_configSender.update(steadyNow());
     checkEndpointOffset(now);
     if (m_network && m_relay.update(now))
         announceChange();
@@ -405,20 +410,35 @@
     }
 }
 
+// Peers of another domain only if they have a newer version than those of the own one, because
+// links between domains are expensive.
+std::vector<config_holder> gateway_peers::newerConfigHolders(time_point now) const
+{
+    std::int64_t version = m_context.config ? m_context.config->config().version : 0;
+    std::vector<config_holder> holders;
+    const auto addHolders = [&](const peer_directory &domain) {
+        const std::int64_t known = version;
+        domain.forEachLive(now, [&](const std::string &peer, const peer_digest &digest) {
+            if (digest.version <= known)
+                return;
+            holders.push_back({ peer, digest.version });
+            version = std::max(version, digest.version);
+        });
+    };
+    addHolders(m_ownDomain);
+    for (const auto &[cell, directory] : m_otherDomains)
+        addHolders(directory);
+    return holders;
+}
+
 void gateway_peers::requestNewerConfig(time_point now)
 {
-    const std::int64_t version = m_context.config ? m_context.config->config().version : 0;
-    auto newest = m_ownDomain.newerBundle(version, now);
-    for (const auto &[cell, directory] : m_otherDomains) {
-        const auto newer = directory.newerBundle(version, now);
-        if (newer && (!newest || newer->version > newest->version))
-            newest = newer;
-    }
-    if (newest && m_network && now - m_lastConfigRequest >= configRequestInterval) {
-        m_lastConfigRequest = now;
-        m_network->send(newest->router, bundle_request{ newest->version });
+    const std::vector<config_holder> holders = newerConfigHolders(now);
+    if (m_network) {
+        if (const auto holder = m_configRequests.choose(holders, now))
+            m_network->send(holder->peer, bundle_request{ holder->version });
     }
-    checkConfigLag(newest.has_value(), now);
+    checkConfigLag(!holders.empty(), now);
 }
 
 void gateway_peers::checkConfigLag(bool isBehind, time_point now)
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -24,6 +24,8 @@
 
 #include <boost/asio/spawn.hpp>
 
+#include "fescuedeck/gateway/config_requests.h"
+#include "fescuedeck/gateway/config_sender.h"
 #include "fescuedeck/gateway/gateway_context.h"
 #include "fescuedeck/gateway/peer_topology.h"
 #include "fescuedeck/gateway/retry_lending.h"
@@ -56,7 +58,7 @@
     void start();
     void stop();
     // Sets the configuration text, as the operator wrote it, that is sent to peers on request.
-    void setConfigText(std::string value) { m_configText = std::move(value); }
+    void setConfigText(std::string value) { m_configSender.setText(std::move(value)); }
     // Sends the current state to the peers at once instead of after the usual interval.
     void announceChange();
     // Returns the number of other gateways that were heard from recently.
@@ -84,6 +86,7 @@
     void updateDueRetries();
     void applyPeerSuspicions(const std::set<std::string> &suspects, time_point now);
     void updateSuspectedSince(const std::set<std::string> &suspects, time_point now);
+    std::vector<config_holder> newerConfigHolders(time_point now) const;
     void requestNewerConfig(time_point now);
     void checkConfigLag(bool isBehind, time_point now);
     void checkEndpointOffset(time_point now);
@@ -110,8 +113,8 @@
     // not.
     time_point m_behindSince{};
     std::map<std::string, time_point> m_suspectedSince; // by id, of the suspects of peers
-    std::string m_configText;
-    time_point m_lastConfigRequest{};
+    config_requests m_configRequests;
+    config_sender m_configSender;
     time_point m_configBehindSince{}; // zero if no peer has a newer configuration
 };
 
--- a/src/fescuedeck/gateway/gateway_settings.h
+++ b/src/fescuedeck/gateway/gateway_settings.h
@@ -36,6 +36,8 @@
     // Of the host; 0 if unknown.
     std::size_t memoryBytes = 0;
     std::size_t fileDescriptors = 0;
+    // Of the host, in bytes per second; 0 if unknown.
+    double linkRate = 0;
     // True if engines refuse an order whose fencing token is lower than one that they have seen.
     bool enginesCheckFencing = false;
     // While requests of several ranks wait, those below the most urgent one together get at least
--- a/src/fescuedeck/gateway/settings_reload.cpp
+++ b/src/fescuedeck/gateway/settings_reload.cpp
@@ -43,6 +43,7 @@
     compare(&gateway_settings::storeAddress, "store_address");
     compare(&gateway_settings::memoryBytes, "memory");
     compare(&gateway_settings::fileDescriptors, "file_descriptors");
+    compare(&gateway_settings::linkRate, "link_rate");
     compare(&gateway_settings::logLevel, "log_level");
     return change;
 }
--- a/src/fescuedeck/peer/peer_directory.cpp
+++ b/src/fescuedeck/peer/peer_directory.cpp
@@ -1,7 +1,6 @@
 #include "fescuedeck/peer/peer_directory.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace fescuedeck {
 namespace {
@@ -111,22 +110,6 @@
     return total;
 }
 
-std::optional<newer_bundle> peer_directory::newerBundle(std::int64_t version, time_point now) const
-{
-    std::optional<newer_bundle> newest;
-    for (const auto &[router, entry] : m_entries) {
-        const peer_digest &digest = entry.digest;
-        if (entry.expires <= now || digest.version <= version)
-            continue;
-        const bool isNewer = !newest
-                             || std::tie(digest.version, digest.offset)
-                                        > std::tie(newest->version, newest->offset);
-        if (isNewer)
-            newest = newer_bundle{ router, digest.version, digest.hash, digest.offset };
-    }
-    return newest;
-}
-
 void peer_directory::addLeavingBeyond(std::int64_t offset, time_point now,
                                       std::set<std::string> &leaving) const
 {
--- a/src/fescuedeck/peer/peer_directory.h
+++ b/src/fescuedeck/peer/peer_directory.h
@@ -40,14 +40,6 @@
 // Adds the loads that another view states, and the ages of its figures, to a view.
 void addLoads(peer_view &view, const peer_view &other);
 
-struct newer_bundle
-{
-    std::string router;
-    std::int64_t version = 0;
-    std::string hash;
-    std::int64_t offset = 0;
-};
-
 // Not thread-safe.
 class peer_directory
 {
@@ -68,9 +60,6 @@
     peer_view mergedSummaries(time_point now) const;
     // Calls that peers have in flight on one endpoint.
     double inFlight(const std::string &endpoint, time_point now) const;
-    // The peer with the greatest version above this one; among equals the one that has read the
-    // control stream furthest, then the first by id.
-    std::optional<newer_bundle> newerBundle(std::int64_t version, time_point now) const;
     // Adds the incarnations that are leaving according to peers that have read beyond the offset.
     void addLeavingBeyond(std::int64_t offset, time_point now,
                           std::set<std::string> &leaving) const;
