Table relay: pages that a peer has missed are sent again

Cause: readers pass pages only to gateways that do not read the store. One that reads and is then turned away by the store misses what is passed on before its next digest says so. Every later page begins behind its position, so that it applies none; its own reads fail; and as long as its peers are served, no outage is noticed. It stays behind until the store serves it again. The class: delivery that is assumed to have happened, without an acknowledgement.

Positions in digests are the acknowledgement.

--- a/src/fescuedeck/gateway/table_relay.cpp
+++ b/src/fescuedeck/gateway/table_relay.cpp
@@ -102,6 +102,15 @@
         m_counters.counterOf("fescuedeck_table_behind_total", { { "table", table } }).add();
         m_followers[table]->restartRead();
     }
+    if (isReader()) {
+        for (const repeated_page &missing : m_repeater.update(m_domain, now)) {
+            m_counters
+                    .counterOf("fescuedeck_table_pages_repeated_total",
+                               { { "table", missing.page.table } })
+                    .add();
+            m_send({ missing.peer }, missing.page);
+        }
+    }
     return isChanged;
 }
 
@@ -116,14 +125,15 @@
     const bool isRelayed = m_followers.count(name) > 0;
     if (!isRelayed || page.source != page_source::Store || !m_readers.isReader())
         return;
-    const std::vector<std::string> receivers = tableReceivers(m_domain, now);
-    if (receivers.empty())
-        return;
     const auto message = toMessage(table, page);
-    if (message)
-        m_send(receivers, *message);
-    else
+    if (!message) {
         m_counters.counterOf("fescuedeck_table_pages_too_large_total").add();
+        return;
+    }
+    m_repeater.add(*message, now);
+    const std::vector<std::string> receivers = tableReceivers(m_domain, now);
+    if (!receivers.empty())
+        m_send(receivers, *message);
 }
 
 void table_relay::receive(const table_records &message)
--- a/src/fescuedeck/gateway/table_relay.h
+++ b/src/fescuedeck/gateway/table_relay.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "fescuedeck/base/name_table.h"
+#include "fescuedeck/gateway/page_repeater.h"
 #include "fescuedeck/gateway/table_follower.h"
 #include "fescuedeck/gateway/table_readers.h"
 #include "fescuedeck/peer/peer_directory.h"
@@ -48,8 +49,9 @@
 
     // Adds a table whose pages are passed on. The follower must outlive the relay.
     void add(store_table table, table_follower &follower);
-    // Call it often: it decides whether this gateway reads, and restarts reads that lag. Returns
-    // true if the report has changed in a way that peers should know at once.
+    // Call it often: it decides whether this gateway reads, restarts reads that lag, and repeats
+    // pages that peers lack. Returns true if the report has changed in a way that peers should know
+    // at once.
     bool update(time_point now);
     bool isReader() const { return m_readers.isReader(); }
     // For the digest.
@@ -68,6 +70,7 @@
     const send_fn m_send;
     table_readers m_readers;
     table_lag m_lag;
+    page_repeater m_repeater;
     std::map<std::string, table_follower *> m_followers; // by name of the table
 };
 
