--- a/src/fescuedeck/gateway/gateway_peers.cpp
+++ b/src/fescuedeck/gateway/gateway_peers.cpp
@@ -40,10 +40,6 @@
 // An endpoint that has sent something so recently may do so again. Until then the suspicion of a
 // peer does not apply.
 constexpr duration activeTime = std::chrono::milliseconds(200);
-// A text usually arrives within 0.2 s. After this time the gateway reads the store, within the
-// limit for the application of a configuration (3 s).
-constexpr duration maxConfigLag = std::chrono::milliseconds(1500);
-constexpr duration unusableConfigInterval = std::chrono::seconds(20);
 
 std::string cellOf(const gateway_settings &settings)
 {
@@ -85,17 +81,28 @@
                       m_network->send(routers, message);
               })
     , m_lending(context.retryBudget, lendingHooks())
-    , m_configRequests(context.random)
-    , m_configSender(context.settings.linkRate,
-                     [this](const std::string &peer, const std::string &text) {
-                         m_network->send(peer, bundle_state{ text });
-                     })
+    , m_configs(context.random, context.settings.linkRate, configHooks())
 {
     m_relay.add(store_table::Peers, m_table);
     m_context.borrowRetries
             = [this](const std::string &service) { return m_lending.borrow(service, steadyNow()); };
 }
 
+config_exchange_hooks gateway_peers::configHooks()
+{
+    config_exchange_hooks hooks;
+    hooks.send = [this](const std::string &peer, const peer_message &message) {
+        if (m_network)
+            m_network->send(peer, message);
+    };
+    hooks.currentVersion = [this]() -> std::int64_t {
+        return m_context.config ? m_context.config->config().version : 0;
+    };
+    hooks.onConfig = m_hooks.onConfig;
+    hooks.onBehind = m_hooks.onConfigBehind;
+    return hooks;
+}
+
 retry_lending_hooks gateway_peers::lendingHooks()
 {
     retry_lending_hooks hooks;
@@ -315,11 +322,9 @@
                     .first->second.onDigest(peer.router, *digest, steadyNow());
         }
     } else if (const auto *request = std::get_if<bundle_request>(&message)) {
-        const std::int64_t version = m_context.config ? m_context.config->config().version : 0;
-        if (version >= request->version && m_configSender.hasText())
-            m_configSender.request(peer.router, steadyNow());
+        m_configs.onRequest(peer.router, *request, steadyNow());
     } else if (const auto *state = std::get_if<bundle_state>(&message)) {
-        m_hooks.onConfig(state->checkpoint);
+        m_configs.onState(*state);
     } else if (const auto *wanted = std::get_if<retry_request>(&message)) {
         m_lending.onRequest(peer.router, *wanted, steadyNow());
     } else if (const auto *loan = std::get_if<retry_loan>(&message)) {
@@ -378,8 +383,7 @@
     applyPeerDepartures(view.leaving, now);
     updateDueRetries();
     applyPeerSuspicions(view.suspects, now);
-    requestNewerConfig(now);
-    m_configSender.update(steadyNow());
+    m_configs.update(m_ownDomain, m_otherDomains, now);
     checkEndpointOffset(now);
     if (m_network && m_relay.update(now))
         announceChange();
@@ -410,53 +414,6 @@
     }
 }
 
-// Peers of another domain only if they have a newer version than those of the own one, because
-// links between domains are expensive.
-std::vector<config_holder> gateway_peers::newerConfigHolders(time_point now) const
-{
-    std::int64_t version = m_context.config ? m_context.config->config().version : 0;
-    std::vector<config_holder> holders;
-    const auto addHolders = [&](const peer_directory &domain) {
-        const std::int64_t known = version;
-        domain.forEachLive(now, [&](const std::string &peer, const peer_digest &digest) {
-            if (digest.version <= known)
-                return;
-            holders.push_back({ peer, digest.version });
-            version = std::max(version, digest.version);
-        });
-    };
-    addHolders(m_ownDomain);
-    for (const auto &[cell, directory] : m_otherDomains)
-        addHolders(directory);
-    return holders;
-}
-
-void gateway_peers::requestNewerConfig(time_point now)
-{
-    const std::vector<config_holder> holders = newerConfigHolders(now);
-    if (m_network) {
-        if (const auto holder = m_configRequests.choose(holders, now))
-            m_network->send(holder->peer, bundle_request{ holder->version });
-    }
-    checkConfigLag(!holders.empty(), now);
-}
-
-void gateway_peers::checkConfigLag(bool isBehind, time_point now)
-{
-    if (!isBehind) {
-        m_configBehindSince = {};
-        return;
-    }
-    if (m_configBehindSince == time_point{})
-        m_configBehindSince = now;
-    if (now - m_configBehindSince < maxConfigLag)
-        return;
-    // A configuration that this gateway cannot use remains newer.
-    m_configBehindSince = now + unusableConfigInterval;
-    if (m_hooks.onConfigBehind)
-        m_hooks.onConfigBehind();
-}
-
 void gateway_peers::checkEndpointOffset(time_point now)
 {
     if (!m_hooks.endpointOffset || !m_hooks.onEndpointTableBehind)
--- a/src/fescuedeck/gateway/gateway_peers.h
+++ b/src/fescuedeck/gateway/gateway_peers.h
@@ -24,8 +24,7 @@
 
 #include <boost/asio/spawn.hpp>
 
-#include "fescuedeck/gateway/config_requests.h"
-#include "fescuedeck/gateway/config_sender.h"
+#include "fescuedeck/gateway/config_exchange.h"
 #include "fescuedeck/gateway/gateway_context.h"
 #include "fescuedeck/gateway/peer_topology.h"
 #include "fescuedeck/gateway/retry_lending.h"
@@ -58,7 +57,7 @@
     void start();
     void stop();
     // Sets the configuration text, as the operator wrote it, that is sent to peers on request.
-    void setConfigText(std::string value) { m_configSender.setText(std::move(value)); }
+    void setConfigText(std::string value) { m_configs.setText(std::move(value)); }
     // Sends the current state to the peers at once instead of after the usual interval.
     void announceChange();
     // Returns the number of other gateways that were heard from recently.
@@ -77,6 +76,7 @@
 private:
     table_follower_hooks tableHooks();
     retry_lending_hooks lendingHooks();
+    config_exchange_hooks configHooks();
     bool isRegistered(const std::vector<std::string> &keys) const;
     void registerWithStore(boost::asio::yield_context yield);
     void onPeerRecord(const store_record &record);
@@ -86,9 +86,6 @@
     void updateDueRetries();
     void applyPeerSuspicions(const std::set<std::string> &suspects, time_point now);
     void updateSuspectedSince(const std::set<std::string> &suspects, time_point now);
-    std::vector<config_holder> newerConfigHolders(time_point now) const;
-    void requestNewerConfig(time_point now);
-    void checkConfigLag(bool isBehind, time_point now);
     void checkEndpointOffset(time_point now);
     peer_view mergedView(time_point now) const;
     void applyPeerDepartures(const std::set<std::string> &reported, time_point now);
@@ -113,9 +110,7 @@
     // not.
     time_point m_behindSince{};
     std::map<std::string, time_point> m_suspectedSince; // by id, of the suspects of peers
-    config_requests m_configRequests;
-    config_sender m_configSender;
-    time_point m_configBehindSince{}; // zero if no peer has a newer configuration
+    config_exchange m_configs;
 };
 
 } // namespace fescuedeck
