--- a/src/fescuedeck/gateway/gateway_retry_budget.h
+++ b/src/fescuedeck/gateway/gateway_retry_budget.h
@@ -42,10 +42,12 @@
     //
     // The gateway uses the smallest fraction that was due to it within the last window and some
     // time more: a smaller one at once, a larger one only when no window contains retries that
-    // other gateways, or an earlier process of this one, have used of the same part. If the
-    // fractions that are due to all gateways add up to at most 1 whenever all have read the table
-    // of gateways equally far, the retries that they use add up to at most the fixed retries in
-    // every window, as long as no gateway reads a record more than tableLag after another one does.
+    // other gateways, or an earlier process of this one, have used of the same part.
+    //
+    // If the fractions that are due to all gateways add up to at most 1 whenever all have read the
+    // table of gateways equally far, the retries that they use add up to at most the fixed retries
+    // in every window. This holds as long as no gateway reads a record of the table more than 2 s
+    // after another one does.
     void setDueFraction(double fraction, time_point now);
     // Fraction of the fixed retries that this gateway may use now.
     double fraction(time_point now) const;
--- a/src/fescuedeck/gateway/gateway_retry_budget_test.cpp
+++ b/src/fescuedeck/gateway/gateway_retry_budget_test.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <numeric>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -45,7 +46,7 @@
     void change(time_point now)
     {
         if (m_hosts.size() < maxHosts && uniformReal(m_random) < 0.02)
-            m_hosts.push_back({ {}, {}, {}, uniformReal(m_random) < 0.5 ? 0.1 : 0.002, {} });
+            addHost();
         for (host &each : m_hosts) {
             if (!each.budget && uniformReal(m_random) < 0.03)
                 start(each, now);
@@ -98,6 +99,13 @@
         std::optional<time_point> joinedAt; // when the host was written to the table
     };
 
+    void addHost()
+    {
+        host added;
+        added.joinChance = uniformReal(m_random) < 0.5 ? 0.1 : 0.002;
+        m_hosts.push_back(std::move(added));
+    }
+
     void start(host &each, time_point now)
     {
         each.budget.emplace(retry_budget_limits{ 0, limits.sharedRetries, limits.window });
