--- a/src/fescuedeck/gateway/config_requests.h
+++ b/src/fescuedeck/gateway/config_requests.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fescuedeck/base/random.h"
--- a/src/fescuedeck/gateway/gateway_retry_budget_test.cpp
+++ b/src/fescuedeck/gateway/gateway_retry_budget_test.cpp
@@ -193,6 +193,20 @@
     CHECK(takeAll(budget, start + std::chrono::seconds(15)) == 22);
 }
 
+// Guards against parts that add up to more than the limit in small and large deployments, or that
+// are lost in rounding.
+TEST_CASE("equal parts use the fixed retries in deployments of any size", "[gateway]")
+{
+    for (const int gateways : { 4, 35, 118, 640 }) {
+        gateway_retry_budget budget({ 0, 774, std::chrono::seconds(10) });
+        CHECK(budget.available("s", start) <= 0);
+        budget.setDueFraction(fixedRetriesFraction(true, gateways), start);
+        const time_point afterDelay = start + std::chrono::seconds(15);
+        CHECK(budget.available("s", afterDelay) * gateways <= 774);
+        CHECK(budget.available("s", afterDelay) * gateways > 600);
+    }
+}
+
 TEST_CASE("requests in the window add their share to the budget", "[gateway]")
 {
     gateway_retry_budget budget = budgetWith(0.01);
--- a/src/fescuedeck/gateway/page_repeater.h
+++ b/src/fescuedeck/gateway/page_repeater.h
@@ -29,8 +29,8 @@
 {
 public:
     void add(const table_records &page, time_point now);
-    // Returns the pages, in order, that are to be sent to each peer whose digests have shown the
-    // same position before a kept page for a while.
+    // Returns the pages to send again, in order for each peer. A peer gets them if its digests have
+    // shown the same position, before the end of the kept pages, for a while.
     std::vector<repeated_page> update(const peer_directory &domain, time_point now);
 
 private:
--- a/src/fescuedeck/gateway/windowed_minimum.h
+++ b/src/fescuedeck/gateway/windowed_minimum.h
@@ -15,7 +15,7 @@
     // The quantity has the value initial until the first call of set().
     windowed_minimum(double initial, duration period);
 
-    // Values that have left the shorter of both periods stay forgotten.
+    // A longer period does not bring back values that set() has dropped.
     void setPeriod(duration period) { m_period = period; }
     void set(double value, time_point now);
     // Returns the smallest value that was in force at any time from now - period to now.
